--- /dev/null
+++ b/include/shallotford/base.h
@@ -0,0 +1,273 @@
+#ifndef SHALLOTFORD_BASE_H
+#define SHALLOTFORD_BASE_H
+
+/// Vocabulary shared by every library: identifiers, outcomes, typed errors,
+/// time, random numbers, structured log events and JSON reading.
+
+#include <chrono>
+#include <compare>
+#include <cstdint>
+#include <memory>
+#include <stdexcept>
+#include <string>
+#include <string_view>
+#include <utility>
+#include <vector>
+
+#include <json/value.h>
+
+namespace shallotford {
+
+/// Monotonic time, used by every decision.
+using TimePoint = std::chrono::steady_clock::time_point;
+using Duration = std::chrono::steady_clock::duration;
+/// Calendar time, used only in logs and in what leaves this process.
+using WallTime = std::chrono::system_clock::time_point;
+
+// ---------------------------------------------------------------- errors
+
+/// The kinds of error that leave the system. Each has one name on the wire.
+enum class ErrorKind
+{
+  InvalidRequest,   ///< the caller's request is malformed
+  TooLarge,         ///< a header or body exceeds its limit
+  Unauthenticated,  ///< the caller presented no valid key
+  NotFound,         ///< unknown path, model or service
+  RateLimited,      ///< the caller is over its share
+  Overloaded,       ///< no placement meets the targets now
+  NoUpstream,       ///< no live upstream serves this
+  DependencyDown,   ///< a dependency of the service is down
+  Quarantined,      ///< the request is convicted of crashing upstreams
+  TicketRequired,   ///< an idempotency key that is not a ticket
+  TicketInvalid,    ///< forged, expired or foreign ticket
+  TicketIssuerGone, ///< the issuing incarnation no longer exists
+  DeadlineExceeded, ///< the request's deadline passed
+  UpstreamFailed,   ///< the upstream failed while it ran the request
+  UpstreamRefused,  ///< the upstream said that it did not run the request
+  Cancelled,        ///< the caller went away
+  ShuttingDown,     ///< this VM is leaving
+  NotReady,         ///< this VM has no configuration yet
+  InvalidConfig,    ///< settings or fleet text fail their checks
+  StaleRevision,    ///< a fleet text that is not newer
+  RevisionConflict, ///< same revision, other content
+  Internal,         ///< a defect of this program
+};
+
+/// Returns the wire name of aKind, such as "rate_limited".
+std::string_view
+ToString(ErrorKind aKind);
+
+/// Whether the request ran at an upstream.
+enum class RunState
+{
+  No,      ///< certainly not run
+  Unknown, ///< may have run
+  Yes,     ///< certainly run
+};
+
+/// Returns "no", "unknown" or "yes".
+std::string_view
+ToString(RunState aRun);
+
+/// An error with a typed kind and the remedy for whoever reads it.
+class Error : public std::runtime_error
+{
+public:
+  /// @param aKind    the kind, which decides the HTTP status
+  /// @param aWhat    what is wrong, in one sentence
+  /// @param aRemedy  what the reader can do about it, in one sentence
+  /// @param aRun     whether the request ran
+  Error(ErrorKind aKind,
+        const std::string& aWhat,
+        std::string aRemedy,
+        RunState aRun = RunState::No);
+
+  ErrorKind Kind() const { return m_kind; }
+  const std::string& Remedy() const { return m_remedy; }
+  RunState Run() const { return m_run; }
+  /// How long the caller should wait before it asks again; zero if asking
+  /// again will not help.
+  std::chrono::milliseconds RetryAfter() const { return m_retryAfter; }
+  Error& WithRetryAfter(std::chrono::milliseconds aDelay);
+
+private:
+  ErrorKind m_kind;
+  std::string m_remedy;
+  RunState m_run;
+  std::chrono::milliseconds m_retryAfter{ 0 };
+};
+
+/// Returns the HTTP status that carries an error of kind aKind.
+int
+HttpStatus(ErrorKind aKind);
+
+/// Returns the OpenAI-shaped JSON body of an error: {"error":{"message","type",
+/// "code","run","remedy","retry_after_ms"}}.
+std::string
+ErrorBody(const Error& aError);
+
+// ----------------------------------------------------------- identifiers
+
+/// One boot of the daemon on one VM. Both parts together never repeat.
+struct VmIncarnation
+{
+  std::string m_address;         ///< peer address, "IP:PORT"
+  std::uint64_t m_incarnation{}; ///< random at boot
+
+  auto operator<=>(const VmIncarnation&) const = default;
+};
+
+/// A request, named by the incarnation that accepted it.
+/// Text form: "IP:PORT~INCARNATION_HEX~SEQUENCE".
+struct RequestId
+{
+  VmIncarnation m_vm;
+  std::uint64_t m_sequence{};
+
+  auto operator<=>(const RequestId&) const = default;
+};
+
+/// One attempt to run a request at upstreams, and the name that engines know
+/// it by. Text form: the request's, then "~ATTEMPT".
+struct AttemptId
+{
+  RequestId m_request;
+  std::uint32_t m_attempt{};
+
+  auto operator<=>(const AttemptId&) const = default;
+};
+
+std::string
+ToString(const RequestId& aId);
+std::string
+ToString(const AttemptId& aId);
+/// @throws Error (InvalidRequest) if aText is not the text form of an id
+RequestId
+ParseRequestId(std::string_view aText);
+AttemptId
+ParseAttemptId(std::string_view aText);
+
+/// Returns a 64-bit XXH3 hash, the same on every VM and in every version.
+std::uint64_t
+StableHash(std::string_view aText, std::uint64_t aSeed = 0);
+
+/// Returns the 128-bit XXH3 hash of aText as 32 hexadecimal digits.
+std::string
+Fingerprint(std::string_view aText);
+
+// ------------------------------------------------------ clock and random
+
+/// Source of time. Tests use a fake one.
+class ClockI
+{
+public:
+  virtual ~ClockI() = default;
+  virtual TimePoint Now() const = 0;
+  virtual WallTime WallNow() const = 0;
+};
+
+/// Source of random numbers. Tests use a seeded one.
+class RandomI
+{
+public:
+  virtual ~RandomI() = default;
+  /// Returns a uniformly distributed 64-bit number.
+  virtual std::uint64_t Next() = 0;
+  /// Returns a number in [0, aBound). @param aBound at least 1
+  std::uint64_t Below(std::uint64_t aBound) { return Next() % aBound; }
+  /// Returns a number in [0, 1).
+  double Unit() { return static_cast<double>(Next() >> 11) * 0x1.0p-53; }
+};
+
+std::unique_ptr<ClockI>
+MakeSystemClock();
+/// Returns a generator seeded by the operating system.
+std::unique_ptr<RandomI>
+MakeSystemRandom();
+/// Returns a deterministic generator. @param aSeed any number
+std::unique_ptr<RandomI>
+MakeSeededRandom(std::uint64_t aSeed);
+
+/// A clock that moves only when told to.
+class FakeClock : public ClockI
+{
+public:
+  TimePoint Now() const override { return m_now; }
+  WallTime WallNow() const override;
+  void Advance(Duration aBy) { m_now += aBy; }
+
+private:
+  TimePoint m_now{ std::chrono::seconds{ 1 } };
+};
+
+// ------------------------------------------------------------------ logs
+
+enum class LogLevel
+{
+  Debug,
+  Info,
+  Warning,
+  Error,
+};
+
+/// One event, written as one line of key=value pairs.
+class LogEvent
+{
+public:
+  explicit LogEvent(std::string_view aName, LogLevel aLevel = LogLevel::Info);
+  LogEvent& Add(std::string_view aKey, std::string_view aValue);
+  LogEvent& Add(std::string_view aKey, std::int64_t aValue);
+  LogEvent& Add(std::string_view aKey, Duration aValue);
+
+  LogLevel Level() const { return m_level; }
+  /// Returns the line, values quoted where they hold spaces or quotes.
+  const std::string& Line() const { return m_line; }
+
+private:
+  LogLevel m_level;
+  std::string m_line;
+};
+
+/// Where log events go. Implementations are safe to call from any task.
+class LogI
+{
+public:
+  virtual ~LogI() = default;
+  virtual void Write(const LogEvent& aEvent) = 0;
+};
+
+/// Returns a log that writes through easylogging++ to standard error.
+/// @param aLevel  events below it are dropped
+std::unique_ptr<LogI>
+MakeLog(LogLevel aLevel);
+
+/// Keeps the lines in memory, for golden tests.
+class MemoryLog : public LogI
+{
+public:
+  void Write(const LogEvent& aEvent) override;
+  const std::vector<std::string>& Lines() const { return m_lines; }
+
+private:
+  std::vector<std::string> m_lines;
+};
+
+// ------------------------------------------------------------------ JSON
+
+/// Parses strict JSON: no comments, no duplicate keys, no trailing text, at
+/// most kMaxJsonDepth levels.
+/// @throws Error (InvalidRequest) with line and column
+Json::Value
+ParseJson(std::string_view aText);
+
+/// Returns aValue as JSON on one line.
+std::string
+WriteJson(const Json::Value& aValue);
+
+/// Returns the 1-based line of byte aOffset in aText.
+std::size_t
+LineOfOffset(std::string_view aText, std::size_t aOffset);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_BASE_H
--- /dev/null
+++ b/include/shallotford/fleet.h
@@ -0,0 +1,221 @@
+#ifndef SHALLOTFORD_FLEET_H
+#define SHALLOTFORD_FLEET_H
+
+/// The daemon's settings file and the operators' fleet text: plain data,
+/// strict readers and checks whose errors name line, field and remedy.
+
+#include "shallotford/base.h"
+
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace shallotford {
+
+/// Certificate files as they stand in the settings; all may be empty.
+struct TlsSettings
+{
+  std::string m_certificate;
+  std::string m_key;
+  std::string m_peerAuthority;
+};
+
+/// Settings of one daemon. Addresses are "IP:PORT".
+struct Settings
+{
+  std::string m_callerAddress;   ///< "callers.listen"
+  std::string m_peerAddress;     ///< "peers.listen"; names this VM
+  std::string m_operatorAddress; ///< "operators.listen"
+  std::string m_platformAddress; ///< "platform"
+  std::string m_region;          ///< "region"
+  std::string m_failureDomain;   ///< "failure_domain"
+  LogLevel m_logLevel{ LogLevel::Info };
+  std::size_t m_maxBody{ 4u << 20 };     ///< bytes
+  std::size_t m_maxHeaders{ 16u << 10 }; ///< bytes
+  std::size_t m_maxConnections{ 4096 };
+  std::size_t m_sendBuffer{ 256u << 10 }; ///< bytes
+  std::size_t m_auditEntries{ 10'000 };
+  TlsSettings m_callerTls;
+  TlsSettings m_peerTls;
+};
+
+/// Reads and checks a settings file's text.
+/// @param aName  file name for error messages
+/// @throws Error (InvalidConfig) "FILE:LINE: field "X" ..." with remedy
+Settings
+ParseSettings(const std::string& aText, const std::string& aName);
+
+/// What an engine's pool does.
+enum class EngineRole
+{
+  Prefill,
+  Decode,
+};
+std::string_view
+ToString(EngineRole aRole);
+
+/// One engine. It serves one model at a time in one role.
+struct EngineEntry
+{
+  std::string m_address; ///< "IP:PORT", unique
+  std::string m_server;  ///< server name; engines of one server fail together
+  std::string m_region;
+  std::string m_failureDomain;
+  EngineRole m_role{ EngineRole::Decode }; ///< role wanted by the text
+  bool m_checksFencing{ false };
+  std::uint32_t m_batchLimit{ 20 }; ///< requests decoded together
+  std::uint32_t m_kvPieces{ 200 };  ///< memory in pieces of kKvPieceTokens
+};
+
+/// Speeds of a model on one engine, as operators state them.
+struct ModelEntry
+{
+  std::string m_name;
+  std::string m_version;
+  std::uint32_t m_prefillTokensPerSecond{ 20'000 };
+  std::chrono::microseconds m_decodeStep{ 30'000 }; ///< per token, empty batch
+  std::uint32_t m_kvBytesPerToken{ 131'072 };
+  std::uint64_t m_weightBytes{ 0 };
+  std::uint32_t m_maxPromptTokens{ 65'536 };
+  std::uint32_t m_maxOutputTokens{ 4'096 };
+  std::vector<std::string> m_adapters;
+};
+
+/// Latency targets of a model service; goodput counts requests that meet both.
+struct LatencyTargets
+{
+  std::chrono::milliseconds m_firstToken{ 1'600 };
+  std::chrono::milliseconds m_perToken{ 71 };
+};
+
+/// What placement weighs. Unit-free, relative to each other.
+struct PlacementWeights
+{
+  double m_goodput{ 1.0 };
+  double m_wastedPrefill{ 1.0 };
+  double m_crossRegionBytes{ 1.0 };
+};
+
+/// When decode memory is claimed, relative to the prefill.
+enum class ClaimPolicy
+{
+  PrefillFirst,   ///< "prefill_first"
+  ClaimFirst,     ///< "claim_first"
+  AtPredictedEnd, ///< "claim_at_predicted_end"
+};
+std::string_view
+ToString(ClaimPolicy aPolicy);
+
+enum class ServiceKind
+{
+  Model, ///< served by prefill and decode engines
+  Plain, ///< served by HTTP servers
+};
+
+/// A plain service's server.
+struct PlainServer
+{
+  std::string m_address;
+  std::string m_region;
+  std::string m_failureDomain;
+};
+
+/// A call of a plain service that must not be repeated.
+struct NonRepeatable
+{
+  std::string m_method; ///< "POST"
+  std::string m_path;   ///< prefix below /services/NAME, such as "/holds"
+};
+
+struct ServiceEntry
+{
+  std::string m_name;
+  ServiceKind m_kind{ ServiceKind::Plain };
+  std::vector<std::string> m_dependsOn; ///< names of services
+  std::chrono::milliseconds m_deadline{ 60'000 };
+  double m_retryBudget{ 0.1 }; ///< retries per recent success
+  // Model services.
+  std::string m_model;
+  std::vector<EngineEntry> m_engines;
+  LatencyTargets m_targets;
+  PlacementWeights m_weights;
+  ClaimPolicy m_claim{ ClaimPolicy::AtPredictedEnd };
+  /// Least engines in each role, whatever the measured load.
+  std::uint32_t m_minPrefill{ 1 };
+  std::uint32_t m_minDecode{ 1 };
+  // Plain services.
+  std::vector<PlainServer> m_servers;
+  std::vector<NonRepeatable> m_nonRepeatable;
+};
+
+/// A caller: one organisation with its keys and limits.
+struct CallerEntry
+{
+  std::string m_name;
+  std::string m_keySalt; ///< hexadecimal
+  std::string m_keyHash; ///< SHA-256 of salt bytes then key, hexadecimal
+  double m_tokensPerSecond{ 0 }; ///< token-cost limit over the fleet; 0: none
+  double m_burstTokens{ 0 };
+  double m_share{ 1.0 };        ///< weight in fair queueing
+  std::int32_t m_priority{ 0 }; ///< higher goes first
+};
+
+/// A region, its failure domains, and its links.
+struct RegionEntry
+{
+  std::string m_name;
+  std::vector<std::string> m_failureDomains;
+};
+struct LinkEntry
+{
+  std::string m_from; ///< region
+  std::string m_to;   ///< region; same as m_from for links inside it
+  std::uint64_t m_bytesPerSecond{ 0 };
+  std::chrono::microseconds m_latency{ 0 };
+  double m_cost{ 0 }; ///< billed price per gigabyte
+};
+
+/// The operators' one text. Immutable once parsed.
+struct FleetText
+{
+  std::uint64_t m_revision{ 0 };
+  std::string m_fingerprint; ///< of the text's bytes
+  std::string m_text;        ///< the bytes themselves, passed on to peers
+  std::vector<RegionEntry> m_regions;
+  std::vector<LinkEntry> m_links;
+  std::vector<ModelEntry> m_models;
+  std::vector<ServiceEntry> m_services;
+  std::vector<CallerEntry> m_callers;
+  bool m_anonymousCallers{ false }; ///< requests without a key are let in
+  std::uint64_t m_weightStoreBytesPerSecond{ 0 };
+  std::uint32_t m_ordersAtOnce{ 2 };
+  std::vector<std::string> m_warnings; ///< unknown fields, kept and named
+
+  const ServiceEntry* FindService(std::string_view aName) const;
+  /// Returns the model service that serves model aModel, or nullptr.
+  const ServiceEntry* FindModelService(std::string_view aModel) const;
+  const ModelEntry* FindModel(std::string_view aName) const;
+};
+using FleetPtr = std::shared_ptr<const FleetText>;
+
+/// Reads and checks a fleet text.
+/// @param aName  file name for error messages
+/// @throws Error (InvalidConfig) "FILE:LINE: field "X" ..." with remedy
+FleetPtr
+ParseFleetText(const std::string& aText, const std::string& aName);
+
+/// Splits "IP:PORT" (IPv4, or IPv6 in brackets).
+/// @throws Error (InvalidConfig) if it is not that
+struct SocketAddress
+{
+  std::string m_ip;
+  std::uint16_t m_port{};
+};
+SocketAddress
+ParseAddress(const std::string& aText);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_FLEET_H
--- /dev/null
+++ b/include/shallotford/net.h
@@ -0,0 +1,300 @@
+#ifndef SHALLOTFORD_NET_H
+#define SHALLOTFORD_NET_H
+
+/// Event loops, HTTP/1.1 server and client over libwebsockets.
+///
+/// A task owns one loop, its sockets and its state, and runs on one thread.
+/// Every call is made on the loop's own thread, except LoopI::Post() and
+/// LoopI::Stop(). Tasks talk by messages through a Mailbox.
+
+#include "shallotford/base.h"
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace shallotford {
+
+struct HttpHeader
+{
+  std::string m_name; ///< lower case
+  std::string m_value;
+};
+using HttpHeaders = std::vector<HttpHeader>;
+
+/// Returns the first header named aName (lower case), or nullptr.
+const std::string*
+FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
+
+/// A whole request that a server received.
+struct HttpRequest
+{
+  std::string m_method; ///< "GET", "POST", "PUT", "DELETE"
+  std::string m_path;   ///< without the query
+  std::string m_query;  ///< after '?', undecoded
+  HttpHeaders m_headers;
+  std::string m_body;
+  std::string m_peer; ///< IP address of the sender
+  /// Subject common name of a verified client certificate, else empty.
+  std::string m_peerCertificate;
+};
+
+/// Returns the value of query parameter aName, percent-decoded.
+std::optional<std::string>
+QueryParameter(const HttpRequest& aRequest, std::string_view aName);
+
+/// The server's side of one request. Held by shared pointer; after the caller
+/// closed, every call is without effect.
+class HttpExchangeI
+{
+public:
+  virtual ~HttpExchangeI() = default;
+  /// Sends status and headers of a streamed answer, chunked.
+  virtual void Begin(int aStatus, const HttpHeaders& aHeaders) = 0;
+  /// Queues body bytes. All that is queued leaves in as few writes as possible.
+  virtual void Write(std::string_view aBytes) = 0;
+  /// Ends a streamed answer.
+  virtual void End() = 0;
+  /// Sends a whole answer with its content-length.
+  virtual void Respond(int aStatus,
+                       const HttpHeaders& aHeaders,
+                       std::string_view aBody) = 0;
+  /// Cuts the connection without an end of the answer.
+  virtual void Abort() = 0;
+  /// Returns the bytes that are queued and not yet taken by the socket.
+  virtual std::size_t Buffered() const = 0;
+  /// Calls aCallback each time the buffer has drained to a quarter of
+  /// ServerOptions::m_sendBuffer or less, after it was above it.
+  virtual void OnDrained(std::function<void()> aCallback) = 0;
+  /// Calls aCallback once if the peer goes away before the answer's end.
+  virtual void OnClosed(std::function<void()> aCallback) = 0;
+};
+
+class HttpHandlerI
+{
+public:
+  virtual ~HttpHandlerI() = default;
+  virtual void OnRequest(std::shared_ptr<HttpExchangeI> aExchange,
+                         HttpRequest aRequest) = 0;
+};
+
+/// Certificate files; empty paths mean plain TCP.
+struct TlsFiles
+{
+  std::string m_certificate; ///< PEM chain
+  std::string m_key;         ///< PEM private key
+  /// PEM bundle that peers' certificates must chain to. A server that has one
+  /// demands a client certificate.
+  std::string m_peerAuthority;
+
+  bool IsSet() const
+  {
+    return !m_certificate.empty() || !m_peerAuthority.empty();
+  }
+};
+
+struct ServerOptions
+{
+  std::string m_address{ "127.0.0.1" };
+  std::uint16_t m_port{ 0 };             ///< 0 takes a free port
+  std::size_t m_maxBody{ 8u << 20 };     ///< bytes; above it 413
+  std::size_t m_maxHeaders{ 16u << 10 }; ///< bytes; above it 431
+  std::size_t m_maxConnections{ 4096 };
+  std::size_t m_sendBuffer{ 256u << 10 }; ///< bytes held per answer
+  std::chrono::milliseconds m_idleTimeout{ 60'000 };
+  /// Time a caller has to send its whole request.
+  std::chrono::milliseconds m_requestTimeout{ 30'000 };
+  TlsFiles m_tls;
+};
+
+/// A listening socket. Destroying it closes it and its connections.
+class HttpServerI
+{
+public:
+  virtual ~HttpServerI() = default;
+  virtual std::uint16_t Port() const = 0;
+  /// Stops accepting; answers that are under way go on.
+  virtual void StopAccepting() = 0;
+  /// Returns the number of answers under way.
+  virtual std::size_t InFlight() const = 0;
+};
+
+/// A request to send.
+struct HttpCall
+{
+  std::string m_method{ "GET" };
+  std::string m_address; ///< "IP:PORT"
+  std::string m_path;    ///< with its query
+  HttpHeaders m_headers;
+  std::string m_body;
+  /// Time from the call to the end of the answer's headers.
+  std::chrono::milliseconds m_headersTimeout{ 5'000 };
+  /// Longest silence inside the answer's body.
+  std::chrono::milliseconds m_idleTimeout{ 30'000 };
+  std::size_t m_maxBody{ 8u << 20 }; ///< for FetchWhole only
+  TlsFiles m_tls;
+};
+
+/// How far a failed call came. Decides whether the request may have run.
+enum class CallProgress
+{
+  NotSent,  ///< no byte left this process
+  Sent,     ///< at least one byte was given to the socket
+  Answered, ///< the answer's status arrived
+};
+
+struct HttpFailure
+{
+  CallProgress m_progress{ CallProgress::NotSent };
+  std::string m_reason;
+};
+
+/// Receives the events of one call, in order, ending with exactly one of
+/// OnEnd or OnFailure; none after HttpClientCallI::Cancel().
+class HttpClientHandlerI
+{
+public:
+  virtual ~HttpClientHandlerI() = default;
+  virtual void OnHeaders(int aStatus, const HttpHeaders& aHeaders) = 0;
+  virtual void OnBody(std::string_view aBytes) = 0;
+  virtual void OnEnd() = 0;
+  virtual void OnFailure(const HttpFailure& aFailure) = 0;
+};
+
+/// A call under way. Destroying it cancels it.
+class HttpClientCallI
+{
+public:
+  virtual ~HttpClientCallI() = default;
+  virtual CallProgress Progress() const = 0;
+  /// Closes the connection; no further event is delivered.
+  virtual void Cancel() = 0;
+  /// Stops and restarts reading the answer's body (flow control).
+  virtual void Pause() = 0;
+  virtual void Resume() = 0;
+};
+
+/// A whole answer.
+struct HttpReply
+{
+  int m_status{};
+  HttpHeaders m_headers;
+  std::string m_body;
+};
+struct HttpResult
+{
+  std::optional<HttpReply> m_reply;     ///< set if the answer is whole
+  std::optional<HttpFailure> m_failure; ///< set otherwise
+};
+
+/// What sends requests. The interface that tests replace.
+class HttpClientI
+{
+public:
+  virtual ~HttpClientI() = default;
+  /// Starts aCall. aHandler is never called from inside Fetch().
+  virtual std::unique_ptr<HttpClientCallI> Fetch(
+    HttpCall aCall,
+    std::shared_ptr<HttpClientHandlerI> aHandler) = 0;
+  /// Starts aCall and delivers its whole answer.
+  std::unique_ptr<HttpClientCallI> FetchWhole(
+    HttpCall aCall,
+    std::function<void(HttpResult)> aDone);
+};
+
+/// Timers. The interface that tests replace by a fake clock's.
+class TimersI
+{
+public:
+  using TimerId = std::uint64_t;
+  virtual ~TimersI() = default;
+  virtual TimePoint Now() const = 0;
+  /// Runs aCallback once after aDelay; never from inside this call.
+  virtual TimerId RunAfter(Duration aDelay,
+                           std::function<void()> aCallback) = 0;
+  virtual void CancelTimer(TimerId aTimer) = 0;
+};
+
+struct LoopOptions
+{
+  std::string m_name{ "task" };
+  std::size_t m_maxSockets{ 8192 };
+  /// Idle upstream connections kept open for reuse.
+  std::size_t m_maxIdleConnections{ 256 };
+};
+
+/// One task's event loop.
+class LoopI : public TimersI
+{
+public:
+  /// Runs aFunction on the loop's thread. Safe from any thread.
+  virtual void Post(std::function<void()> aFunction) = 0;
+  /// Serves until Stop().
+  virtual void Run() = 0;
+  /// Makes Run() return. Safe from any thread and from a signal handler's
+  /// thread.
+  virtual void Stop() = 0;
+  virtual HttpClientI& Client() = 0;
+  /// Opens a listening socket. @throws Error (InvalidConfig) if it cannot
+  virtual std::unique_ptr<HttpServerI> Listen(const ServerOptions& aOptions,
+                                              HttpHandlerI& aHandler) = 0;
+  /// Re-reads certificate files for new connections; open ones stay.
+  virtual void ReloadCertificates() = 0;
+};
+
+std::unique_ptr<LoopI>
+MakeLoop(const LoopOptions& aOptions);
+
+/// Delivers messages of type Message to the task that owns aLoop.
+template<class Message>
+class Mailbox
+{
+public:
+  Mailbox(LoopI& aLoop, std::function<void(Message)> aReceiver)
+    : m_loop(aLoop)
+    , m_receiver(
+        std::make_shared<std::function<void(Message)>>(std::move(aReceiver)))
+  {
+  }
+
+  /// Safe from any thread. Messages from one sender arrive in order.
+  void Send(Message aMessage)
+  {
+    m_loop.Post([receiver = m_receiver,
+                 message = std::make_shared<Message>(std::move(aMessage))] {
+      (*receiver)(std::move(*message));
+    });
+  }
+
+private:
+  LoopI& m_loop;
+  std::shared_ptr<std::function<void(Message)>> m_receiver;
+};
+
+/// One server-sent event.
+struct ServerSentEvent
+{
+  std::string m_id;
+  std::string m_event;
+  std::string m_data;
+};
+
+/// Splits a byte stream into server-sent events.
+class EventStreamParser
+{
+public:
+  /// Appends bytes and calls aSink for each event that is complete.
+  /// @throws Error (UpstreamFailed) if an event exceeds kMaxEventBytes
+  void Feed(std::string_view aBytes,
+            const std::function<void(const ServerSentEvent&)>& aSink);
+
+private:
+  std::string m_pending;
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_NET_H
