--- a/src/config.h
+++ b/src/config.h
@@ -24,6 +24,11 @@
 constexpr std::chrono::milliseconds kExportLifetime = 900ms;
 constexpr std::chrono::milliseconds kGoneStreamBound = 5'000ms;
 
+// fleet
+/// The revision fills the upper half of a fencing number.
+constexpr std::uint64_t kMaxRevision = 0xffff'ffffu;
+constexpr std::size_t kKeyHashHex = 64;
+
 // control
 constexpr std::chrono::milliseconds kLeavingBound = 3'000ms;
 constexpr std::size_t kMaxFleetTextBytes = 1u << 20;
--- /dev/null
+++ b/src/fleet_settings.cpp
@@ -0,0 +1,137 @@
+/// Reads the settings file of one daemon.
+
+#include "fleet_reader.h"
+#include "shallotford/fleet.h"
+
+#include <array>
+
+namespace shallotford {
+
+namespace {
+
+constexpr Range<std::uint64_t> kBodyBytes{ 1u << 10, 256u << 20 };
+constexpr Range<std::uint64_t> kHeaderBytes{ 1u << 10, 1u << 20 };
+constexpr Range<std::uint64_t> kConnections{ 1, 1u << 20 };
+constexpr Range<std::uint64_t> kSendBufferBytes{ 4u << 10, 64u << 20 };
+constexpr Range<std::uint64_t> kAuditEntries{ 1, 1'000'000 };
+
+constexpr std::array<std::pair<std::string_view, LogLevel>, 4> kLogLevels{ {
+  { "debug", LogLevel::Debug },
+  { "info", LogLevel::Info },
+  { "warning", LogLevel::Warning },
+  { "error", LogLevel::Error },
+} };
+
+void
+ReadSize(ObjectReader& aReader,
+         const char* aField,
+         std::size_t& aOut,
+         Range<std::uint64_t> aRange)
+{
+  std::uint64_t number = aOut;
+  aReader.Read(aField, number, aRange);
+  aOut = static_cast<std::size_t>(number);
+}
+
+void
+ReadTls(ObjectReader& aReader, TlsSettings& aTls, bool aPeers)
+{
+  aReader.ReadObject("tls", [&](ObjectReader& aFiles) {
+    aFiles.Read("certificate", aTls.m_certificate, Presence::Required);
+    aFiles.Read("key", aTls.m_key, Presence::Required);
+    if (aPeers) {
+      aFiles.Read("authority", aTls.m_peerAuthority, Presence::Required);
+    }
+  });
+}
+
+void
+ReadLimits(ObjectReader& aReader, Settings& aSettings)
+{
+  ReadSize(aReader, "max_body", aSettings.m_maxBody, kBodyBytes);
+  ReadSize(aReader, "max_headers", aSettings.m_maxHeaders, kHeaderBytes);
+  ReadSize(
+    aReader, "max_connections", aSettings.m_maxConnections, kConnections);
+  ReadSize(aReader, "send_buffer", aSettings.m_sendBuffer, kSendBufferBytes);
+  ReadSize(aReader, "audit_entries", aSettings.m_auditEntries, kAuditEntries);
+}
+
+/// Reads {"listen": ADDRESS, "tls": {...}}. A missing object is reported as
+/// its missing address.
+void
+ReadListener(CheckedDocument& aDocument,
+             ObjectReader& aRoot,
+             const char* aField,
+             std::string& aAddress,
+             TlsSettings* aTls,
+             bool aPeers)
+{
+  aRoot.ReadObject(aField, [&](ObjectReader& aListener) {
+    aListener.ReadAddress("listen", aAddress, Presence::Required);
+    if (aTls != nullptr) {
+      ReadTls(aListener, *aTls, aPeers);
+    }
+  });
+  if (!aDocument.Root().isObject() || aDocument.Root().isMember(aField)) {
+    return;
+  }
+  aDocument.AddProblem(std::string(aField) + ".listen",
+                       "is missing",
+                       "Add \"" + std::string(aField) +
+                         "\": {\"listen\": \"IP:PORT\"}.");
+}
+
+/// Port 0 asks the kernel for a port, so two listeners may both have it.
+void
+CheckDistinct(CheckedDocument& aDocument, const Settings& aSettings)
+{
+  const std::array<std::pair<const char*, const std::string*>, 3> kListeners{ {
+    { "callers.listen", &aSettings.m_callerAddress },
+    { "peers.listen", &aSettings.m_peerAddress },
+    { "operators.listen", &aSettings.m_operatorAddress },
+  } };
+  for (std::size_t i = 1; i < kListeners.size(); ++i) {
+    for (std::size_t j = 0; j < i; ++j) {
+      const std::string& address = *kListeners[i].second;
+      if (address.empty() || address != *kListeners[j].second ||
+          address.ends_with(":0")) {
+        continue;
+      }
+      aDocument.AddProblem(kListeners[i].first,
+                           "\"" + address + "\" is also " + kListeners[j].first,
+                           "Give each listener a port of its own.");
+    }
+  }
+}
+
+} // namespace
+
+Settings
+ParseSettings(const std::string& aText, const std::string& aName)
+{
+  CheckedDocument document(aText, aName, UnknownFields::Refuse);
+  ObjectReader root(document, document.Root(), "");
+  Settings settings;
+  ReadListener(document,
+               root,
+               "callers",
+               settings.m_callerAddress,
+               &settings.m_callerTls,
+               false);
+  ReadListener(
+    document, root, "peers", settings.m_peerAddress, &settings.m_peerTls, true);
+  ReadListener(
+    document, root, "operators", settings.m_operatorAddress, nullptr, false);
+  root.ReadAddress("platform", settings.m_platformAddress, Presence::Required);
+  root.Read("region", settings.m_region, Presence::Required);
+  root.Read("failure_domain", settings.m_failureDomain, Presence::Required);
+  root.ReadChoice("log_level", settings.m_logLevel, kLogLevels);
+  root.ReadObject(
+    "limits", [&](ObjectReader& aLimits) { ReadLimits(aLimits, settings); });
+  root.Finish();
+  CheckDistinct(document, settings);
+  document.ThrowIfProblems();
+  return settings;
+}
+
+} // namespace shallotford
