Place requests jointly and admit them fairly

Cause: the daemon needs decisions on engines, order and limits. Change: engine table corrected by own work, naive and joint placers by name, prefix hints, fair queue by token cost, caller limits split by demand. Conclusion: a first working placer; goodput is not measured yet.

--- a/include/shallotford/placement.h
+++ b/include/shallotford/placement.h
@@ -79,28 +79,12 @@
 RefusalReason
 ParseRefusalReason(std::string_view aText);
 
-/// Own work at engines, until it ends.
-struct EngineWork
-{
-  std::uint32_t m_prefillEngine{};
-  std::uint32_t m_decodeEngine{};
-  std::uint32_t m_promptTokens{};
-  std::uint32_t m_prefillTokens{}; ///< predicted, less the cached prefix
-  std::uint32_t m_pieces{};        ///< decode memory
-  WorkStep m_step{ WorkStep::Placed };
-  bool m_claimed{ false };
-  TimePoint m_placedAt{};
-  TimePoint m_stepAt{};
-  TimePoint m_claimedAt{};
-  std::vector<PrefixKey> m_prefixes;
-};
-
 /// What is known of one engine. Filled by EngineTable, read by placers.
 struct EngineFacts
 {
   std::string m_address;
-  std::uint32_t m_region{};  ///< index into the table's regions
-  std::uint32_t m_service{}; ///< index into the table's services
+  std::uint32_t m_region{}; ///< index into the table's regions
+  std::string m_model;      ///< wanted by the text
   EngineRole m_role{ EngineRole::Decode };
   std::uint32_t m_batchLimit{ 20 };
   std::uint32_t m_kvPieces{ 200 };
@@ -120,15 +104,15 @@
   std::uint64_t m_ownPrefillTokens{ 0 };
   std::uint32_t m_ownDecodes{ 0 }; ///< placed or running
   std::uint32_t m_ownPieces{ 0 };  ///< of those
-  std::uint32_t m_ownTransfers{ 0 };
 
-  // Own work that the report can't hold yet.
-  std::uint64_t m_newPrefillTokens{ 0 };
+  // Corrections of the report by own work since it was measured.
   std::uint32_t m_newDecodes{ 0 };
   std::uint32_t m_newPieces{ 0 };
-  std::uint32_t m_endedDecodes{ 0 }; ///< held in the report, ended since
+  std::uint32_t m_endedDecodes{ 0 };
   std::uint32_t m_endedPieces{ 0 };
-  TimePoint m_prefillBusyUntil{}; ///< own estimate of the end of its queue
+  double m_queueTokens{ 0 }; ///< estimate at m_queueAt
+  TimePoint m_queueAt{};
+  double m_tokensPerSecond{ 1 }; ///< of prefill
 
   /// Whether new work may be placed here at all.
   bool Usable(TimePoint aNow) const
@@ -194,14 +178,15 @@
 
   // Reading.
   const std::vector<EngineFacts>& Engines() const { return m_engines; }
-  /// Returns the index of an engine, or kNoEngine.
+  /// Stands for an engine or region that isn't in the table.
   static constexpr std::uint32_t kNoEngine =
     std::numeric_limits<std::uint32_t>::max();
-  std::uint32_t Find(const std::string& aEngine) const;
+  std::uint32_t Find(const std::string& aEngine) const; ///< its index
   /// Engines of a service in a role, by index.
   const std::vector<std::uint32_t>& Pool(std::string_view aService,
                                          EngineRole aRole) const;
   std::uint32_t RegionIndex(std::string_view aRegion) const;
+  std::uint32_t Regions() const;
   /// Returns the link between two regions, or nullptr.
   const LinkEntry* Link(std::uint32_t aFrom, std::uint32_t aTo) const;
   /// Transfers that this VM has running between two regions.
@@ -209,9 +194,7 @@
   std::uint32_t VmCount() const { return m_vmCount; }
 
   /// Predicted tokens waiting before a new prefill starts.
-  double QueueTokens(TimePoint aNow,
-                     std::uint32_t aEngine,
-                     double aTokensPerSecond) const;
+  double QueueTokens(TimePoint aNow, std::uint32_t aEngine) const;
   /// Predicted requests in the engine's decode batch.
   double Running(TimePoint aNow, std::uint32_t aEngine) const;
   /// Predicted free decode memory, in pieces; may be negative.
@@ -225,11 +208,6 @@
 
 private:
   struct Index;
-  void Recount(EngineFacts& aFacts);
-  EngineWork* FindWork(WorkId aWork);
-  void AddTransfer(const EngineWork& aWork, int aBy);
-  void ReleasePrefill(EngineWork& aWork);
-  void ReleaseDecode(TimePoint aNow, EngineWork& aWork);
 
   std::vector<EngineFacts> m_engines;
   std::uint32_t m_vmCount{ 1 };
@@ -292,6 +270,9 @@
   ErrorKind m_kind{ ErrorKind::Overloaded }; ///< or NoUpstream
   std::string m_reason;
   std::chrono::milliseconds m_retryAfter{ 0 };
+  /// The targets may still be met if it is placed again within a moment: keep
+  /// it waiting. False: give up now, and answer at once.
+  bool m_mayWait{ false };
 };
 
 using PlacementResult = std::variant<Placement, PlacementRefusal>;
@@ -373,15 +354,21 @@
     double m_burst{ 0 };  ///< tokens over the fleet
     double m_level{ 0 };  ///< tokens here
     double m_demand{ 0 }; ///< decaying sum of tokens asked for here
-    TimePoint m_at{};
+    TimePoint m_at{};     ///< of m_level and m_demand
     std::map<std::string, PeerDemand> m_peers;
   };
-  double DemandRate(TimePoint aNow, const Bucket& aBucket) const;
+  double OwnDemand(TimePoint aNow, const Bucket& aBucket) const;
+  double PeerDemandOf(TimePoint aNow,
+                      const Bucket& aBucket,
+                      const std::string& aVm,
+                      TimePoint aListedAt,
+                      double aTypical) const;
   double ShareOf(TimePoint aNow, const Bucket& aBucket) const;
-  void Refill(TimePoint aNow, Bucket& aBucket);
+  void Refill(TimePoint aNow, Bucket& aBucket) const;
 
   std::string m_vm;
-  std::vector<std::string> m_vms;
+  std::map<std::string, TimePoint> m_vms;   ///< others, with when first listed
+  std::map<std::string, TimePoint> m_heard; ///< when demand last came
   std::map<std::string, Bucket> m_buckets;
 };
 
@@ -402,8 +389,9 @@
   double m_quantum{ 8'000 };                ///< tokens per round at share 1
 };
 
-/// Fair queue among callers by token cost: strict priorities, deficit round
-/// robin among callers of a priority, earliest time to give up inside a caller.
+/// Fair queue among callers by token cost: higher priorities first, with a
+/// small guaranteed share for lower ones; deficit round robin among the callers
+/// of a priority; earliest time to give up first inside a caller.
 class AdmissionQueue
 {
 public:
@@ -427,15 +415,18 @@
   double WaitingCost() const { return m_cost; }
 
 private:
+  /// One caller's waiting requests at one priority.
   struct Flow
   {
-    double m_deficit{ 0 };
-    std::multimap<TimePoint, QueuedRequest> m_waiting;
+    double m_deficit{ 0 };                             ///< tokens
+    std::multimap<TimePoint, QueuedRequest> m_waiting; ///< by m_giveUpAt
   };
+  /// The callers that wait at one priority.
   struct Level
   {
     std::map<std::string, Flow> m_flows;
-    std::deque<std::string> m_round; ///< callers with waiting requests
+    std::deque<std::string> m_round; ///< callers in turn
+    double m_credit{ 0 }; ///< tokens earned while higher ones were served
   };
   struct Where
   {
@@ -443,14 +434,21 @@
     std::string m_caller;
     TimePoint m_giveUpAt{};
   };
+  using Levels = std::map<std::int32_t, Level, std::greater<>>;
+
   void Insert(const QueuedRequest& aRequest, bool aRefund);
+  Levels::iterator ChooseLevel();
+  QueuedRequest TakeFrom(Level& aLevel);
+  /// Takes a request out of its flow, wherever it is.
+  std::optional<QueuedRequest> Extract(std::uint64_t aId);
   double ShareOf(const std::string& aCaller) const;
 
   AdmissionOptions m_options;
   std::map<std::string, double> m_shares;
-  std::map<std::int32_t, Level, std::greater<>> m_levels;
+  Levels m_levels;
   std::unordered_map<std::uint64_t, Where> m_byId;
   std::multimap<TimePoint, std::uint64_t> m_expiry;
+  std::vector<QueuedRequest> m_expired; ///< met by Pop, not yet told
   double m_cost{ 0 };
 };
 
--- a/src/config.h
+++ b/src/config.h
@@ -29,6 +29,40 @@
 constexpr std::uint64_t kMaxRevision = 0xffff'ffffu;
 constexpr std::size_t kKeyHashHex = 64;
 
+// placement
+constexpr std::chrono::milliseconds kRefusalBackOff = 50ms;
+constexpr std::chrono::milliseconds kSlowStartTime = 4'000ms;
+constexpr double kSlowStartLeast = 0.05; // of an engine's share
+constexpr std::chrono::milliseconds kEndedWorkMemory = 5'000ms;
+constexpr std::chrono::seconds kPrefixHintLifetime = 120s;
+constexpr std::size_t kMaxPrefixHints = 131'072;
+constexpr std::size_t kMaxEnginesPerPrefix = 8;
+constexpr std::size_t kWholeListLimit = 128; // engines in a pool
+constexpr std::size_t kSampledEngines = 32;  // of a larger pool
+constexpr std::size_t kRankedPerRegion = 3;  // engines paired in each role
+constexpr std::size_t kMaxAlternatives = 8;
+constexpr double kDecodeStepGrowth = 0.05;   // per further request
+constexpr double kTypicalOutputTokens = 200; // left of a running request
+constexpr double kSafeSpareRequests = 3;     // spare places without risk
+constexpr double kSlowdownPenalty = 0.1;     // seconds
+constexpr double kWastePenalty = 1.0;        // per second of prefill
+constexpr double kWasteFloor = 0.02;         // seconds
+constexpr double kCrossRegionPenalty = 1.0;  // seconds per price unit
+constexpr double kNearEqualCost = 0.01;      // seconds
+constexpr double kRendezvousBonus = 0.05;    // seconds
+constexpr std::chrono::microseconds kClaimLead = 20ms;
+constexpr std::chrono::milliseconds kNoEngineRetryAfter = 1'000ms;
+constexpr std::chrono::milliseconds kLeastRetryAfter = 200ms;
+constexpr std::chrono::milliseconds kMostRetryAfter = 10'000ms;
+constexpr std::chrono::milliseconds kQueueFullRetryAfter = 1'000ms;
+constexpr double kLeastCallerShare = 0.01;
+constexpr double kOutputTokenCost = 4.0;  // tokens of prefill work
+constexpr double kLowPriorityShare = 0.1; // of the tokens served above
+constexpr std::chrono::milliseconds kMostLimitRetryAfter = 60'000ms;
+constexpr std::chrono::milliseconds kDemandTime = 4'000ms;
+constexpr std::chrono::milliseconds kPeerDemandLifetime = 3'000ms;
+constexpr double kDemandFloor = 0.01; // of a limit, divided among the VMs
+
 // control
 constexpr std::chrono::milliseconds kLeavingBound = 3'000ms;
 constexpr std::size_t kMaxFleetTextBytes = 1u << 20;
--- /dev/null
+++ b/src/placement_admission_limits.cpp
@@ -0,0 +1,192 @@
+/// Token buckets per caller, split over the VMs by recent demand.
+
+#include "config.h"
+#include "shallotford/placement.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotford {
+
+namespace {
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+} // namespace
+
+CallerLimits::CallerLimits(std::string aVm)
+  : m_vm(std::move(aVm))
+{
+}
+
+void
+CallerLimits::SetCallers(TimePoint aNow,
+                         const std::vector<CallerEntry>& aCallers)
+{
+  std::map<std::string, Bucket> buckets;
+  for (const CallerEntry& caller : aCallers) {
+    const auto known = m_buckets.find(caller.m_name);
+    Bucket& bucket = buckets[caller.m_name];
+    const bool isNew = known == m_buckets.end();
+    if (!isNew)
+      bucket = known->second;
+    bucket.m_rate = caller.m_tokensPerSecond;
+    bucket.m_burst = std::max(caller.m_burstTokens, caller.m_tokensPerSecond);
+    if (!isNew)
+      continue;
+    bucket.m_at = aNow;
+    bucket.m_level = bucket.m_burst * ShareOf(aNow, bucket);
+  }
+  m_buckets = std::move(buckets);
+}
+
+void
+CallerLimits::SetVms(TimePoint aNow, const std::vector<std::string>& aVms)
+{
+  std::map<std::string, TimePoint> vms;
+  for (const std::string& vm : aVms) {
+    if (vm == m_vm)
+      continue;
+    const auto known = m_vms.find(vm);
+    vms[vm] = known == m_vms.end() ? aNow : known->second;
+  }
+  m_vms = std::move(vms);
+  for (auto& [name, bucket] : m_buckets) {
+    Refill(aNow, bucket);
+    std::erase_if(bucket.m_peers, [&](const auto& aPeer) {
+      return !m_vms.contains(aPeer.first);
+    });
+  }
+}
+
+void
+CallerLimits::OnPeerDemand(TimePoint aNow,
+                           const std::string& aVm,
+                           const std::vector<CallerDemand>& aDemand)
+{
+  if (!m_vms.contains(aVm))
+    return;
+  m_heard[aVm] = aNow;
+  for (auto& [name, bucket] : m_buckets) {
+    Refill(aNow, bucket);
+    bucket.m_peers.erase(aVm);
+  }
+  for (const CallerDemand& demand : aDemand) {
+    const auto bucket = m_buckets.find(demand.m_caller);
+    if (bucket != m_buckets.end())
+      bucket->second.m_peers[aVm] = { demand.m_tokensPerSecond, aNow };
+  }
+}
+
+double
+CallerLimits::OwnDemand(TimePoint aNow, const Bucket& aBucket) const
+{
+  const double time = Seconds(kDemandTime);
+  return aBucket.m_demand * std::exp(-Seconds(aNow - aBucket.m_at) / time) /
+         time;
+}
+
+double
+CallerLimits::PeerDemandOf(TimePoint aNow,
+                           const Bucket& aBucket,
+                           const std::string& aVm,
+                           TimePoint aListedAt,
+                           double aTypical) const
+{
+  const auto heard = m_heard.find(aVm);
+  const bool fresh =
+    heard != m_heard.end() && heard->second + kPeerDemandLifetime >= aNow;
+  if (fresh) {
+    const auto peer = aBucket.m_peers.find(aVm);
+    return peer == aBucket.m_peers.end() ? 0 : peer->second.m_tokensPerSecond;
+  }
+  // A VM that was just listed is taken for a typical one until it is heard.
+  const bool isNew = heard == m_heard.end() || heard->second < aListedAt;
+  return isNew && aListedAt + kPeerDemandLifetime >= aNow ? aTypical : 0;
+}
+
+double
+CallerLimits::ShareOf(TimePoint aNow, const Bucket& aBucket) const
+{
+  const double vms = double(m_vms.size()) + 1;
+  const double floor = aBucket.m_rate * kDemandFloor / vms;
+  const double own = OwnDemand(aNow, aBucket);
+  double known = own;
+  for (const auto& [vm, demand] : aBucket.m_peers)
+    known += demand.m_tokensPerSecond;
+  const double typical = known / (double(aBucket.m_peers.size()) + 1);
+  double total = own + floor;
+  for (const auto& [vm, listedAt] : m_vms)
+    total += floor + PeerDemandOf(aNow, aBucket, vm, listedAt, typical);
+  return total > 0 ? (own + floor) / total : 1.0 / vms;
+}
+
+void
+CallerLimits::Refill(TimePoint aNow, Bucket& aBucket) const
+{
+  const double elapsed = Seconds(aNow - aBucket.m_at);
+  if (elapsed <= 0)
+    return;
+  const double share = ShareOf(aNow, aBucket);
+  aBucket.m_level = std::min(aBucket.m_level + aBucket.m_rate * share * elapsed,
+                             aBucket.m_burst * share);
+  aBucket.m_demand *= std::exp(-elapsed / Seconds(kDemandTime));
+  aBucket.m_at = aNow;
+}
+
+std::chrono::milliseconds
+CallerLimits::Take(TimePoint aNow, const std::string& aCaller, double aCost)
+{
+  const auto found = m_buckets.find(aCaller);
+  if (found == m_buckets.end() || found->second.m_rate <= 0)
+    return std::chrono::milliseconds{ 0 };
+  Bucket& bucket = found->second;
+  Refill(aNow, bucket);
+  bucket.m_demand += aCost;
+  if (bucket.m_level > 0) {
+    // One request may take more than is left: the debt is worked off.
+    bucket.m_level -= aCost;
+    return std::chrono::milliseconds{ 0 };
+  }
+  const double rate = bucket.m_rate * ShareOf(aNow, bucket);
+  const double wait = std::max(-bucket.m_level, 1.0) / std::max(rate, 1e-9);
+  return std::clamp(
+    std::chrono::milliseconds(std::int64_t(std::min(wait * 1e3 + 1, 1e9))),
+    kLeastRetryAfter,
+    kMostLimitRetryAfter);
+}
+
+void
+CallerLimits::GiveBack(const std::string& aCaller, double aCost)
+{
+  const auto found = m_buckets.find(aCaller);
+  if (found != m_buckets.end() && found->second.m_rate > 0)
+    found->second.m_level += aCost;
+}
+
+std::vector<CallerDemand>
+CallerLimits::Demand(TimePoint aNow) const
+{
+  std::vector<CallerDemand> demand;
+  for (const auto& [name, bucket] : m_buckets) {
+    if (bucket.m_rate <= 0)
+      continue;
+    const double rate = OwnDemand(aNow, bucket);
+    if (rate > bucket.m_rate * kDemandFloor / 10)
+      demand.push_back({ name, rate });
+  }
+  return demand;
+}
+
+double
+CallerLimits::Share(TimePoint aNow, const std::string& aCaller) const
+{
+  const auto found = m_buckets.find(aCaller);
+  return found == m_buckets.end() ? 1.0 : ShareOf(aNow, found->second);
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/placement_cost.cpp
@@ -0,0 +1,180 @@
+#include "placement_cost.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+double
+Seconds(Duration aTime)
+{
+  return std::chrono::duration<double>(aTime).count();
+}
+
+std::chrono::microseconds
+Micros(double aSeconds)
+{
+  return std::chrono::microseconds(std::int64_t(aSeconds * 1e6));
+}
+
+/// Seconds that a KV cache needs on the link's present share.
+double
+TransferTime(const EngineTable& aTable,
+             std::uint32_t aFrom,
+             std::uint32_t aTo,
+             std::uint64_t aBytes)
+{
+  const LinkEntry* link = aTable.Link(aFrom, aTo);
+  if (!link || link->m_bytesPerSecond == 0)
+    return 0;
+  const double sharers =
+    1.0 + double(aTable.OwnTransfers(aFrom, aTo)) * aTable.VmCount();
+  return Seconds(link->m_latency) +
+         double(aBytes) * sharers / double(link->m_bytesPerSecond);
+}
+
+} // namespace
+
+std::uint32_t
+PiecesNeeded(const PlacementRequest& aRequest)
+{
+  const std::uint32_t tokens =
+    aRequest.m_promptTokens + aRequest.m_maxOutputTokens;
+  return (tokens + kKvPieceTokens - 1) / kKvPieceTokens;
+}
+
+double
+DecodeStep(const ModelEntry& aModel, double aRunning)
+{
+  return Seconds(aModel.m_decodeStep) *
+         (1.0 + kDecodeStepGrowth * std::max(0.0, aRunning - 1));
+}
+
+PrefillCandidate
+WeighPrefill(TimePoint aNow,
+             const PlacementRequest& aRequest,
+             const EngineTable& aTable,
+             std::uint32_t aEngine,
+             std::uint32_t aCachedTokens)
+{
+  const EngineFacts& facts = aTable.Engines()[aEngine];
+  const std::uint32_t cached = std::min(aCachedTokens, aRequest.m_promptTokens);
+  return { .m_engine = aEngine,
+           .m_region = facts.m_region,
+           .m_cachedTokens = cached,
+           .m_queue =
+             aTable.QueueTokens(aNow, aEngine) / facts.m_tokensPerSecond,
+           .m_prefill = double(aRequest.m_promptTokens - cached) /
+                        facts.m_tokensPerSecond };
+}
+
+DecodeCandidate
+WeighDecode(TimePoint aNow,
+            const PlacementRequest& aRequest,
+            const EngineTable& aTable,
+            std::uint32_t aEngine)
+{
+  const EngineFacts& facts = aTable.Engines()[aEngine];
+  const double running = aTable.Running(aNow, aEngine);
+  const double pieces = PiecesNeeded(aRequest);
+  const double spare = aTable.FreePieces(aNow, aEngine) - pieces;
+  const double places = facts.m_batchLimit - running - 1;
+  DecodeCandidate candidate{ .m_engine = aEngine,
+                             .m_region = facts.m_region,
+                             .m_step =
+                               DecodeStep(*aRequest.m_model, running + 1) };
+  // What is free shrinks by other VMs' work that no report shows yet.
+  const double margin = std::min(spare / std::max(1.0, pieces), places) + 1.0;
+  candidate.m_risk = std::clamp(1.0 - margin / kSafeSpareRequests, 0.0, 1.0);
+  if (spare >= 0 && places >= 0)
+    return candidate;
+  const double missing = std::max(-spare / std::max(1.0, pieces), -places);
+  candidate.m_wait = std::max(1.0, missing) * kTypicalOutputTokens *
+                     candidate.m_step / std::max(1.0, running);
+  return candidate;
+}
+
+PairCost
+WeighPair(const PlacementRequest& aRequest,
+          const EngineTable& aTable,
+          const PrefillCandidate& aPrefill,
+          const DecodeCandidate& aDecode)
+{
+  const std::uint64_t bytes = std::uint64_t{ aRequest.m_promptTokens } *
+                              aRequest.m_model->m_kvBytesPerToken;
+  const bool crosses = aPrefill.m_region != aDecode.m_region;
+  const PlacementWeights& weights = aRequest.m_service->m_weights;
+  PairCost cost{ .m_crossRegionBytes = crosses ? bytes : 0 };
+  cost.m_transfer =
+    TransferTime(aTable, aPrefill.m_region, aDecode.m_region, bytes);
+  cost.m_firstToken =
+    std::max(aPrefill.Time(), aDecode.m_wait) + cost.m_transfer;
+  const LinkEntry* link =
+    crosses ? aTable.Link(aPrefill.m_region, aDecode.m_region) : nullptr;
+  const double billed =
+    link ? double(cost.m_crossRegionBytes) / 1e9 * link->m_cost : 0;
+  const double slowdown =
+    aDecode.m_step / Seconds(aRequest.m_model->m_decodeStep) - 1.0;
+  cost.m_total =
+    weights.m_goodput * (cost.m_firstToken + slowdown * kSlowdownPenalty) +
+    weights.m_wastedPrefill * aDecode.m_risk * kWastePenalty *
+      (aPrefill.m_prefill + kWasteFloor) +
+    weights.m_crossRegionBytes * billed * kCrossRegionPenalty;
+  return cost;
+}
+
+double
+TimeLeft(TimePoint aNow, const PlacementRequest& aRequest)
+{
+  const Duration target =
+    aRequest.m_service->m_targets.m_firstToken - (aNow - aRequest.m_receivedAt);
+  if (aRequest.m_deadline == TimePoint::max())
+    return Seconds(target);
+  return Seconds(std::min<Duration>(target, aRequest.m_deadline - aNow));
+}
+
+bool
+MayRun(TimePoint aNow,
+       const PlacementRequest& aRequest,
+       const EngineFacts& aFacts)
+{
+  if (!aFacts.Usable(aNow))
+    return false;
+  const std::vector<std::string>& excluded = aRequest.m_excluded;
+  if (std::find(excluded.begin(), excluded.end(), aFacts.m_address) !=
+      excluded.end())
+    return false;
+  return !aRequest.m_allowed || aRequest.m_allowed(aFacts.m_address);
+}
+
+Placement
+MakePlacement(const PlacementRequest& aRequest,
+              const EngineTable& aTable,
+              const PrefillCandidate& aPrefill,
+              const DecodeCandidate& aDecode,
+              const PairCost& aCost)
+{
+  Placement placement;
+  placement.m_prefillEngine = aTable.Engines()[aPrefill.m_engine].m_address;
+  placement.m_decodeEngine = aTable.Engines()[aDecode.m_engine].m_address;
+  placement.m_queue = Micros(aPrefill.m_queue);
+  placement.m_prefill = Micros(aPrefill.m_prefill);
+  placement.m_transfer = Micros(aCost.m_transfer);
+  placement.m_decodeWait = Micros(aDecode.m_wait);
+  placement.m_firstToken = Micros(aCost.m_firstToken);
+  placement.m_cachedTokens = aPrefill.m_cachedTokens;
+  placement.m_crossRegionBytes = aCost.m_crossRegionBytes;
+  placement.m_cost = aCost.m_total;
+  placement.m_claim = aRequest.m_service->m_claim;
+  if (placement.m_claim == ClaimPolicy::AtPredictedEnd)
+    placement.m_claimDelay =
+      std::max(0us, placement.m_queue + placement.m_prefill - kClaimLead);
+  if (placement.m_claim == ClaimPolicy::PrefillFirst)
+    placement.m_claimDelay = placement.m_queue + placement.m_prefill;
+  return placement;
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/placement_work.cpp
@@ -0,0 +1,243 @@
+/// Own work at engines, which corrects their lagging reports.
+
+#include "config.h"
+#include "placement_table.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+std::uint32_t
+PiecesFor(std::uint32_t aTokens)
+{
+  return (aTokens + kKvPieceTokens - 1) / kKvPieceTokens;
+}
+
+/// Changes the queue estimate of an engine by some tokens, at aNow.
+void
+AddQueueTokens(TimePoint aNow, EngineFacts& aFacts, double aTokens)
+{
+  const double elapsed =
+    std::chrono::duration<double>(aNow - aFacts.m_queueAt).count();
+  const double left =
+    std::max(0.0, aFacts.m_queueTokens - aFacts.m_tokensPerSecond * elapsed);
+  aFacts.m_queueTokens = std::max(0.0, left + aTokens);
+  aFacts.m_queueAt = aNow;
+}
+
+} // namespace
+
+EngineWork*
+EngineTable::Index::Find(WorkId aWork)
+{
+  const auto found = m_works.find(aWork);
+  return found == m_works.end() ? nullptr : &found->second;
+}
+
+std::size_t
+EngineTable::Index::LinkIndex(std::uint32_t aFrom, std::uint32_t aTo) const
+{
+  return std::size_t{ aFrom } * m_regions.size() + aTo;
+}
+
+void
+EngineTable::Index::AddTransfer(const EngineWork& aWork,
+                                const std::vector<EngineFacts>& aEngines,
+                                int aBy)
+{
+  const std::uint32_t from = aEngines[aWork.m_prefillEngine].m_region;
+  const std::uint32_t to = aEngines[aWork.m_decodeEngine].m_region;
+  m_transfers[LinkIndex(from, to)] += aBy;
+}
+
+void
+EngineTable::Index::ClosePrefill(WorkId aId,
+                                 EngineWork& aWork,
+                                 EngineFacts& aFacts)
+{
+  if (!aWork.m_prefillOpen)
+    return;
+  aWork.m_prefillOpen = false;
+  --aFacts.m_ownPrefills;
+  aFacts.m_ownPrefillTokens -= aWork.m_prefillTokens;
+  std::erase(m_prefillsOf[aWork.m_prefillEngine], aId);
+}
+
+void
+EngineTable::Index::AddDecode(WorkId aId,
+                              EngineWork& aWork,
+                              EngineFacts& aFacts)
+{
+  aWork.m_inReport = false;
+  ++aFacts.m_ownDecodes;
+  aFacts.m_ownPieces += aWork.m_pieces;
+  ++aFacts.m_newDecodes;
+  aFacts.m_newPieces += aWork.m_pieces;
+  m_worksOf[aWork.m_decodeEngine].push_back(aId);
+}
+
+void
+EngineTable::Index::RemoveDecode(TimePoint aNow,
+                                 WorkId aId,
+                                 EngineWork& aWork,
+                                 EngineFacts& aFacts)
+{
+  --aFacts.m_ownDecodes;
+  aFacts.m_ownPieces -= aWork.m_pieces;
+  std::erase(m_worksOf[aWork.m_decodeEngine], aId);
+  if (!aWork.m_inReport) {
+    --aFacts.m_newDecodes;
+    aFacts.m_newPieces -= aWork.m_pieces;
+  } else {
+    ++aFacts.m_endedDecodes;
+    aFacts.m_endedPieces += aWork.m_pieces;
+  }
+  if (aWork.m_claimedAt)
+    m_endedOf[aWork.m_decodeEngine].push_back(
+      { *aWork.m_claimedAt, aNow, aWork.m_pieces });
+}
+
+void
+EngineTable::Index::Correct(TimePoint aNow,
+                            std::uint32_t aEngine,
+                            EngineFacts& aFacts)
+{
+  const TimePoint measured = aFacts.m_reportedAt;
+  aFacts.m_newDecodes = aFacts.m_newPieces = 0;
+  aFacts.m_endedDecodes = aFacts.m_endedPieces = 0;
+  for (const WorkId id : m_worksOf[aEngine]) {
+    EngineWork& work = m_works.at(id);
+    work.m_inReport = work.m_claimedAt && *work.m_claimedAt <= measured;
+    if (work.m_inReport)
+      continue;
+    ++aFacts.m_newDecodes;
+    aFacts.m_newPieces += work.m_pieces;
+  }
+  std::deque<EndedWork>& ended = m_endedOf[aEngine];
+  while (!ended.empty() && ended.front().m_endedAt <= measured)
+    ended.pop_front();
+  for (const EndedWork& work : ended) {
+    if (work.m_claimedAt > measured)
+      continue;
+    ++aFacts.m_endedDecodes;
+    aFacts.m_endedPieces += work.m_pieces;
+  }
+
+  aFacts.m_queueTokens = double(aFacts.m_report.m_prefillQueueTokens);
+  aFacts.m_queueAt = measured;
+  for (const WorkId id : m_prefillsOf[aEngine]) {
+    const EngineWork& work = m_works.at(id);
+    if (work.m_placedAt > measured)
+      AddQueueTokens(work.m_placedAt, aFacts, work.m_prefillTokens);
+  }
+  AddQueueTokens(aNow, aFacts, 0);
+}
+
+WorkId
+EngineTable::OnPlaced(TimePoint aNow,
+                      const PlacementRequest& aRequest,
+                      const Placement& aPlacement)
+{
+  const std::uint32_t prefill = Find(aPlacement.m_prefillEngine);
+  const std::uint32_t decode = Find(aPlacement.m_decodeEngine);
+  if (prefill == kNoEngine || decode == kNoEngine)
+    return 0;
+  Index& index = *m_index;
+  const WorkId id = ++index.m_lastWork;
+  EngineWork& work = index.m_works[id];
+  work.m_prefillEngine = prefill;
+  work.m_decodeEngine = decode;
+  work.m_prefillTokens =
+    aRequest.m_promptTokens -
+    std::min(aRequest.m_promptTokens, aPlacement.m_cachedTokens);
+  work.m_pieces =
+    PiecesFor(aRequest.m_promptTokens + aRequest.m_maxOutputTokens);
+  work.m_placedAt = aNow;
+  work.m_prefixes = aRequest.m_prefixes;
+
+  EngineFacts& facts = m_engines[prefill];
+  ++facts.m_ownPrefills;
+  facts.m_ownPrefillTokens += work.m_prefillTokens;
+  AddQueueTokens(aNow, facts, work.m_prefillTokens);
+  index.m_prefillsOf[prefill].push_back(id);
+  index.AddDecode(id, work, m_engines[decode]);
+  return id;
+}
+
+void
+EngineTable::OnClaimed(TimePoint aNow, WorkId aWork)
+{
+  if (EngineWork* work = m_index->Find(aWork))
+    work->m_claimedAt = aNow;
+}
+
+void
+EngineTable::OnStep(TimePoint aNow, WorkId aWork, WorkStep aStep)
+{
+  if (aStep == WorkStep::Ended) {
+    OnEnded(aNow, aWork);
+    return;
+  }
+  EngineWork* work = m_index->Find(aWork);
+  if (!work)
+    return;
+  if (aStep >= WorkStep::Prefilled)
+    m_index->ClosePrefill(aWork, *work, m_engines[work->m_prefillEngine]);
+  if (work->m_step == WorkStep::Transferring)
+    m_index->AddTransfer(*work, m_engines, -1);
+  if (aStep == WorkStep::Transferring)
+    m_index->AddTransfer(*work, m_engines, 1);
+  work->m_step = aStep;
+}
+
+void
+EngineTable::OnPrefilled(TimePoint aNow,
+                         WorkId aWork,
+                         std::uint32_t aCachedTokens)
+{
+  EngineWork* work = m_index->Find(aWork);
+  if (!work)
+    return;
+  (void)aCachedTokens;
+  std::uint32_t tokens = 0;
+  for (const PrefixKey prefix : work->m_prefixes) {
+    tokens += kKvPieceTokens;
+    m_index->m_hints.Store(aNow, work->m_prefillEngine, prefix, tokens);
+  }
+  OnStep(aNow, aWork, WorkStep::Prefilled);
+}
+
+void
+EngineTable::OnDecodeMoved(TimePoint aNow,
+                           WorkId aWork,
+                           const std::string& aEngine)
+{
+  const std::uint32_t decode = Find(aEngine);
+  EngineWork* work = m_index->Find(aWork);
+  if (!work || decode == kNoEngine)
+    return;
+  m_index->RemoveDecode(aNow, aWork, *work, m_engines[work->m_decodeEngine]);
+  work->m_claimedAt.reset();
+  work->m_decodeEngine = decode;
+  m_index->AddDecode(aWork, *work, m_engines[decode]);
+}
+
+void
+EngineTable::OnEnded(TimePoint aNow, WorkId aWork)
+{
+  EngineWork* work = m_index->Find(aWork);
+  if (!work)
+    return;
+  EngineFacts& facts = m_engines[work->m_prefillEngine];
+  if (work->m_prefillOpen)
+    AddQueueTokens(aNow, facts, -double(work->m_prefillTokens));
+  m_index->ClosePrefill(aWork, *work, facts);
+  if (work->m_step == WorkStep::Transferring)
+    m_index->AddTransfer(*work, m_engines, -1);
+  m_index->RemoveDecode(aNow, aWork, *work, m_engines[work->m_decodeEngine]);
+  m_index->m_works.erase(aWork);
+}
+
+} // namespace shallotford
