--- a/tests/placement_admission_test.cpp
+++ b/tests/placement_admission_test.cpp
@@ -120,6 +120,7 @@
                             .m_maxWaitingPerCaller = 10'000 } };
     const int callers = *rc::gen::inRange(1, 6);
     std::vector<CallerEntry> entries;
+    entries.reserve(callers);
     for (int i = 0; i < callers; ++i)
       entries.push_back(
         Caller(std::to_string(i), *rc::gen::inRange(1, 10) / 4.0));
@@ -197,6 +198,7 @@
   void TellList()
   {
     std::vector<std::string> names;
+    names.reserve(m_vms.size());
     for (const Vm& vm : m_vms)
       names.push_back(vm.m_name);
     for (const Vm& vm : m_vms)
