--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -46,8 +46,8 @@
 /// What one crash changed.
 struct CrashVerdict
 {
-  std::vector<std::string> m_suspects;  ///< fingerprints, new suspects
-  std::vector<std::string> m_convicted; ///< at most one fingerprint
+  std::vector<std::string> m_suspects{};  ///< fingerprints, new suspects
+  std::vector<std::string> m_convicted{}; ///< at most one fingerprint
 };
 
 /// Suspects and convicts known to one VM. The same class serves as the
@@ -100,9 +100,9 @@
   {
     PoisonStatus m_status{ PoisonStatus::Clear };
     std::uint64_t m_version{ 0 }; ///< grows with every change
-    TimePoint m_expiry;
-    std::string m_engine; ///< where the suspect runs; empty if nowhere
-    TimePoint m_grantExpiry;
+    TimePoint m_expiry{};
+    std::string m_engine{}; ///< where the suspect runs; empty if nowhere
+    TimePoint m_grantExpiry{};
   };
   using Entries = std::map<std::string, Entry, std::less<>>;
   struct Crash
--- a/include/shallotford/ledger/requests.h
+++ b/include/shallotford/ledger/requests.h
@@ -44,12 +44,12 @@
 /// A request as it enters the ledger.
 struct RequestSpec
 {
-  std::string m_service;
-  std::string m_caller;
-  std::string m_fingerprint; ///< of the prompt or body
-  bool m_model{ true };      ///< false for plain services
+  std::string m_service{};
+  std::string m_caller{};
+  std::string m_fingerprint{}; ///< of the prompt or body
+  bool m_model{ true };        ///< false for plain services
   bool m_repeatable{ true };
-  TimePoint m_deadline;
+  TimePoint m_deadline{};
   /// First position that the caller still needs; above 0 for a resumed stream.
   std::uint64_t m_firstPosition{ 0 };
 };
@@ -64,8 +64,8 @@
 struct Placed
 {
   std::uint32_t m_attempt{};
-  std::string m_prefill;  ///< prefill engine; empty for plain services
-  std::string m_upstream; ///< decode engine or plain server
+  std::string m_prefill{};  ///< prefill engine; empty for plain services
+  std::string m_upstream{}; ///< decode engine or plain server
 };
 /// No placement now. Refuses the request, unless part of it ran already: then
 /// it is tried again with backoff until its deadline.
@@ -78,8 +78,8 @@
 struct Adopted
 {
   std::uint32_t m_attempt{};
-  std::string m_engine;
-  AttemptId m_stream;
+  std::string m_engine{};
+  AttemptId m_stream{};
 };
 /// The decode engine opened the import.
 struct MemoryReserved
@@ -91,7 +91,7 @@
 struct Sent
 {
   std::uint32_t m_attempt{};
-  std::string m_upstream;
+  std::string m_upstream{};
 };
 struct PrefillDone
 {
@@ -106,14 +106,14 @@
 {
   std::uint32_t m_attempt{};
   std::uint64_t m_position{};
-  std::string m_text;
+  std::string m_text{};
 };
 /// The engine ended the stream.
 struct Finished
 {
   std::uint32_t m_attempt{};
   std::uint64_t m_endPosition{}; ///< one past the last token's position
-  std::string m_finishReason;
+  std::string m_finishReason{};
 };
 /// A plain service's whole answer arrived and was given to the caller.
 struct WholeAnswer
@@ -123,10 +123,10 @@
 struct AttemptFailed
 {
   std::uint32_t m_attempt{};
-  std::string m_upstream; ///< the one that failed
+  std::string m_upstream{}; ///< the one that failed
   FailureCause m_cause{ FailureCause::Lost };
   SendProgress m_progress{ SendProgress::Sent };
-  std::string m_detail;
+  std::string m_detail{};
   std::chrono::milliseconds m_retryAfter{ 0 }; ///< told by the upstream
 };
 /// The engine told this reader that a newer one attached.
@@ -140,6 +140,8 @@
 {
   Error m_error;
 };
+/// The caller's connection closed. Not for calls under a ticket: their answer
+/// is kept for a replay.
 struct CallerGone
 {};
 } // namespace ledger_event
@@ -164,35 +166,37 @@
 /// Place the request and send it, after m_delay.
 struct StartAttempt
 {
-  AttemptId m_attempt;
+  AttemptId m_attempt{};
   Duration m_delay{ 0 };
-  std::vector<std::string> m_excluded; ///< upstreams that failed this request
+  std::vector<std::string> m_excluded{}; ///< upstreams that failed this request
   /// Position of the first token that the engine is to generate.
   std::uint64_t m_position{ 0 };
-  /// Text of positions 0 to m_position - 1, to follow the prompt.
-  std::string m_generated;
+  /// Text of positions 0 to m_position - 1, to follow the prompt. A resumed
+  /// stream whose engine is gone has none: it is generated again from 0, and
+  /// positions that the caller has are dropped.
+  std::string m_generated{};
 };
 /// Give one token to the caller. Positions leave in order, each once.
 struct DeliverToken
 {
-  RequestId m_request;
+  RequestId m_request{};
   std::uint64_t m_position{};
-  std::string m_text;
+  std::string m_text{};
 };
 /// Put the stream on the CancelQueue of m_upstream.
 struct CancelHoldings
 {
-  std::string m_upstream;
-  AttemptId m_stream;
+  std::string m_upstream{};
+  AttemptId m_stream{};
 };
 /// The one and only end of the request.
 struct EndRequest
 {
-  RequestId m_request;
+  RequestId m_request{};
   Outcome m_outcome{ Outcome::Failed };
-  std::optional<Error> m_error; ///< none if answered
-  std::string m_finishReason;   ///< of an answered model request
-  bool m_delivered{ false };    ///< part of the answer was delivered before
+  std::optional<Error> m_error{}; ///< none if answered
+  std::string m_finishReason{};   ///< of an answered model request
+  bool m_delivered{ false };      ///< part of the answer was delivered before
   std::uint32_t m_attempts{ 0 };
   Duration m_age{ 0 };
 };
@@ -208,24 +212,24 @@
 struct AttemptView
 {
   std::uint32_t m_attempt{};
-  std::string m_prefill;
-  std::string m_upstream;
-  std::string m_end; ///< cause and detail; empty while under way
+  std::string m_prefill{};
+  std::string m_upstream{};
+  std::string m_end{}; ///< cause and detail; empty while under way
 };
 
 /// One request, for operators.
 struct RequestView
 {
-  RequestId m_id;
-  std::string m_service;
-  std::string m_caller;
-  std::string m_fingerprint;
+  RequestId m_id{};
+  std::string m_service{};
+  std::string m_caller{};
+  std::string m_fingerprint{};
   RequestState m_state{ RequestState::Received };
-  std::optional<Outcome> m_outcome;
-  std::string m_reason; ///< of the end
+  std::optional<Outcome> m_outcome{};
+  std::string m_reason{}; ///< of the end
   std::uint64_t m_nextPosition{ 0 };
   Duration m_age{ 0 };
-  std::vector<AttemptView> m_attempts;
+  std::vector<AttemptView> m_attempts{};
 };
 
 /// Sums over the ledger's life.
@@ -243,13 +247,13 @@
 /// A live request at an upstream.
 struct BatchMember
 {
-  RequestId m_request;
-  std::string m_fingerprint;
+  RequestId m_request{};
+  std::string m_fingerprint{};
 };
 
 struct LedgerOptions
 {
-  VmIncarnation m_vm;
+  VmIncarnation m_vm{};
   std::size_t m_recentEnded{ 256 }; ///< ended requests kept for operators
 };
 
@@ -286,6 +290,7 @@
   std::vector<RequestView> List(std::size_t aLimit, TimePoint aNow) const;
 
 private:
+  friend class LedgerStep;
   class State;
   std::unique_ptr<State> m_state;
 };
--- a/include/shallotford/ledger/resume.h
+++ b/include/shallotford/ledger/resume.h
@@ -14,11 +14,11 @@
 /// What an SSE event's id says: how to go on with the stream at any VM.
 struct ResumeToken
 {
-  std::string m_engine;       ///< decode engine, "IP:PORT"
-  AttemptId m_stream;         ///< the stream's name at the engine
-  VmIncarnation m_entry;      ///< VM that relayed the event
-  std::string m_service;      ///< model service
-  std::string m_prompt;       ///< fingerprint of the request's body
+  std::string m_engine{};     ///< decode engine, "IP:PORT"
+  AttemptId m_stream{};       ///< the stream's name at the engine
+  VmIncarnation m_entry{};    ///< VM that relayed the event
+  std::string m_service{};    ///< model service
+  std::string m_prompt{};     ///< fingerprint of the request's body
   std::uint64_t m_position{}; ///< of the event's token
 
   bool operator==(const ResumeToken&) const = default;
--- a/include/shallotford/ledger/retry.h
+++ b/include/shallotford/ledger/retry.h
@@ -56,7 +56,7 @@
 /// What the retry decision rests on.
 struct RetryQuestion
 {
-  std::string_view m_service;
+  std::string_view m_service{};
   bool m_repeatable{ true };
   bool m_mayHaveRun{ false };
   /// Part of the answer reached the caller. Such a request is continued
@@ -64,7 +64,9 @@
   bool m_delivered{ false };
   std::uint32_t m_attempts{ 1 }; ///< placed so far
   FailureCause m_cause{ FailureCause::Lost };
-  TimePoint m_deadline;
+  TimePoint m_deadline{};
+  /// Told by the upstream that failed. Passed on to the caller; the next
+  /// attempt goes to another upstream and does not wait for it.
   std::chrono::milliseconds m_upstreamRetryAfter{ 0 };
 };
 
@@ -97,7 +99,7 @@
   {
     double m_tokens{};
     double m_share{};
-    TimePoint m_filled;
+    TimePoint m_filled{};
   };
   Bucket& BucketOf(std::string_view aService, TimePoint aNow);
 
--- a/include/shallotford/ledger/sweep.h
+++ b/include/shallotford/ledger/sweep.h
@@ -20,8 +20,8 @@
 /// One cancel call to make now.
 struct CancelCall
 {
-  std::string m_upstream;
-  AttemptId m_stream;
+  std::string m_upstream{};
+  AttemptId m_stream{};
 };
 
 struct CancelOptions
@@ -57,8 +57,8 @@
 private:
   struct Entry
   {
-    TimePoint m_added;
-    TimePoint m_due;
+    TimePoint m_added{};
+    TimePoint m_due{};
     Duration m_interval{ 0 };
   };
   using Key = std::pair<std::string, AttemptId>;
@@ -75,20 +75,20 @@
 /// One stream as an engine lists it.
 struct HeldStream
 {
-  AttemptId m_stream;
+  AttemptId m_stream{};
   bool m_attached{ false };
 };
 
 /// One VM as membership sees it.
 struct SweepMember
 {
-  VmIncarnation m_vm;
+  VmIncarnation m_vm{};
   Duration m_silentFor{ 0 }; ///< since it was last heard of
 };
 
 struct SweepOptions
 {
-  std::string m_engine;
+  std::string m_engine{};
   /// Time from one Decide() to the next.
   std::chrono::milliseconds m_period{ 500 };
   /// A VM that was silent for longer is taken for gone.
@@ -101,23 +101,23 @@
 /// Question to one VM: which of these do you still need?
 struct SweepQuestion
 {
-  std::string m_address;
+  std::string m_address{};
   std::uint64_t m_round{}; ///< repeated in the answer
-  std::vector<AttemptId> m_streams;
+  std::vector<AttemptId> m_streams{};
 };
 
 /// A VM's answer, from Ledger::Owns().
 struct SweepAnswer
 {
-  VmIncarnation m_vm;
+  VmIncarnation m_vm{};
   std::uint64_t m_round{};
-  std::set<AttemptId> m_owned; ///< of those asked for
+  std::set<AttemptId> m_owned{}; ///< of those asked for
 };
 
 struct SweepPlan
 {
-  std::vector<AttemptId> m_cancels;
-  std::vector<SweepQuestion> m_questions;
+  std::vector<AttemptId> m_cancels{};
+  std::vector<SweepQuestion> m_questions{};
 };
 
 /// Decides, for one engine, which streams are held for nobody. Run by the VM
@@ -139,9 +139,9 @@
 private:
   struct Suspect
   {
-    TimePoint m_since;                ///< first seen without a live owner
-    std::set<std::string> m_disowned; ///< by these VMs, in m_askedIn
-    std::set<std::string> m_asked;
+    TimePoint m_since{};                ///< first seen without a live owner
+    std::set<std::string> m_disowned{}; ///< by these VMs, in m_askedIn
+    std::set<std::string> m_asked{};
     std::uint64_t m_round{ 0 }; ///< of the question
     bool m_owned{ false };      ///< said a VM in that round
   };
--- a/include/shallotford/ledger/tickets.h
+++ b/include/shallotford/ledger/tickets.h
@@ -34,7 +34,7 @@
 /// "IP:PORT~INCARNATION_HEX~SEQUENCE~EXPIRY_MS", ".", base64url of the MAC.
 struct Ticket
 {
-  VmIncarnation m_issuer;
+  VmIncarnation m_issuer{};
   std::uint64_t m_sequence{};
   /// Time of expiry, counted from the start of the issuing incarnation; only
   /// the issuer's own monotonic clock ever judges it.
@@ -53,16 +53,16 @@
 struct KeptAnswer
 {
   int m_status{};
-  std::string m_contentType;
-  std::string m_body;
+  std::string m_contentType{};
+  std::string m_body{};
 };
 
 /// A call that carries an idempotency key.
 struct TicketCall
 {
-  std::string_view m_ticket;      ///< the Idempotency-Key header
-  std::string_view m_caller;      ///< name of the caller, "" if anonymous
-  std::string_view m_fingerprint; ///< of service, method, path and body
+  std::string_view m_ticket{};      ///< the Idempotency-Key header
+  std::string_view m_caller{};      ///< name of the caller, "" if anonymous
+  std::string_view m_fingerprint{}; ///< of service, method, path and body
   /// A VM forwarded the call; it is not forwarded again.
   bool m_forwarded{ false };
 };
@@ -70,15 +70,15 @@
 /// An incarnation's used tickets moved to another VM at a planned stop.
 struct TicketSuccession
 {
-  VmIncarnation m_from;
-  std::string m_successor; ///< peer address
+  VmIncarnation m_from{};
+  std::string m_successor{}; ///< peer address
 };
 
 /// What is known of the other VMs; may lag.
 struct TicketPeers
 {
-  std::set<std::string> m_listed; ///< peer addresses on the VM list
-  std::vector<TicketSuccession> m_successions;
+  std::set<std::string> m_listed{}; ///< peer addresses on the VM list
+  std::vector<TicketSuccession> m_successions{};
 };
 
 enum class TicketStep
@@ -95,7 +95,7 @@
 /// Names a ticket that this VM decides for: its own, or one handed over.
 struct TicketRef
 {
-  VmIncarnation m_issuer;
+  VmIncarnation m_issuer{};
   std::uint64_t m_sequence{};
 
   auto operator<=>(const TicketRef&) const = default;
@@ -104,15 +104,15 @@
 struct TicketDecision
 {
   TicketStep m_step{ TicketStep::Refuse };
-  TicketRef m_ticket;                         ///< for Run and Wait
-  std::string m_forwardTo;                    ///< for Forward: peer address
-  std::shared_ptr<const KeptAnswer> m_answer; ///< for Replay
-  std::optional<Error> m_error;               ///< for Refuse
+  TicketRef m_ticket{};                         ///< for Run and Wait
+  std::string m_forwardTo{};                    ///< for Forward: peer address
+  std::shared_ptr<const KeptAnswer> m_answer{}; ///< for Replay
+  std::optional<Error> m_error{};               ///< for Refuse
 };
 
 struct TicketOptions
 {
-  VmIncarnation m_vm;
+  VmIncarnation m_vm{};
   std::chrono::milliseconds m_lifetime{ 600'000 };
   /// Used tickets kept at once; above it new uses are refused as overloaded.
   std::size_t m_maxUsed{ 200'000 };
