--- a/include/shallotford/base.h
+++ b/include/shallotford/base.h
@@ -114,6 +114,7 @@
   std::string m_address;         ///< peer address, "IP:PORT"
   std::uint64_t m_incarnation{}; ///< random at boot
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>
   auto operator<=>(const VmIncarnation&) const = default;
 };
 
@@ -124,6 +125,7 @@
   VmIncarnation m_vm;
   std::uint64_t m_sequence{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>
   auto operator<=>(const RequestId&) const = default;
 };
 
@@ -134,6 +136,7 @@
   RequestId m_request;
   std::uint32_t m_attempt{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>
   auto operator<=>(const AttemptId&) const = default;
 };
 
--- a/include/shallotford/ledger/tickets.h
+++ b/include/shallotford/ledger/tickets.h
@@ -98,6 +98,7 @@
   VmIncarnation m_issuer{};
   std::uint64_t m_sequence{};
 
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>
   auto operator<=>(const TicketRef&) const = default;
 };
 
