Add the net library: loop, timers, HTTP server and client, event streams

Cause: every task needs sockets, timers and messages before it can run. Change: one libwebsockets context per loop; a timerfd for timers, since the library's own poll waits in whole milliseconds; a server whose answers leave in one write per writable event; a client with exact progress; an epoll descriptor that sees peers which close or send early while their request is answered, which libwebsockets 4.1.6 neither sees nor stops polling. Conclusion: a first version to build on.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -33,8 +33,12 @@
 struct HttpRequest
 {
   std::string m_method; ///< "GET", "POST", "PUT", "DELETE"
-  std::string m_path;   ///< without the query
-  std::string m_query;  ///< after '?', undecoded
+  /// Without the query; percent-decoded, dot segments and double slashes
+  /// resolved.
+  std::string m_path;
+  std::string m_query; ///< after '?', percent-encoded
+  /// The standard headers, and those of kCustomHeaders (src/config.h):
+  /// libwebsockets cannot list headers that it does not know by name.
   HttpHeaders m_headers;
   std::string m_body;
   std::string m_peer; ///< IP address of the sender
@@ -42,6 +46,12 @@
   std::string m_peerCertificate;
 };
 
+/// Returns aText percent-encoded, all but unreserved characters and those in
+/// aKeep. Used for paths that are passed on, since HttpRequest::m_path is
+/// decoded.
+std::string
+PercentEncode(std::string_view aText, std::string_view aKeep = "/:~");
+
 /// Returns the value of query parameter aName, percent-decoded.
 std::optional<std::string>
 QueryParameter(const HttpRequest& aRequest, std::string_view aName);
@@ -282,7 +292,8 @@
   std::string m_data;
 };
 
-/// Splits a byte stream into server-sent events.
+/// Splits a byte stream into server-sent events. Events without data are
+/// dropped, as the standard has it.
 class EventStreamParser
 {
 public:
@@ -292,7 +303,11 @@
             const std::function<void(const ServerSentEvent&)>& aSink);
 
 private:
-  std::string m_pending;
+  std::string m_pending;       ///< bytes after the last whole line
+  std::size_t m_searched{ 0 }; ///< bytes of m_pending without a line end
+  ServerSentEvent m_event;     ///< lines of the event under way
+  bool m_hasData{ false };
+  std::size_t m_eventBytes{ 0 };
 };
 
 } // namespace shallotford
--- a/src/config.h
+++ b/src/config.h
@@ -6,6 +6,7 @@
 #include <chrono>
 #include <cstddef>
 #include <cstdint>
+#include <string_view>
 
 namespace shallotford {
 
@@ -15,6 +16,33 @@
 constexpr std::size_t kMaxJsonDepth = 64;
 
 // net
+/// Headers outside libwebsockets' own table that are read from requests and
+/// answers, in lower case.
+constexpr std::string_view kCustomHeaders[] = {
+  "idempotency-key",     "last-event-id",  "x-request-id",  "x-version",
+  "openai-organization", "openai-project", "traceparent",   "tracestate",
+  "x-api-key",           "x-region",       "x-deadline-ms", "x-forwarded-by",
+  "x-replayed",          "x-run",          "x-remedy",
+};
+/// Header storage of one request, above any ServerOptions::m_maxHeaders, so
+/// that requests with too large headers can be answered.
+constexpr std::size_t kHeaderStorageBytes = 64u << 10;
+/// Most bytes read from a socket at once.
+constexpr std::size_t kServiceBufferBytes = 64u << 10;
+/// Most bytes given to a socket at once.
+constexpr std::size_t kMaxWriteBytes = 64u << 10;
+/// Sockets of a loop beside its connections: listeners, timer and wake-up.
+constexpr std::size_t kInternalSockets = 64;
+/// libwebsockets' own timeouts, above all of ours.
+constexpr std::chrono::seconds kLibraryTimeout = 3'600s;
+/// Connections above ServerOptions::m_maxConnections that are answered with
+/// the refusal before they are closed; further ones are closed at once.
+constexpr std::size_t kRefusedConnections = 64;
+/// Most bytes of early further requests that are dropped during an answer.
+constexpr std::size_t kMaxEarlyBytes = 256u << 10;
+/// Time that a refused request's remaining body is read and dropped, so that
+/// the refusal reaches its sender.
+constexpr std::chrono::milliseconds kLingerTime = 1'000ms;
 constexpr std::size_t kMaxEventBytes = 1u << 20;
 
 // engines
--- /dev/null
+++ b/src/net_client.h
@@ -0,0 +1,113 @@
+#ifndef SHALLOTFORD_SRC_NET_CLIENT_H
+#define SHALLOTFORD_SRC_NET_CLIENT_H
+
+/// HTTP client over libwebsockets.
+
+#include "net_loop.h"
+
+#include <unordered_map>
+
+namespace shallotford {
+
+class HttpClient;
+
+/// The state of one call. Lives until its socket is closed.
+class ClientCall : public std::enable_shared_from_this<ClientCall>
+{
+public:
+  ClientCall(HttpClient& aClient,
+             std::uint64_t aId,
+             HttpCall aCall,
+             std::shared_ptr<HttpClientHandlerI> aHandler);
+  ClientCall(const ClientCall&) = delete;
+  ClientCall& operator=(const ClientCall&) = delete;
+
+  void Start();
+  /// Gives the call up without further events.
+  void Cancel();
+  void SetPaused(bool aPaused);
+  CallProgress Progress() const { return m_progress; }
+  lws* Wsi() { return m_wsi; }
+  /// The client is gone, and with it every socket.
+  void Detach();
+
+  // libwebsockets events; nonzero closes the connection.
+  int OnAppendHeaders(unsigned char** aAt, std::size_t aRoom);
+  int OnWritable();
+  int OnEstablished();
+  int OnReadable();
+  void OnBody(std::string_view aBytes);
+  int OnCompleted();
+  void OnConnectionError(std::string_view aReason);
+  void OnClosed();
+  void OnDestroyed();
+
+private:
+  void Connect();
+  std::string Problem() const;
+  std::string HeaderText() const;
+  void ArmTimer(Duration aDelay);
+  void OnTimer();
+  /// Stops the timer and returns the handler, which gets one last event.
+  std::shared_ptr<HttpClientHandlerI> TakeHandler();
+  void End();
+  void Fail(const std::string& aReason);
+
+  HttpClient* m_client; ///< null once detached
+  std::uint64_t m_id;
+  HttpCall m_call;
+  std::shared_ptr<HttpClientHandlerI> m_handler; ///< null once ended
+  lws* m_wsi{ nullptr };
+  CallProgress m_progress{ CallProgress::NotSent };
+  TimersI::TimerId m_timer{ 0 };
+  TimePoint m_activity;     ///< start, or the latest byte of the answer
+  std::string m_sendBuffer; ///< LWS_PRE bytes of room, then the body
+  std::size_t m_bodySent{ 0 };
+  std::optional<std::size_t> m_bodyLeft; ///< of an answer with a length
+  bool m_untilClose{ false }; ///< the answer ends with the connection
+  bool m_paused{ false };
+  bool m_failing{ false }; ///< the failure is on its way to the handler
+};
+
+class HttpClient : public HttpClientI
+{
+public:
+  explicit HttpClient(Loop& aLoop);
+  ~HttpClient() override;
+  HttpClient(const HttpClient&) = delete;
+  HttpClient& operator=(const HttpClient&) = delete;
+
+  std::unique_ptr<HttpClientCallI> Fetch(
+    HttpCall aCall,
+    std::shared_ptr<HttpClientHandlerI> aHandler) override;
+
+  /// The loop ends: no call delivers further events.
+  void Shutdown();
+  void ReloadCertificates();
+
+  static int OnEvent(lws* aWsi,
+                     lws_callback_reasons aReason,
+                     void* aUser,
+                     void* aIn,
+                     std::size_t aLength);
+
+  Loop& GetLoop() { return m_loop; }
+  lws_vhost* Vhost() { return m_vhost; }
+  /// Closes the socket of call aId, if it has one, and forgets the call, in
+  /// the next round of the loop.
+  void RemoveLater(std::uint64_t aId);
+  void Forget(std::uint64_t aId) { m_calls.erase(aId); }
+
+private:
+  void Remove(std::uint64_t aId);
+
+  Loop& m_loop;
+  lws_vhost* m_vhost{ nullptr };
+  std::uint64_t m_lastId{ 0 };
+  std::unordered_map<std::uint64_t, std::shared_ptr<ClientCall>> m_calls;
+  std::shared_ptr<HttpClient*> m_self; ///< expires with this client
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_NET_CLIENT_H
--- /dev/null
+++ b/src/net_loop.h
@@ -0,0 +1,78 @@
+#ifndef SHALLOTFORD_SRC_NET_LOOP_H
+#define SHALLOTFORD_SRC_NET_LOOP_H
+
+/// One task's event loop over one libwebsockets context.
+
+#include "config.h"
+#include "net_hangup.h"
+#include "net_timers.h"
+#include "shallotford/net.h"
+
+#include <libwebsockets.h>
+
+#include <atomic>
+#include <mutex>
+#include <set>
+#include <thread>
+
+namespace shallotford {
+
+class HttpServer;
+class HttpClient;
+
+class Loop : public LoopI
+{
+public:
+  explicit Loop(const LoopOptions& aOptions);
+  ~Loop() override;
+  Loop(const Loop&) = delete;
+  Loop& operator=(const Loop&) = delete;
+
+  TimePoint Now() const override { return std::chrono::steady_clock::now(); }
+  TimerId RunAfter(Duration aDelay, std::function<void()> aCallback) override;
+  void CancelTimer(TimerId aTimer) override;
+
+  void Post(std::function<void()> aFunction) override;
+  void Run() override;
+  void Stop() override;
+  HttpClientI& Client() override;
+  std::unique_ptr<HttpServerI> Listen(const ServerOptions& aOptions,
+                                      HttpHandlerI& aHandler) override;
+  void ReloadCertificates() override;
+
+  lws_context* Context() const { return m_context; }
+  HangupWatch& Hangups() { return m_hangups; }
+  const LoopOptions& Options() const { return m_options; }
+  void RemoveServer(HttpServer* aServer) { m_servers.erase(aServer); }
+
+private:
+  void CreateContext();
+  void CreateInternalVhost();
+  /// Calls aOnReadable whenever aDescriptor is readable.
+  void WatchDescriptor(int aDescriptor,
+                       const std::function<void()>& aOnReadable);
+  void RunPosted();
+  bool HasPosted();
+
+  LoopOptions m_options;
+  lws_context* m_context{ nullptr };
+  lws_vhost* m_vhost{ nullptr };
+  TimerQueue m_timers;
+  HangupWatch m_hangups;
+  std::function<void()> m_onTimer;
+  std::function<void()> m_onHangup;
+  std::mutex m_mutex;
+  std::vector<std::function<void()>> m_posted; ///< guarded by m_mutex
+  std::atomic<bool> m_stop{ false };
+  std::atomic<std::thread::id> m_thread;
+  std::set<HttpServer*> m_servers;
+  std::unique_ptr<HttpClient> m_client;
+};
+
+/// Closes aWsi at once. Never called from inside one of its own callbacks.
+void
+CloseSocket(lws* aWsi);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_NET_LOOP_H
--- /dev/null
+++ b/src/net_server.cpp
@@ -0,0 +1,192 @@
+/// HTTP server: listening sockets.
+
+#include "net_server.h"
+
+#include "net_tls.h"
+
+#include <sys/socket.h>
+
+namespace shallotford {
+
+namespace {
+
+const lws_protocols kServerProtocols[] = {
+  { "http", HttpServer::OnEvent, 0, 0, 0, nullptr, 0 },
+  { nullptr, nullptr, 0, 0, 0, nullptr, 0 },
+};
+
+/// How often timeouts are checked: often enough that a cut is late by no more
+/// than a fifth of the shorter timeout.
+std::chrono::milliseconds
+SweepInterval(const ServerOptions& aOptions)
+{
+  auto shorter = std::min(aOptions.m_idleTimeout, aOptions.m_requestTimeout);
+  return std::clamp(shorter / 5,
+                    std::chrono::milliseconds{ 5 },
+                    std::chrono::milliseconds{ 500 });
+}
+
+std::string_view
+View(void* aIn, std::size_t aLength)
+{
+  return { static_cast<const char*>(aIn), aLength };
+}
+
+} // namespace
+
+HttpServer::HttpServer(Loop& aLoop,
+                       const ServerOptions& aOptions,
+                       HttpHandlerI& aHandler)
+  : m_loop(aLoop)
+  , m_options(aOptions)
+  , m_handler(aHandler)
+  , m_self(std::make_shared<HttpServer*>(this))
+{
+  lws_context_creation_info info{};
+  info.port = aOptions.m_port;
+  info.iface = m_options.m_address.c_str();
+  info.protocols = kServerProtocols;
+  info.vhost_name = m_options.m_address.c_str();
+  info.user = this;
+  info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
+  if (m_options.m_address.find(':') == std::string::npos) {
+    info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
+  }
+  info.keepalive_timeout = kLibraryTimeout.count();
+  info.timeout_secs = kLibraryTimeout.count();
+  info.alpn = "http/1.1";
+  ApplyServerTls(info, m_options.m_tls);
+  m_vhost = lws_create_vhost(aLoop.Context(), &info);
+  int port = m_vhost == nullptr ? 0 : lws_get_vhost_listen_port(m_vhost);
+  if (port <= 0) {
+    throw Error(ErrorKind::InvalidConfig,
+                "cannot listen on " + aOptions.m_address + ":" +
+                  std::to_string(aOptions.m_port),
+                "Choose an address of this VM and a free port, and check the "
+                "certificate files.");
+  }
+  m_port = static_cast<std::uint16_t>(port);
+  Sweep();
+}
+
+HttpServer::~HttpServer()
+{
+  Detach();
+}
+
+void
+HttpServer::Detach()
+{
+  if (m_vhost == nullptr) {
+    return;
+  }
+  m_loop.CancelTimer(m_sweep);
+  for (auto [id, connection] : std::unordered_map(m_connections)) {
+    CloseSocket(connection->Wsi());
+  }
+  lws_vhost_destroy(m_vhost);
+  m_vhost = nullptr;
+  m_loop.RemoveServer(this);
+}
+
+void
+HttpServer::StopAccepting()
+{
+  if (m_listener != nullptr) {
+    CloseSocket(std::exchange(m_listener, nullptr));
+  }
+}
+
+void
+HttpServer::ReloadCertificates()
+{
+}
+
+void
+HttpServer::Sweep()
+{
+  TimePoint now = m_loop.Now();
+  for (auto [id, connection] : std::unordered_map(m_connections)) {
+    connection->CheckTimeouts(now);
+  }
+  m_sweep = m_loop.RunAfter(SweepInterval(m_options), [this] { Sweep(); });
+}
+
+ServerConnection*
+HttpServer::Accept(lws* aWsi)
+{
+  bool refused = m_connections.size() >= m_options.m_maxConnections;
+  std::uint64_t id = ++m_lastConnection;
+  auto* connection = new ServerConnection(*this, aWsi, id, refused);
+  m_connections.emplace(id, connection);
+  return connection;
+}
+
+void
+HttpServer::Remove(ServerConnection* aConnection)
+{
+  if (aConnection == nullptr) {
+    return;
+  }
+  m_connections.erase(aConnection->Id());
+  delete aConnection;
+}
+
+void
+HttpServer::CloseLater(std::uint64_t aId)
+{
+  m_loop.Post([self = std::weak_ptr<HttpServer*>(m_self), aId] {
+    std::shared_ptr<HttpServer*> server = self.lock();
+    if (server == nullptr) {
+      return;
+    }
+    auto found = (*server)->m_connections.find(aId);
+    if (found != (*server)->m_connections.end()) {
+      CloseSocket(found->second->Wsi());
+    }
+  });
+}
+
+int
+HttpServer::OnEvent(lws* aWsi,
+                    lws_callback_reasons aReason,
+                    void* /*aUser*/,
+                    void* aIn,
+                    std::size_t aLength)
+{
+  lws_vhost* vhost = aWsi == nullptr ? nullptr : lws_get_vhost(aWsi);
+  if (vhost == nullptr) {
+    return 0;
+  }
+  auto* server = static_cast<HttpServer*>(lws_vhost_user(vhost));
+  auto* connection =
+    static_cast<ServerConnection*>(lws_get_opaque_user_data(aWsi));
+  switch (aReason) {
+    case LWS_CALLBACK_FILTER_NETWORK_CONNECTION:
+      return server->m_connections.size() >=
+                 server->m_options.m_maxConnections + kRefusedConnections
+               ? 1
+               : 0;
+    case LWS_CALLBACK_SERVER_NEW_CLIENT_INSTANTIATED:
+      lws_set_opaque_user_data(aWsi, server->Accept(aWsi));
+      return 0;
+    case LWS_CALLBACK_HTTP_CONFIRM_UPGRADE:
+      return -1;
+    case LWS_CALLBACK_HTTP:
+      return connection == nullptr ? -1 : connection->OnHeaders();
+    case LWS_CALLBACK_HTTP_BODY:
+      return connection->OnBody(View(aIn, aLength));
+    case LWS_CALLBACK_HTTP_BODY_COMPLETION:
+      return connection->OnBodyEnd();
+    case LWS_CALLBACK_HTTP_WRITEABLE:
+      return connection == nullptr ? -1 : connection->OnWritable();
+    case LWS_CALLBACK_WSI_DESTROY:
+      lws_set_opaque_user_data(aWsi, nullptr);
+      server->Remove(connection);
+      return 0;
+    default:
+      return 0;
+  }
+}
+
+} // namespace shallotford
