--- a/tools/standin_engine_model.h
+++ b/tools/standin_engine_model.h
@@ -271,6 +271,7 @@
 
   /// Settings may be changed while it runs (faults).
   EngineModelOptions& Options() { return m_options; }
+  const EngineModelOptions& Options() const { return m_options; }
 
   /// Returns when something happens next, or TimePoint::max().
   TimePoint NextEventAt() const;
@@ -284,13 +285,15 @@
   /// Starts a pull of an export, which it keeps past its lifetime.
   std::optional<KvContent> BeginPull(TimePoint aNow,
                                      const std::string& aExport);
-  /// Ends a pull; a whole one frees the export.
-  void EndPull(TimePoint aNow, const std::string& aExport, bool aWhole);
+  /// Ends a pull and frees the export. @returns false if it is gone
+  /// @param aWhole  all of it arrived, so the prefill was not wasted
+  bool EndPull(TimePoint aNow, const std::string& aExport, bool aWhole);
   /// Puts a transferred KV cache into an import. @returns false if it is gone
   bool FillImport(TimePoint aNow,
                   const std::string& aImport,
                   const KvContent& aContent);
-  bool HoldsImport(const std::string& aImport) const;
+  /// Returns the import of that name, or nullptr.
+  const Holding* FindImport(const std::string& aImport);
   /// Starts decoding. @returns false if no filled import has that name
   bool StartStream(TimePoint aNow, const StreamRequest& aRequest);
   /// Makes a reader the newest. @returns its number, or 0 if not held
@@ -314,6 +317,8 @@
   OrderResult Order(TimePoint aNow, const OrderRequest& aOrder);
   /// Ends a model load when Options().m_externalLoad is set.
   void FinishLoad(TimePoint aNow);
+  /// Returns the last order to load a model.
+  const OrderRequest& LoadOrder() const { return m_loadOrder; }
   EngineState State() const;
   /// The platform takes this engine away: no new work.
   void SetLeaving(TimePoint aNow, bool aLeaving);
