--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE standin_http
 #include <boost/test/unit_test.hpp>
 
+#include <future>
 #include <thread>
 
 #include "standin_engine.h"
@@ -39,6 +40,9 @@
     return "127.0.0.1:" + std::to_string(m_listener->Port());
   }
 
+  /// Only for settings made before the first call.
+  Server& Get() { return m_server; }
+
 private:
   std::unique_ptr<LoopI> m_loop;
   Server m_server;
@@ -214,6 +218,32 @@
                "POST", decode.Address(), faults, R"({"no_such":1})")) == 400);
 }
 
+BOOST_AUTO_TEST_CASE(a_marked_prompt_crashes_the_decode_engine)
+{
+  EngineSettings settings = FastEngine(EngineRole::Prefill);
+  settings.m_poisonWord = "poison";
+  Running<EngineServer> prefill(settings);
+  Running<EngineServer> decode(FastEngine(EngineRole::Decode));
+  std::promise<void> crashed;
+  decode.Get().OnCrash([&] { crashed.set_value(); });
+  std::string import =
+    Prepare(prefill.Address(), decode.Address(), "a", "one poison two");
+  Json::Value start(Json::objectValue);
+  start["stream"] = "a";
+  start["import"] = import;
+  start["max_tokens"] = 5;
+  std::thread caller([&] {
+    Send("POST", decode.Address(), "/engine/v1/streams", WriteJson(start));
+  });
+  crashed.get_future().wait();
+  Json::Value stats = JsonOf(Send("GET", decode.Address(), "/admin/stats"));
+  BOOST_TEST(stats["pieces_held"].asUInt() == 0u);
+  BOOST_TEST(stats["tokens_generated"].asUInt() == 0u);
+  // The process would be gone; here the engine lives on and ends the call.
+  Send("DELETE", decode.Address(), "/engine/v1/streams/a");
+  caller.join();
+}
+
 BOOST_AUTO_TEST_CASE(orders_are_fenced_and_bad_calls_refused)
 {
   EngineSettings settings = FastEngine(EngineRole::Decode);
--- a/tools/standin_engine.h
+++ b/tools/standin_engine.h
@@ -21,7 +21,9 @@
   std::chrono::milliseconds m_stall{ 2'000 };   ///< time until a stall gives up
   std::chrono::milliseconds m_answerDelay{ 0 }; ///< before each call is served
   std::string m_poisonWord; ///< a prompt that holds it crashes the process
-  std::string m_poisonStage{ "decode" }; ///< "prefill" or "decode"
+  /// "prefill" crashes this engine, "decode" the engine that decodes it; set
+  /// where the prompt is prefilled.
+  std::string m_poisonStage{ "decode" };
   bool m_leaving{ false };
   std::string m_platform; ///< "IP:PORT" of the weight store, or empty
 };
--- a/tools/standin_load_call.h
+++ b/tools/standin_load_call.h
@@ -25,6 +25,7 @@
   HttpCall MakeCall(const std::string& aPath, const std::string& aBody) const;
   void Submit();
   void FetchTicket();
+  void OnTicket(const std::string& aBody);
   void SendWhole();
   void SendStream();
   void OnWhole(const HttpResult& aResult);
