--- a/bench/policy_report.h
+++ b/bench/policy_report.h
@@ -276,14 +276,24 @@
            number(aTop + kHeight + 16) + "'>" + number(load) + "</text>\n";
   double legend = aTop + 16;
   for (const auto& [policy, colour] : colours) {
-    svg +=
-      "<polyline fill='none' stroke-width='2' stroke='" + colour + "' points='";
-    for (const Row& row : aReport.m_rows)
-      if (row.m_user == aUser && row.m_policy == policy)
-        svg +=
-          number(x(row.m_load)) + "," + number(y(aValue(row.m_result))) + " ";
-    svg += "'/>\n<text x='560' y='" + number(legend) + "' fill='" + colour +
-           "'>" + policy + "</text>\n";
+    svg += "<polyline fill='none' stroke-width='2' stroke='";
+    svg += colour;
+    svg += "' points='";
+    for (const Row& row : aReport.m_rows) {
+      if (row.m_user != aUser || row.m_policy != policy)
+        continue;
+      svg += number(x(row.m_load));
+      svg += ",";
+      svg += number(y(aValue(row.m_result)));
+      svg += " ";
+    }
+    svg += "'/>\n<text x='560' y='";
+    svg += number(legend);
+    svg += "' fill='";
+    svg += colour;
+    svg += "'>";
+    svg += policy;
+    svg += "</text>\n";
     legend += 16;
   }
   return svg;
--- a/bench/policy_simulation.h
+++ b/bench/policy_simulation.h
@@ -376,5 +376,6 @@
 } // namespace shallotford::bench
 
 #include "policy_simulation_flow.h"
+#include "policy_simulation_run.h"
 
 #endif // SHALLOTFORD_BENCH_POLICY_SIMULATION_H
