Add revisions, gossip, ownership, reconciler, audit trail and plans

Cause: nine or 360 VMs have to act together without shared state. Conclusion: the daemon's control task can be wired to the library.

--- a/include/shallotford/control.h
+++ b/include/shallotford/control.h
@@ -9,6 +9,7 @@
 #include "shallotford/control/membership.h"
 #include "shallotford/control/ownership.h"
 #include "shallotford/control/plan.h"
+#include "shallotford/control/platform.h"
 #include "shallotford/control/reconcile.h"
 #include "shallotford/control/revision.h"
 
--- a/include/shallotford/control/audit.h
+++ b/include/shallotford/control/audit.h
@@ -29,11 +29,11 @@
 struct AuditEntry
 {
   std::uint64_t m_sequence{}; ///< set by the trail, from 1
-  WallTime m_time;
+  WallTime m_time{};
   AuditKind m_kind{ AuditKind::Configuration };
-  std::string m_subject; ///< what changed: an address, a service, "fleet"
-  std::string m_change;  ///< what it changed to
-  std::string m_cause;
+  std::string m_subject{}; ///< what changed: an address, a service, "fleet"
+  std::string m_change{};  ///< what it changed to
+  std::string m_cause{};
   std::uint64_t m_revision{}; ///< of the fleet text in force
 };
 
@@ -45,8 +45,8 @@
 {
   std::uint64_t m_after{ 0 }; ///< only entries of higher sequence
   std::size_t m_limit{ 1'000 };
-  std::optional<AuditKind> m_kind;
-  std::string m_subject; ///< empty: any
+  std::optional<AuditKind> m_kind{};
+  std::string m_subject{}; ///< empty: any
 };
 
 /// Keeps the newest changes; the oldest ones are dropped and counted.
--- a/include/shallotford/control/membership.h
+++ b/include/shallotford/control/membership.h
@@ -161,6 +161,8 @@
   /// @param aDigest  at most kMaxDigestBytes
   void SetDigest(const std::string& aDigest);
   FleetAverages& Averages() { return m_averages; }
+  /// A waiting watch of this VM was answered by the platform.
+  void NoteWatch(TimePoint aNow) { m_watchAt = aNow; }
   /// Spreads a fact for aLifetime.
   void Spread(const std::string& aKind,
               const std::string& aId,
@@ -198,6 +200,8 @@
   /// Returns the newest incarnation known of a listed VM, or 0.
   std::uint64_t IncarnationOf(const std::string& aAddress) const;
   const RumorStore& Rumors() const { return m_rumors; }
+  /// Returns when any VM's waiting watch was last answered, as far as known.
+  std::optional<TimePoint> LastWatch() const { return m_watchAt; }
   /// Returns the estimated sum over all live VMs.
   double Total(const std::string& aKey, TimePoint aNow) const;
 
@@ -223,6 +227,7 @@
     std::optional<TimePoint> m_heardAt;
     TimePoint m_skipUntil{};
     std::uint32_t m_sendsLeft{ 0 }; ///< of its record, since it changed
+    std::string m_listHash;         ///< of its list of VMs, as it last said
   };
   enum class MessageForm
   {
@@ -234,23 +239,32 @@
   const Member* Find(const std::string& aAddress) const;
   Member& Self();
   bool IsHeard(const Member& aMember, TimePoint aNow) const;
-  void HearOf(Member& aMember, TimePoint aAt);
-  void RebuildRing();
+  static void HearOf(Member& aMember, TimePoint aAt);
+  void RebuildIndex();
+  bool IsUsable(const Member& aMember, TimePoint aNow) const;
   std::vector<std::size_t> Fingers(TimePoint aNow) const;
   std::optional<std::string> NextPeer(TimePoint aNow);
 
+  void AddExchange(std::vector<GossipMessage>& aMessages, TimePoint aNow);
+  void AddUrgent(std::vector<GossipMessage>& aMessages, TimePoint aNow);
   Json::Value MakeMessage(MessageForm aForm, TimePoint aNow);
-  Json::Value PickAges(TimePoint aNow);
+  void AddAges(Json::Value& aMessage, const Member& aTo, TimePoint aNow);
+  std::string PickKeyedAges(TimePoint aNow);
+  bool IsDigestDue();
+  std::string PickAges(std::size_t aFirst, TimePoint aNow) const;
+  char AgeOf(const Member& aMember, TimePoint aNow) const;
   Json::Value PickRecords();
   Json::Value PickRumors(TimePoint aNow);
-  void Read(const Json::Value& aMessage,
-            const std::string& aFrom,
-            TimePoint aNow);
-  void ReadSender(const Json::Value& aMessage, Member& aFrom, TimePoint aNow);
-  void ReadAges(const Json::Value& aAges, TimePoint aNow);
+  void Read(const Json::Value& aMessage, Member& aFrom, TimePoint aNow);
+  void ReadSender(const Json::Value& aMessage, Member& aFrom);
+  void ReadOffer(const Json::Value& aMessage, const Member& aFrom);
+  void ReadAges(const Json::Value& aMessage, Member& aFrom, TimePoint aNow);
+  void ReadKeyedAges(const std::string& aAges, TimePoint aNow);
+  void ReadWatch(const Json::Value& aMessage, TimePoint aNow);
   void ReadRecords(const Json::Value& aRecords);
   void ReadRecord(const Json::Value& aRecord);
   void ReadRumors(const Json::Value& aRumors, TimePoint aNow);
+  void ReadDigest(const std::string& aDigest);
   void TakeIncarnation(Member& aMember,
                        std::uint64_t aIncarnation,
                        std::uint64_t aBootOrder);
@@ -262,23 +276,27 @@
   std::unordered_map<std::string, std::size_t> m_byKey; ///< unambiguous ones
   std::vector<std::size_t> m_ring;                      ///< by hash
   std::size_t m_selfInRing{ 0 };
+  std::string m_listHash; ///< names the list in messages
+  std::optional<TimePoint> m_watchAt;
   std::uint64_t m_selfOrder{ 0 };
   bool m_selfLeaving{ false };
 
   RevisionName m_revision;
   std::string m_platformVersion;
   std::string m_digest;
-  std::size_t m_lastDigestHash{ 0 };
+  std::uint32_t m_digestSends{ 0 }; ///< left, since it changed
+  std::optional<TimePoint> m_digestUrgentAt;
+  bool m_digestChanged{ false };
+  std::uint64_t m_messages{ 0 }; ///< made so far
   FleetAverages m_averages;
   RumorStore m_rumors;
   std::map<std::string, FleetAverages::Sample> m_sent; ///< by peer
 
   std::optional<TimePoint> m_nextExchange;
-  TimePoint m_lastLeak{};
+  std::optional<TimePoint> m_lastTick;
   std::uint64_t m_exchanges{ 0 };
   bool m_urgent{ false };
-  double m_urgentTokens{ 0 };
-  TimePoint m_urgentRefill{};
+  double m_urgentTokens;
 
   std::vector<RevisionOffer> m_offers;
   std::vector<MembershipEvent> m_events;
@@ -301,6 +319,8 @@
   /// @param aSeen  when it answered; an older answer than the known is dropped
   /// @returns whether this changed what is known, and is worth spreading
   bool OnAnswer(const std::string& aUpstream, bool aLeaving, WallTime aSeen);
+  /// Forgets answers of all other upstreams than these.
+  void KeepOnly(const std::set<std::string>& aUpstreams);
   bool IsLeaving(const std::string& aUpstream) const;
   std::set<std::string> All() const;
 
--- a/include/shallotford/control/reconcile.h
+++ b/include/shallotford/control/reconcile.h
@@ -18,11 +18,11 @@
 /// An engine as it described itself.
 struct EngineReadback
 {
-  TimePoint m_readAt; ///< when the answer came
+  TimePoint m_readAt{}; ///< when the answer came
   EngineRole m_role{ EngineRole::Decode };
-  std::string m_model; ///< empty: none loaded
-  std::string m_version;
-  std::set<std::string> m_adapters;
+  std::string m_model{}; ///< empty: none loaded
+  std::string m_version{};
+  std::set<std::string> m_adapters{};
   std::uint64_t m_acceptedFence{ 0 };
   bool m_draining{ false }; ///< by an order
   bool m_leaving{ false };  ///< the platform takes it away
@@ -48,14 +48,14 @@
 /// An order to one engine.
 struct Order
 {
-  std::string m_engine;
+  std::string m_engine{};
   std::uint64_t m_fence{ 0 };
   OrderKind m_kind{ OrderKind::Drain };
-  std::string m_model;
-  std::string m_version;
-  std::string m_adapter;
+  std::string m_model{};
+  std::string m_version{};
+  std::string m_adapter{};
   EngineRole m_role{ EngineRole::Decode };
-  std::string m_cause;
+  std::string m_cause{};
 
   auto operator<=>(const Order&) const = default;
 };
@@ -95,6 +95,8 @@
 private:
   std::optional<std::uint64_t> m_revision;
   std::optional<RoleCounts> m_target;
+  RoleCounts m_text;   ///< of the round before
+  RoleCounts m_actual; ///< of the round before
   int m_pressure{ 0 }; ///< 1: prefill wants an engine, -1: decode does
   TimePoint m_pressureSince{};
   TimePoint m_changedAt{};
@@ -103,9 +105,9 @@
 /// What one engine should be.
 struct EngineGoal
 {
-  std::string m_model;
-  std::string m_version;
-  std::set<std::string> m_adapters;
+  std::string m_model{};
+  std::string m_version{};
+  std::set<std::string> m_adapters{};
   EngineRole m_role{ EngineRole::Decode };
 };
 /// Returns the goal of every engine that answers, with as few role changes as
@@ -146,6 +148,16 @@
   void OnSent(const Order& aOrder, TimePoint aNow);
 
 private:
+  struct Round;
+
+  bool AnsweredSinceSent(const Round& aRound, const std::string& aEngine) const;
+  bool MayLoad(TimePoint aNow, const Round& aRound) const;
+  void NoteLoad(TimePoint aNow, const Round& aRound);
+  void ContinueChange(Round& aRound, const std::string& aEngine);
+  void BeginChange(Round& aRound, const std::string& aEngine);
+  void SetAdapters(Round& aRound, const std::string& aEngine);
+  void GiveOrders(Round& aRound);
+
   RoleSplit m_split;
   TimePoint m_since;
   std::optional<TimePoint> m_loadFreeAt; ///< the weight store's share is free
--- a/src/config.h
+++ b/src/config.h
@@ -94,6 +94,80 @@
 // control
 constexpr std::chrono::milliseconds kLeavingBound = 3'000ms;
 constexpr std::size_t kMaxFleetTextBytes = 1u << 20;
+constexpr std::size_t kKeptFleetTexts = 4;
+constexpr std::size_t kMaxConflictsKept = 8;
+/// Listed peers that a booting VM compares its revision with.
+constexpr std::size_t kPeersForReadiness = 2;
+constexpr std::chrono::milliseconds kPlatformFreshFor = 60'000ms;
+constexpr std::size_t kPlatformWatchers = 9;
+constexpr std::chrono::milliseconds kPlatformWait = 30'000ms;
+/// Between a watch's answer and the next watch.
+constexpr std::chrono::milliseconds kPlatformWatchPause = 200ms;
+constexpr std::chrono::milliseconds kPlatformBackoff = 1'000ms;
+constexpr std::uint32_t kPlatformBackoffDoublings = 5;
+constexpr std::chrono::milliseconds kPlatformHintEvery = 5'000ms;
+constexpr std::chrono::milliseconds kPauseLimit = 2'000ms;
+/// After a start or a pause no orders are given for so long.
+constexpr std::chrono::milliseconds kSettleTime = 10'000ms;
+constexpr std::uint32_t kFenceRevisionShift = 32;
+
+// reconciler
+/// Utilisation of a role above which it wants an engine of the other.
+constexpr double kHighUse = 0.85;
+/// Utilisation below which a role can spare an engine, once it is gone.
+constexpr double kSpareUse = 0.7;
+/// Below this on both sides the text's split is restored.
+constexpr double kLowUse = 0.5;
+constexpr std::chrono::milliseconds kPressureTime = 30'000ms;
+constexpr std::chrono::milliseconds kSplitCooldown = 120'000ms;
+/// Engines left in a role are at least the work in use divided by this.
+constexpr double kMostUse = 0.9;
+constexpr std::chrono::milliseconds kReadbackFresh = 10'000ms;
+/// States of engines under change are read so often.
+constexpr std::chrono::milliseconds kUrgentReadback = 1'000ms;
+
+// gossip
+/// Neighbours on the ring that a VM exchanges with by turns.
+constexpr std::size_t kGossipFanout = 5;
+/// Each so many exchanges one goes to a random listed VM.
+constexpr std::uint64_t kRandomExchangeEvery = 4;
+/// A VM without a revision exchanges so many times as often.
+constexpr int kBootSpeedUp = 8;
+constexpr std::chrono::milliseconds kHeardFor = 25'000ms;
+constexpr std::chrono::milliseconds kAgeUnit = 500ms;
+/// Ages in one message, where both sides have the same list of VMs, and where
+/// they have not.
+constexpr std::size_t kAgesPerMessage = 384;
+constexpr std::size_t kKeyedAgesPerMessage = 72;
+/// Without a platform watch that answers anywhere, every VM keeps one.
+constexpr std::chrono::milliseconds kWatchSilence = 45'000ms;
+constexpr std::chrono::milliseconds kActingWatchTime = 600'000ms;
+constexpr std::size_t kRecordsPerMessage = 3;
+constexpr std::size_t kRumorsPerMessage = 4;
+constexpr std::size_t kAveragesPerMessage = 10;
+constexpr std::uint32_t kRecordSends = 6;
+constexpr std::uint32_t kRumorSends = 8;
+constexpr std::size_t kMaxRumors = 512;
+constexpr std::size_t kMaxRumorIdBytes = 64;
+constexpr std::size_t kMaxRumorBodyBytes = 128;
+constexpr std::chrono::milliseconds kMaxRumorLifetime = 600'000ms;
+constexpr std::size_t kMaxDigestBytes = 256;
+/// A digest goes with so many messages after it changed, then with every
+/// kDigestEvery-th.
+constexpr std::uint32_t kDigestSends = 8;
+constexpr std::uint64_t kDigestEvery = 8;
+/// A changed digest is urgent news at most so often.
+constexpr std::chrono::milliseconds kDigestUrgentEvery = 30'000ms;
+/// Entries of one kind that are read from one message.
+constexpr std::size_t kMaxEntriesRead = 64;
+constexpr std::size_t kMaxPendingOffers = 64;
+constexpr std::size_t kMaxPendingDigests = 64;
+constexpr std::chrono::milliseconds kSkipFailedPeer = 10'000ms;
+/// Rounds of urgent news that a VM may begin per second, and at once.
+constexpr double kUrgentRoundsPerSecond = 0.1;
+constexpr double kUrgentBurst = 8;
+/// Share of the distance to the own figure that an average gives up a second.
+constexpr double kAverageLeakPerSecond = 0.01;
 
 } // namespace shallotford
 
--- /dev/null
+++ b/src/control_depend.cpp
@@ -0,0 +1,89 @@
+/// Dependencies that are down, and which engines to read next.
+
+#include "shallotford/control/reconcile.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+std::string
+FindDown(const FleetText& aFleet,
+         const std::string& aService,
+         const std::function<bool(const std::string&)>& aIsUp,
+         std::set<std::string>& aSeen)
+{
+  const ServiceEntry* service = aFleet.FindService(aService);
+  if (service == nullptr || !aSeen.insert(aService).second) {
+    return "";
+  }
+  for (const std::string& dependency : service->m_dependsOn) {
+    if (!aIsUp(dependency)) {
+      return dependency;
+    }
+    std::string deeper = FindDown(aFleet, dependency, aIsUp, aSeen);
+    if (!deeper.empty()) {
+      return deeper;
+    }
+  }
+  return "";
+}
+
+} // namespace
+
+std::string
+DownDependency(const FleetText& aFleet,
+               const std::string& aService,
+               const std::function<bool(const std::string&)>& aIsUp)
+{
+  std::set<std::string> seen;
+  return FindDown(aFleet, aService, aIsUp, seen);
+}
+
+ReadbackSchedule::ReadbackSchedule(double aCallsPerSecond)
+  : m_callsPerSecond(aCallsPerSecond)
+{
+}
+
+std::vector<std::string>
+ReadbackSchedule::Due(TimePoint aNow,
+                      const std::vector<std::string>& aEngines,
+                      const std::set<std::string>& aUrgent)
+{
+  std::chrono::duration<double> elapsed =
+    m_refilledAt ? aNow - *m_refilledAt : Duration{ 0 };
+  m_refilledAt = aNow;
+  m_budget = std::min(std::max(1.0, m_callsPerSecond),
+                      m_budget + m_callsPerSecond * elapsed.count());
+  std::vector<std::pair<TimePoint, std::string>> others;
+  std::vector<std::string> due;
+  for (const std::string& engine : aEngines) {
+    auto [read, isNew] = m_readAt.emplace(engine, TimePoint{});
+    if (!aUrgent.contains(engine)) {
+      others.emplace_back(read->second, engine);
+    } else if (isNew || aNow - read->second >= kUrgentReadback) {
+      due.push_back(engine);
+    }
+  }
+  auto most = static_cast<std::size_t>(m_budget);
+  std::size_t count = std::min(most, others.size());
+  std::partial_sort(others.begin(),
+                    others.begin() + static_cast<std::ptrdiff_t>(count),
+                    others.end());
+  for (std::size_t i = 0; i < count; ++i) {
+    due.push_back(others[i].second);
+    m_budget -= 1;
+  }
+  for (const std::string& engine : due) {
+    m_readAt[engine] = aNow;
+  }
+  std::set<std::string> known(aEngines.begin(), aEngines.end());
+  std::erase_if(
+    m_readAt, [&](const auto& aItem) { return !known.contains(aItem.first); });
+  return due;
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/control_gossip.h
@@ -0,0 +1,26 @@
+#ifndef SHALLOTFORD_SRC_CONTROL_GOSSIP_H
+#define SHALLOTFORD_SRC_CONTROL_GOSSIP_H
+
+/// JSON forms of what gossip messages carry.
+
+#include "shallotford/control/membership.h"
+
+namespace shallotford {
+
+Json::Value
+ToJson(const FleetAverages::Sample& aSample);
+/// Skips entries that are no figures.
+FleetAverages::Sample
+ParseSample(const Json::Value& aValue);
+
+/// Returns the character for the age of news: rounded up, so that passing
+/// them on never makes them younger. @returns '.' if too old to pass on
+char
+EncodeAge(Duration aAge);
+/// @returns nothing if aChar is no age
+std::optional<Duration>
+DecodeAge(char aChar);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_CONTROL_GOSSIP_H
--- /dev/null
+++ b/src/control_reconcile.cpp
@@ -0,0 +1,410 @@
+/// One round of orders: what engines are against what they should be.
+
+#include "shallotford/control/reconcile.h"
+
+#include "config.h"
+#include "shallotford/control/ownership.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotford {
+
+namespace {
+
+bool
+HasModel(const EngineReadback& aEngine, const EngineGoal& aGoal)
+{
+  return aEngine.m_model == aGoal.m_model &&
+         aEngine.m_version == aGoal.m_version;
+}
+
+/// Whether the engine must be empty before it can get to its goal.
+bool
+NeedsDrain(const EngineReadback& aEngine, const EngineGoal& aGoal)
+{
+  return !HasModel(aEngine, aGoal) || aEngine.m_role != aGoal.m_role;
+}
+
+bool
+IsAtGoal(const EngineReadback& aEngine, const EngineGoal& aGoal)
+{
+  return !NeedsDrain(aEngine, aGoal) && !aEngine.m_draining &&
+         aEngine.m_adapters == aGoal.m_adapters;
+}
+
+/// Whether the engine takes requests for aModel, of whatever version.
+bool
+Serves(const EngineReadback& aEngine, const std::string& aModel)
+{
+  return aEngine.m_model == aModel && !aEngine.m_draining && !aEngine.m_leaving;
+}
+
+std::uint32_t
+EnginesNeeded(double aLoad, std::uint32_t aLeast)
+{
+  auto needed = static_cast<std::uint32_t>(std::ceil(aLoad / kMostUse));
+  return std::max(needed, aLeast);
+}
+
+RoleCounts
+CountRoles(const ServiceEntry& aService,
+           const Readbacks& aReadbacks,
+           bool aByText)
+{
+  RoleCounts counts;
+  for (const EngineEntry& entry : aService.m_engines) {
+    auto found = aReadbacks.find(entry.m_address);
+    if (found == aReadbacks.end() || found->second.m_leaving) {
+      continue;
+    }
+    EngineRole role = aByText ? entry.m_role : found->second.m_role;
+    ++(role == EngineRole::Prefill ? counts.m_prefill : counts.m_decode);
+  }
+  return counts;
+}
+
+Readbacks
+FreshOnes(const Readbacks& aReadbacks, TimePoint aNow)
+{
+  Readbacks fresh;
+  for (const auto& [address, engine] : aReadbacks) {
+    if (aNow - engine.m_readAt <= kReadbackFresh) {
+      fresh.emplace(address, engine);
+    }
+  }
+  return fresh;
+}
+
+std::uint32_t
+ModelServices(const FleetText& aFleet)
+{
+  auto count = std::count_if(aFleet.m_services.begin(),
+                             aFleet.m_services.end(),
+                             [](const ServiceEntry& aService) {
+                               return aService.m_kind == ServiceKind::Model;
+                             });
+  return static_cast<std::uint32_t>(std::max<std::ptrdiff_t>(count, 1));
+}
+
+} // namespace
+
+std::string_view
+ToString(OrderKind aKind)
+{
+  switch (aKind) {
+    case OrderKind::LoadModel:
+      return "load_model";
+    case OrderKind::LoadAdapter:
+      return "load_adapter";
+    case OrderKind::UnloadAdapter:
+      return "unload_adapter";
+    case OrderKind::SetRole:
+      return "set_role";
+    case OrderKind::Drain:
+      return "drain";
+    case OrderKind::Resume:
+      break;
+  }
+  return "resume";
+}
+
+/// Working state of one Step.
+struct Reconciler::Round
+{
+  TimePoint m_now;
+  const FleetText& m_fleet;
+  const ServiceEntry& m_service;
+  const Readbacks& m_engines;
+  const std::map<std::string, EngineGoal>& m_goals;
+  const ServiceLoad& m_load;
+  ReconcileResult& m_result;
+  RoleCounts m_serving{};
+  std::uint32_t m_changing{ 0 };            ///< engines, at the moment
+  std::vector<std::string> m_underChange{}; ///< drained by an order
+  std::vector<std::string> m_toChange{};
+
+  const EngineReadback& Engine(const std::string& aEngine) const
+  {
+    return m_engines.at(aEngine);
+  }
+
+  void Give(const std::string& aEngine, Order aOrder, std::string aCause) const
+  {
+    std::optional<std::uint64_t> fence =
+      NextFence(m_fleet.m_revision, Engine(aEngine).m_acceptedFence);
+    if (!fence) {
+      m_result.m_outdated = true;
+      return;
+    }
+    aOrder.m_engine = aEngine;
+    aOrder.m_fence = *fence;
+    aOrder.m_cause = std::move(aCause);
+    m_result.m_orders.push_back(std::move(aOrder));
+  }
+
+  std::uint32_t& ServingIn(EngineRole aRole)
+  {
+    return aRole == EngineRole::Prefill ? m_serving.m_prefill
+                                        : m_serving.m_decode;
+  }
+
+  /// Counts an engine that takes no new work from now on.
+  void TakeOut(const EngineReadback& aEngine)
+  {
+    ++m_changing;
+    if (Serves(aEngine, m_service.m_model)) {
+      --ServingIn(aEngine.m_role);
+    }
+  }
+
+  /// Sorts the engines by what is to be done with them.
+  void Classify()
+  {
+    m_result.m_settled = true;
+    for (const auto& [address, goal] : m_goals) {
+      const EngineReadback& engine = Engine(address);
+      if (Serves(engine, m_service.m_model)) {
+        ++ServingIn(engine.m_role);
+      }
+      if (!NextFence(m_fleet.m_revision, engine.m_acceptedFence)) {
+        m_result.m_outdated = true;
+      }
+      if (IsAtGoal(engine, goal)) {
+        continue;
+      }
+      m_result.m_settled = false;
+      if (engine.m_draining) {
+        ++m_changing;
+      }
+      (engine.m_draining ? m_underChange : m_toChange).push_back(address);
+    }
+    // Engines that serve nothing of the service cost no capacity: they go
+    // first, then the idlest.
+    auto cost = [&](const std::string& aEngine) {
+      const EngineReadback& engine = Engine(aEngine);
+      return std::pair(Serves(engine, m_service.m_model), engine.m_running);
+    };
+    std::stable_sort(m_toChange.begin(),
+                     m_toChange.end(),
+                     [&](const std::string& aLeft, const std::string& aRight) {
+                       return cost(aLeft) < cost(aRight);
+                     });
+  }
+
+  void Wait(const std::string& aEngine, const char* aWhy) const
+  {
+    m_result.m_waits.push_back(aEngine + ": " + aWhy);
+  }
+
+  /// Whether the engine's role can do without it.
+  bool CanSpare(const EngineReadback& aEngine) const
+  {
+    if (!Serves(aEngine, m_service.m_model)) {
+      return true;
+    }
+    if (aEngine.m_role == EngineRole::Prefill) {
+      return m_serving.m_prefill >
+             EnginesNeeded(m_load.m_prefill, m_service.m_minPrefill);
+    }
+    return m_serving.m_decode >
+           EnginesNeeded(m_load.m_decode, m_service.m_minDecode);
+  }
+};
+
+Reconciler::Reconciler(TimePoint aSince)
+  : m_since(aSince)
+{
+}
+
+void
+Reconciler::OnSent(const Order& aOrder, TimePoint aNow)
+{
+  m_sentAt[aOrder.m_engine] = aNow;
+}
+
+bool
+Reconciler::AnsweredSinceSent(const Round& aRound,
+                              const std::string& aEngine) const
+{
+  auto sent = m_sentAt.find(aEngine);
+  return sent == m_sentAt.end() ||
+         aRound.Engine(aEngine).m_readAt > sent->second;
+}
+
+/// Each model service may use an equal part of the weight store's rate, so
+/// that their owners need not agree. A new owner can't know when the last load
+/// was, and waits as if it had just been.
+bool
+Reconciler::MayLoad(TimePoint aNow, const Round& aRound) const
+{
+  if (aRound.m_fleet.m_weightStoreBytesPerSecond == 0) {
+    return true;
+  }
+  return m_loadFreeAt && aNow >= *m_loadFreeAt;
+}
+
+void
+Reconciler::NoteLoad(TimePoint aNow, const Round& aRound)
+{
+  const ModelEntry* model = aRound.m_fleet.FindModel(aRound.m_service.m_model);
+  std::uint64_t rate = aRound.m_fleet.m_weightStoreBytesPerSecond;
+  if (model == nullptr || rate == 0) {
+    return;
+  }
+  double share = static_cast<double>(rate) / ModelServices(aRound.m_fleet);
+  std::chrono::duration<double> time(static_cast<double>(model->m_weightBytes) /
+                                     share);
+  m_loadFreeAt = aNow + std::chrono::duration_cast<Duration>(time);
+}
+
+void
+Reconciler::ContinueChange(Round& aRound, const std::string& aEngine)
+{
+  const EngineReadback& engine = aRound.Engine(aEngine);
+  const EngineGoal& goal = aRound.m_goals.at(aEngine);
+  if (!NeedsDrain(engine, goal)) {
+    if (engine.m_adapters != goal.m_adapters) {
+      SetAdapters(aRound, aEngine);
+      return;
+    }
+    aRound.Give(
+      aEngine, { .m_kind = OrderKind::Resume }, "the engine is at its goal");
+    return;
+  }
+  if (engine.m_busy) {
+    aRound.Wait(aEngine, "drains or loads");
+    return;
+  }
+  if (HasModel(engine, goal)) {
+    aRound.Give(aEngine,
+                { .m_kind = OrderKind::SetRole, .m_role = goal.m_role },
+                "the split wants another role");
+    return;
+  }
+  if (!MayLoad(aRound.m_now, aRound)) {
+    aRound.Wait(aEngine, "the weight store's share is in use");
+    return;
+  }
+  std::size_t orders = aRound.m_result.m_orders.size();
+  aRound.Give(aEngine,
+              { .m_kind = OrderKind::LoadModel,
+                .m_model = goal.m_model,
+                .m_version = goal.m_version },
+              "the text wants another model or version");
+  if (aRound.m_result.m_orders.size() > orders) {
+    NoteLoad(aRound.m_now, aRound);
+  }
+}
+
+void
+Reconciler::BeginChange(Round& aRound, const std::string& aEngine)
+{
+  const EngineReadback& engine = aRound.Engine(aEngine);
+  if (aRound.m_changing >= aRound.m_fleet.m_ordersAtOnce) {
+    aRound.Wait(aEngine, "enough engines are being changed");
+    return;
+  }
+  if (!aRound.CanSpare(engine)) {
+    aRound.Wait(aEngine, "its capacity is in use");
+    return;
+  }
+  const EngineGoal& goal = aRound.m_goals.at(aEngine);
+  bool hasModel = HasModel(engine, goal);
+  aRound.Give(aEngine,
+              { .m_kind = OrderKind::Drain },
+              hasModel ? "before a role change" : "before a model load");
+  aRound.TakeOut(engine);
+}
+
+void
+Reconciler::SetAdapters(Round& aRound, const std::string& aEngine)
+{
+  const EngineReadback& engine = aRound.Engine(aEngine);
+  const EngineGoal& goal = aRound.m_goals.at(aEngine);
+  for (const std::string& adapter : goal.m_adapters) {
+    if (!engine.m_adapters.contains(adapter)) {
+      aRound.Give(aEngine,
+                  { .m_kind = OrderKind::LoadAdapter,
+                    .m_model = goal.m_model,
+                    .m_adapter = adapter },
+                  "the text lists the adapter");
+      return;
+    }
+  }
+  for (const std::string& adapter : engine.m_adapters) {
+    if (!goal.m_adapters.contains(adapter)) {
+      aRound.Give(aEngine,
+                  { .m_kind = OrderKind::UnloadAdapter,
+                    .m_model = goal.m_model,
+                    .m_adapter = adapter },
+                  "the text doesn't list the adapter");
+      return;
+    }
+  }
+}
+
+ReconcileResult
+Reconciler::Step(TimePoint aNow, const ReconcileInput& aInput)
+{
+  ReconcileResult result;
+  const FleetText& fleet = *aInput.m_fleet;
+  const ServiceEntry* service = fleet.FindService(aInput.m_service);
+  if (service == nullptr || service->m_kind != ServiceKind::Model) {
+    result.m_settled = true;
+    return result;
+  }
+  Readbacks engines = FreshOnes(aInput.m_readbacks, aNow);
+  RoleCounts text = CountRoles(*service, engines, true);
+  RoleCounts actual = CountRoles(*service, engines, false);
+  result.m_target = m_split.Decide(
+    aNow, fleet.m_revision, *service, text, actual, aInput.m_load);
+  std::map<std::string, EngineGoal> goals =
+    EngineGoals(fleet, *service, engines, result.m_target);
+  Round round{ .m_now = aNow,
+               .m_fleet = fleet,
+               .m_service = *service,
+               .m_engines = engines,
+               .m_goals = goals,
+               .m_load = aInput.m_load,
+               .m_result = result };
+  if (!m_loadFreeAt) {
+    NoteLoad(m_since, round);
+  }
+  round.Classify();
+  if (result.m_outdated) {
+    result.m_waits.emplace_back("an engine has orders of a newer revision");
+  } else if (!aInput.m_dependenciesSettled) {
+    result.m_waits.emplace_back("a dependency isn't settled yet");
+  } else {
+    GiveOrders(round);
+  }
+  return result;
+}
+
+void
+Reconciler::GiveOrders(Round& aRound)
+{
+  for (const std::string& address : aRound.m_underChange) {
+    if (AnsweredSinceSent(aRound, address)) {
+      ContinueChange(aRound, address);
+    }
+  }
+  std::vector<std::string> answered;
+  for (const std::string& address : aRound.m_toChange) {
+    if (AnsweredSinceSent(aRound, address)) {
+      answered.push_back(address);
+    } else {
+      aRound.TakeOut(aRound.Engine(address)); // the order may have been taken
+    }
+  }
+  for (const std::string& address : answered) {
+    if (NeedsDrain(aRound.Engine(address), aRound.m_goals.at(address))) {
+      BeginChange(aRound, address);
+    } else {
+      SetAdapters(aRound, address);
+    }
+  }
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/control_revision.cpp
@@ -0,0 +1,217 @@
+/// The fleet text in force, and when a booting VM may serve.
+
+#include "shallotford/control/revision.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+RevisionName
+NameOf(const FleetText& aFleet)
+{
+  return { aFleet.m_revision, aFleet.m_fingerprint };
+}
+
+} // namespace
+
+std::string_view
+ToString(AcceptResult aResult)
+{
+  switch (aResult) {
+    case AcceptResult::Accepted:
+      return "accepted";
+    case AcceptResult::Same:
+      return "same";
+    case AcceptResult::Older:
+      return "older";
+    case AcceptResult::Conflict:
+      return "conflict";
+    case AcceptResult::Invalid:
+      break;
+  }
+  return "invalid";
+}
+
+RevisionName
+RevisionKeeper::CurrentName() const
+{
+  return m_current ? NameOf(*m_current) : RevisionName{};
+}
+
+OfferVerdict
+RevisionKeeper::Weigh(const RevisionName& aOffer) const
+{
+  RevisionName ours = CurrentName();
+  if (aOffer.m_revision > ours.m_revision) {
+    return OfferVerdict::Fetch;
+  }
+  if (aOffer.m_revision < ours.m_revision) {
+    return OfferVerdict::Older;
+  }
+  return aOffer.m_fingerprint == ours.m_fingerprint ? OfferVerdict::Same
+                                                    : OfferVerdict::Conflict;
+}
+
+void
+RevisionKeeper::NoteConflict(const RevisionName& aOffer,
+                             const std::string& aSource)
+{
+  if (Weigh(aOffer) != OfferVerdict::Conflict ||
+      m_conflicts.size() >= kMaxConflictsKept) {
+    return;
+  }
+  bool known = std::any_of(m_conflicts.begin(),
+                           m_conflicts.end(),
+                           [&](const RevisionConflict& aConflict) {
+                             return aConflict.m_theirs == aOffer;
+                           });
+  if (!known) {
+    m_conflicts.push_back({ CurrentName(), aOffer, aSource });
+  }
+}
+
+AcceptOutcome
+RevisionKeeper::Accept(const std::string& aText,
+                       const std::string& aSource,
+                       const std::string& aPlatformVersion)
+{
+  if (m_current && aText == m_current->m_text) {
+    // A platform that flaps may show the text again under another version.
+    if (!aPlatformVersion.empty()) {
+      m_platformVersion = aPlatformVersion;
+    }
+    return { AcceptResult::Same, "" };
+  }
+  FleetPtr fleet;
+  try {
+    fleet = ParseFleetText(aText, "fleet text from " + aSource);
+  } catch (const Error& error) {
+    return { AcceptResult::Invalid,
+             std::string(error.what()) + " " + error.Remedy() };
+  }
+  std::string revision = "revision " + std::to_string(fleet->m_revision);
+  switch (Weigh(NameOf(*fleet))) {
+    case OfferVerdict::Older:
+      return { AcceptResult::Older, revision + " is not newer than ours" };
+    case OfferVerdict::Conflict:
+      NoteConflict(NameOf(*fleet), aSource);
+      return { AcceptResult::Conflict,
+               revision + " has other content than the text in force; "
+                          "publish the wanted text under a higher revision" };
+    case OfferVerdict::Same:
+      return { AcceptResult::Same, "" };
+    case OfferVerdict::Fetch:
+      break;
+  }
+  m_current = fleet;
+  m_platformVersion = aPlatformVersion;
+  m_conflicts.clear();
+  m_kept.push_back(fleet);
+  if (m_kept.size() > kKeptFleetTexts) {
+    m_kept.pop_front();
+  }
+  return { AcceptResult::Accepted, "" };
+}
+
+AcceptOutcome
+RevisionKeeper::Accept(const TextTransfer& aTransfer,
+                       const std::string& aSource)
+{
+  std::string text;
+  if (aTransfer.m_base.empty()) {
+    text = aTransfer.m_content.asString();
+  } else {
+    const FleetText* base = FindKept(aTransfer.m_base);
+    if (base == nullptr) {
+      return { AcceptResult::Invalid, "the base of the difference is unknown" };
+    }
+    try {
+      text = ApplyTextDelta(base->m_text, aTransfer.m_content);
+    } catch (const Error& error) {
+      return { AcceptResult::Invalid, error.what() };
+    }
+  }
+  if (Fingerprint(text) != aTransfer.m_name.m_fingerprint) {
+    return { AcceptResult::Invalid, "the text isn't the one that was named" };
+  }
+  return Accept(text, aSource, aTransfer.m_platformVersion);
+}
+
+TextTransfer
+RevisionKeeper::TransferFor(const RevisionName& aHave) const
+{
+  if (!m_current) {
+    throw Error(
+      ErrorKind::NotReady, "this VM has no fleet text yet", "Ask another VM.");
+  }
+  TextTransfer transfer;
+  transfer.m_name = CurrentName();
+  transfer.m_platformVersion = m_platformVersion;
+  if (const FleetText* base = FindKept(aHave.m_fingerprint)) {
+    transfer.m_base = base->m_fingerprint;
+    transfer.m_content = MakeTextDelta(base->m_text, m_current->m_text);
+  } else {
+    transfer.m_content = m_current->m_text;
+  }
+  return transfer;
+}
+
+const FleetText*
+RevisionKeeper::FindKept(const std::string& aFingerprint) const
+{
+  for (const FleetPtr& fleet : m_kept) {
+    if (fleet->m_fingerprint == aFingerprint) {
+      return fleet.get();
+    }
+  }
+  return nullptr;
+}
+
+void
+ReadinessGate::SetListed(const std::vector<std::string>& aOtherVms)
+{
+  m_listKnown = true;
+  m_others = { aOtherVms.begin(), aOtherVms.end() };
+}
+
+void
+ReadinessGate::OnPeerAnswer(const std::string& aPeer, const RevisionName& aHas)
+{
+  m_answers[aPeer] = aHas.m_revision;
+}
+
+void
+ReadinessGate::OnPlatformAnswer(TimePoint aNow, bool aNews)
+{
+  if (aNews) {
+    m_freshAt = aNow;
+  }
+}
+
+bool
+ReadinessGate::IsReady(TimePoint aNow, const RevisionName& aCurrent)
+{
+  if (m_ready || !m_listKnown || aCurrent.m_revision == 0) {
+    return m_ready;
+  }
+  std::size_t answers = 0;
+  for (const auto& [peer, revision] : m_answers) {
+    if (!m_others.contains(peer)) {
+      continue;
+    }
+    if (revision > aCurrent.m_revision) {
+      return false; // its text is still to be fetched
+    }
+    ++answers;
+  }
+  bool platformFresh = m_freshAt && aNow - *m_freshAt <= kPlatformFreshFor;
+  m_ready =
+    answers >= std::min(kPeersForReadiness, m_others.size()) || platformFresh;
+  return m_ready;
+}
+
+} // namespace shallotford
