Add shallotfordctl: check, plan, status, upstreams, requests, audit, explain, drain

Cause: operators had no way to check a text before they publish it, to see what it would change, or to ask the daemons for their state. Change: a command line over the operators' JSON-RPC port, for one daemon or a list of them; tables for people, JSON for programs, a watch, documented exit codes. A plan reads the text in force and the engines' states from the daemons and lists the engines' steps with dependencies first. Not yet run against a real daemon. Conclusion: docopt leaves options that stand in any usage pattern out of [options], so every pattern uses [options], and misplaced ones are refused by hand.

--- /dev/null
+++ b/include/shallotford/ctl.h
@@ -0,0 +1,52 @@
+#ifndef SHALLOTFORD_CTL_H
+#define SHALLOTFORD_CTL_H
+
+/// The operators' command line: checks texts, plans changes, and asks the
+/// daemons of a fleet for their state.
+
+#include "shallotford/base.h"
+
+#include <chrono>
+#include <iosfwd>
+#include <string>
+#include <vector>
+
+namespace shallotford {
+
+/// Exit codes of shallotfordctl.
+enum class CtlExit
+{
+  Ok = 0,
+  Failed = 1,     ///< the VM, or every VM, failed or can't be reached
+  Invalid = 2,    ///< wrong command line, or a text that would be refused
+  SomeFailed = 3, ///< with --fleet: some VMs answered and others failed
+};
+
+/// Paces the rounds of --watch.
+class CtlPaceI
+{
+public:
+  virtual ~CtlPaceI() = default;
+  /// A watch begins: from now on, Ctrl-C ends it with CtlExit::Ok.
+  virtual void Start() = 0;
+  /// Waits between two rounds. @returns whether another round follows
+  virtual bool WaitNext(std::chrono::seconds aInterval) = 0;
+};
+
+/// Where one run writes, and how its rounds are paced.
+struct CtlIo
+{
+  std::ostream& m_out;
+  std::ostream& m_err;
+  bool m_colour{ false }; ///< escape sequences may be written to m_out
+  CtlPaceI& m_pace;
+};
+
+/// Runs one command line. Never throws.
+/// @param aArguments  without the program's name
+CtlExit
+RunCtl(const std::vector<std::string>& aArguments, CtlIo& aIo);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_CTL_H
--- /dev/null
+++ b/src/ctl_view.h
@@ -0,0 +1,67 @@
+#ifndef SHALLOTFORD_SRC_CTL_VIEW_H
+#define SHALLOTFORD_SRC_CTL_VIEW_H
+
+/// One view for each command that asks daemons: the call it makes and the
+/// tables it shows. docs/API.md lists the members of each answer.
+
+#include "ctl_call.h"
+#include "ctl_command.h"
+#include "ctl_table.h"
+
+#include <memory>
+#include <ostream>
+
+namespace shallotford {
+
+class ViewI
+{
+public:
+  virtual ~ViewI() = default;
+  virtual OperatorCall Call() const = 0;
+  /// Writes the tables of the VMs that answered.
+  /// @param aAnswers  each has a result
+  virtual void Print(const std::vector<VmAnswer>& aAnswers,
+                     std::ostream& aOut,
+                     bool aColour) const = 0;
+  /// Returns whether one VM's answer is all that is sought, so that the other
+  /// VMs' errors don't count.
+  virtual bool OneAnswerSuffices() const { return false; }
+};
+
+/// @param aCommand  any that asks daemons, but plan
+std::unique_ptr<ViewI>
+MakeView(const CtlCommand& aCommand);
+
+std::unique_ptr<ViewI>
+MakeStatusView();
+std::unique_ptr<ViewI>
+MakeUpstreamsView();
+std::unique_ptr<ViewI>
+MakeRequestsView();
+std::unique_ptr<ViewI>
+MakeAuditView(const AuditFilter& aFilter);
+std::unique_ptr<ViewI>
+MakeExplainView(const std::string& aRequest);
+std::unique_ptr<ViewI>
+MakeDrainView();
+
+// Members of answers as cells. A member that is absent, as with a daemon of
+// another version, gives "-".
+
+/// Returns text or a number as it is, and a Boolean as yes or no.
+Cell
+CellOf(const Json::Value& aObject, const char* aMember);
+/// Returns yes or no; aBad is the one that is shown as bad.
+Cell
+FlagCell(const Json::Value& aObject, const char* aMember, bool aBad);
+/// Returns milliseconds as seconds with one decimal, such as "1.5 s".
+Cell
+AgeCell(const Json::Value& aObject, const char* aMember);
+
+/// Returns the list aMember of aObject, or an empty one.
+const Json::Value&
+ListOf(const Json::Value& aObject, const char* aMember);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_CTL_VIEW_H
--- /dev/null
+++ b/tests/ctl_check_test.sh
@@ -0,0 +1,69 @@
+#!/usr/bin/env bash
+# Checks every example (exit 0) and every broken sample (exit 2, with line,
+# field and remedy), and that Ctrl-C ends a watch with 0.
+# Usage: ctl_check_test.sh BUILD
+set -u
+build=$(cd "$1" && pwd)
+cd "$(dirname "$0")/.." || exit 1
+ctl=$build/shallotfordctl
+failures=0
+fail() { echo "FAILED: $*"; failures=$((failures + 1)); }
+
+examples=0
+for file in examples/*/*.json; do
+  output=$("$ctl" check "$file" 2>&1) || fail "$file: exit $? $output"
+  case $output in *$'\e'*) fail "$file: colours without a terminal" ;; esac
+  examples=$((examples + 1))
+done
+[ "$examples" -ge 20 ] || fail "only $examples examples"
+
+samples=0
+for file in tests/broken/*.json; do
+  output=$("$ctl" check "$file" 2>&1)
+  code=$?
+  [ $code -eq 2 ] || fail "$file: exit $code, not 2"
+  grep -qE "^error: $file:[1-9][0-9]*: " <<<"$output" ||
+    fail "$file: no line number in: $output"
+  grep -qE '^  remedy: .+' <<<"$output" || fail "$file: no remedy in: $output"
+  # What is no JSON at all has no field to name.
+  if python3 - "$file" <<'PYTHON'
+import json, sys
+
+def unique(pairs):
+    keys = [key for key, _ in pairs]
+    if len(keys) != len(set(keys)):
+        raise ValueError("duplicate key")
+    return dict(pairs)
+
+text = json.load(open(sys.argv[1], encoding="utf-8"), object_pairs_hook=unique)
+sys.exit(0 if isinstance(text, dict) else 1)
+PYTHON
+  then
+    grep -q 'field "' <<<"$output" || fail "$file: no field in: $output"
+  fi 2>/dev/null
+  samples=$((samples + 1))
+done
+[ "$samples" -ge 30 ] || fail "only $samples broken samples"
+
+"$ctl" check no-such-file.json >/dev/null 2>&1
+[ $? -eq 2 ] || fail "a missing file is not exit 2"
+"$ctl" nonsense >/dev/null 2>&1
+[ $? -eq 2 ] || fail "a wrong command is not exit 2"
+"$ctl" --help >/dev/null || fail "--help is not exit 0"
+
+# Port 1 of loopback answers nobody; the watch goes on all the same.
+log=$(mktemp)
+"$ctl" status --vm 127.0.0.1:1 --watch 60 2>"$log" &
+watch=$!
+for _ in $(seq 100); do
+  grep -q remedy "$log" && break
+  sleep 0.1
+done
+kill -INT $watch
+wait $watch
+code=$?
+[ $code -eq 0 ] || fail "Ctrl-C ended a watch with $code"
+rm -f "$log"
+
+echo "$examples examples, $samples broken samples, $failures failures"
+[ $failures -eq 0 ]
