Check requests before libwebsockets reads them; bound readers and senders

It also gives no way to close a listening socket alone. Change: the bytes of a head are looked at before libwebsockets reads them, and the bytes it took are counted, so that nothing behind a request is served; every refusal is a 4xx with our error body, then the connection closes, drained for a second so that the refusal arrives. Slow senders get 408, slow readers hold a bounded buffer. StopAccepting() finds the listening socket.

--- a/src/net_hangup.cpp
+++ b/src/net_arrival.cpp
@@ -1,6 +1,6 @@
-/// Watches connections whose request is being answered.
+/// Tells when bytes, or the end, arrive on connections.
 
-#include "net_hangup.h"
+#include "net_arrival.h"
 
 #include "shallotford/base.h"
 
@@ -11,7 +11,7 @@
 
 namespace shallotford {
 
-HangupWatch::HangupWatch()
+ArrivalWatch::ArrivalWatch()
   : m_descriptor(::epoll_create1(EPOLL_CLOEXEC))
 {
   if (m_descriptor < 0) {
@@ -21,34 +21,25 @@
   }
 }
 
-HangupWatch::~HangupWatch()
+ArrivalWatch::~ArrivalWatch()
 {
   ::close(m_descriptor);
 }
 
 std::uint64_t
-HangupWatch::Add(int aSocket, std::function<void()> aOnReadable)
+ArrivalWatch::Add(int aSocket, std::function<void()> aOnArrival)
 {
   std::uint64_t watch = ++m_lastWatch;
   epoll_event event{};
-  event.events = EPOLLONESHOT;
+  event.events = EPOLLIN | EPOLLRDHUP | EPOLLET;
   event.data.u64 = watch;
   ::epoll_ctl(m_descriptor, EPOLL_CTL_ADD, aSocket, &event);
-  m_callbacks.emplace(watch, std::move(aOnReadable));
+  m_callbacks.emplace(watch, std::move(aOnArrival));
   return watch;
 }
 
 void
-HangupWatch::Arm(std::uint64_t aWatch, int aSocket)
-{
-  epoll_event event{};
-  event.events = EPOLLIN | EPOLLONESHOT;
-  event.data.u64 = aWatch;
-  ::epoll_ctl(m_descriptor, EPOLL_CTL_MOD, aSocket, &event);
-}
-
-void
-HangupWatch::RunDue()
+ArrivalWatch::RunDue()
 {
   std::array<epoll_event, 64> events{};
   int count = ::epoll_wait(
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -52,8 +52,8 @@
   CreateInternalVhost();
   m_onTimer = [this] { m_timers.Acknowledge(); };
   WatchDescriptor(m_timers.Descriptor(), m_onTimer);
-  m_onHangup = [this] { m_hangups.RunDue(); };
-  WatchDescriptor(m_hangups.Descriptor(), m_onHangup);
+  m_onArrival = [this] { m_arrivals.RunDue(); };
+  WatchDescriptor(m_arrivals.Descriptor(), m_onArrival);
   m_client = std::make_unique<HttpClient>(*this);
 }
 
@@ -194,6 +194,12 @@
 std::unique_ptr<HttpServerI>
 Loop::Listen(const ServerOptions& aOptions, HttpHandlerI& aHandler)
 {
+  // libwebsockets would let both share one socket.
+  for (const HttpServer* other : m_servers) {
+    if (other->Port() == aOptions.m_port) {
+      ThrowCannotListen(aOptions);
+    }
+  }
   auto server = std::make_unique<HttpServer>(*this, aOptions, aHandler);
   m_servers.insert(server.get());
   return server;
--- a/src/net_loop.h
+++ b/src/net_loop.h
@@ -4,7 +4,7 @@
 /// One task's event loop over one libwebsockets context.
 
 #include "config.h"
-#include "net_hangup.h"
+#include "net_arrival.h"
 #include "net_timers.h"
 #include "shallotford/net.h"
 
@@ -41,7 +41,7 @@
   void ReloadCertificates() override;
 
   lws_context* Context() const { return m_context; }
-  HangupWatch& Hangups() { return m_hangups; }
+  ArrivalWatch& Arrivals() { return m_arrivals; }
   const LoopOptions& Options() const { return m_options; }
   void RemoveServer(HttpServer* aServer) { m_servers.erase(aServer); }
 
@@ -58,9 +58,9 @@
   lws_context* m_context{ nullptr };
   lws_vhost* m_vhost{ nullptr };
   TimerQueue m_timers;
-  HangupWatch m_hangups;
+  ArrivalWatch m_arrivals;
   std::function<void()> m_onTimer;
-  std::function<void()> m_onHangup;
+  std::function<void()> m_onArrival;
   std::mutex m_mutex;
   std::vector<std::function<void()>> m_posted; ///< guarded by m_mutex
   std::atomic<bool> m_stop{ false };
--- a/src/net_server.cpp
+++ b/src/net_server.cpp
@@ -5,6 +5,7 @@
 #include "net_tls.h"
 
 #include <sys/socket.h>
+#include <unistd.h>
 
 namespace shallotford {
 
@@ -26,6 +27,31 @@
                     std::chrono::milliseconds{ 500 });
 }
 
+bool
+IsListening(int aSocket)
+{
+  int listening = 0;
+  socklen_t length = sizeof listening;
+  return ::getsockopt(
+           aSocket, SOL_SOCKET, SO_ACCEPTCONN, &listening, &length) == 0 &&
+         listening != 0;
+}
+
+/// Returns the listening socket of aVhost. libwebsockets has no other way to
+/// close it and leave its connections alone.
+lws*
+FindListener(lws_context* aContext, lws_vhost* aVhost)
+{
+  int limit = static_cast<int>(::sysconf(_SC_OPEN_MAX));
+  for (int fd = 0; fd < limit; ++fd) {
+    lws* wsi = IsListening(fd) ? wsi_from_fd(aContext, fd) : nullptr;
+    if (wsi != nullptr && lws_get_vhost(wsi) == aVhost) {
+      return wsi;
+    }
+  }
+  return nullptr;
+}
+
 std::string_view
 View(void* aIn, std::size_t aLength)
 {
@@ -34,6 +60,16 @@
 
 } // namespace
 
+void
+ThrowCannotListen(const ServerOptions& aOptions)
+{
+  throw Error(ErrorKind::InvalidConfig,
+              "cannot listen on " + aOptions.m_address + ":" +
+                std::to_string(aOptions.m_port),
+              "Choose an address of this VM and a free port, and check the "
+              "certificate files.");
+}
+
 HttpServer::HttpServer(Loop& aLoop,
                        const ServerOptions& aOptions,
                        HttpHandlerI& aHandler)
@@ -59,11 +95,7 @@
   m_vhost = lws_create_vhost(aLoop.Context(), &info);
   int port = m_vhost == nullptr ? 0 : lws_get_vhost_listen_port(m_vhost);
   if (port <= 0) {
-    throw Error(ErrorKind::InvalidConfig,
-                "cannot listen on " + aOptions.m_address + ":" +
-                  std::to_string(aOptions.m_port),
-                "Choose an address of this VM and a free port, and check the "
-                "certificate files.");
+    ThrowCannotListen(aOptions);
   }
   m_port = static_cast<std::uint16_t>(port);
   Sweep();
@@ -92,8 +124,11 @@
 void
 HttpServer::StopAccepting()
 {
-  if (m_listener != nullptr) {
-    CloseSocket(std::exchange(m_listener, nullptr));
+  if (!std::exchange(m_accepting, false)) {
+    return;
+  }
+  if (lws* listener = FindListener(m_loop.Context(), m_vhost)) {
+    CloseSocket(listener);
   }
 }
 
@@ -171,7 +206,7 @@
       lws_set_opaque_user_data(aWsi, server->Accept(aWsi));
       return 0;
     case LWS_CALLBACK_HTTP_CONFIRM_UPGRADE:
-      return -1;
+      return connection == nullptr ? -1 : connection->OnUpgrade();
     case LWS_CALLBACK_HTTP:
       return connection == nullptr ? -1 : connection->OnHeaders();
     case LWS_CALLBACK_HTTP_BODY:
--- a/src/net_server.h
+++ b/src/net_server.h
@@ -62,6 +62,7 @@
 
   /// Handles a libwebsockets event; nonzero closes the connection.
   int OnHeaders();
+  int OnUpgrade();
   int OnBody(std::string_view aBytes);
   int OnBodyEnd();
   int OnWritable();
@@ -92,26 +93,43 @@
   };
 
   int Dispatch();
-  /// The peer sent bytes, or closed, before it had its whole answer.
-  void OnEarlyBytes();
+  /// Bytes, or the end, have arrived.
+  void OnArrival();
+  /// Lets libwebsockets read, or not.
+  void SetGate(bool aOpen);
+  /// Checks a head that libwebsockets has not read, and lets it pass.
+  void CheckArrivedHead();
+  /// Drops what the peer sends before it has its whole answer.
+  void DropEarlyBytes();
+  /// Returns whether libwebsockets has read more than this request.
+  bool HasReadBeyond() const;
   int Refuse(const Error& aError, int aStatus = 0);
   /// Asks for a writable event; a first byte queued restarts the timeout.
   void WantWrite(bool aWasEmpty);
   void CloseChunk();
+  /// Refuses a request that libwebsockets has not read whole.
+  void RefuseUnread(const Error& aError, int aStatus);
+  /// Answers a request that did not arrive in time.
+  void RefuseLate();
   int FinishAnswer();
   int WriteQueued();
 
   HttpServer& m_server;
   lws* m_wsi;
   std::uint64_t m_id;
-  std::uint64_t m_hangupWatch;
-  std::size_t m_earlyBytes{ 0 }; ///< dropped during this answer
+  std::uint64_t m_arrivalWatch;
+  bool m_gated; ///< heads are checked before libwebsockets reads them
+  std::uint64_t m_headStart{ 0 }; ///< bytes received before this request
+  std::size_t m_headBytes{ 0 };   ///< length of this request's head
+  std::size_t m_bodyBytes{ 0 };   ///< length of this request's body
+  std::size_t m_earlyBytes{ 0 };  ///< dropped during this answer
   State m_state{ State::Idle };
   bool m_refused;           ///< over the connection limit
   bool m_bodyWhole{ true }; ///< the request's body has been read
   bool m_used{ false };     ///< a request has arrived
   bool m_oldVersion{ false };
   bool m_aborted{ false };
+  bool m_unread{ false }; ///< refused before libwebsockets read it
   bool m_closeAfter{ false };
   bool m_ended{ false }; ///< the answer's end is queued
   TimePoint m_since;     ///< start of the state, or last progress
@@ -123,6 +141,10 @@
   std::size_t m_inSocket{ 0 };   ///< bytes held by libwebsockets
 };
 
+/// Throws the error of a listening socket that cannot be opened.
+[[noreturn]] void
+ThrowCannotListen(const ServerOptions& aOptions);
+
 class HttpServer : public HttpServerI
 {
 public:
@@ -163,7 +185,7 @@
   ServerOptions m_options;
   HttpHandlerI& m_handler;
   lws_vhost* m_vhost{ nullptr };
-  lws* m_listener{ nullptr }; ///< null once accepting has stopped
+  bool m_accepting{ true };
   std::uint16_t m_port{ 0 };
   std::size_t m_inFlight{ 0 };
   TimersI::TimerId m_sweep{ 0 };
--- a/src/net_server_connection.cpp
+++ b/src/net_server_connection.cpp
@@ -78,18 +78,20 @@
   : m_server(aServer)
   , m_wsi(aWsi)
   , m_id(aId)
-  , m_hangupWatch(aServer.GetLoop().Hangups().Add(lws_get_socket_fd(aWsi),
-                                                  [this] { OnEarlyBytes(); }))
+  , m_arrivalWatch(aServer.GetLoop().Arrivals().Add(lws_get_socket_fd(aWsi),
+                                                    [this] { OnArrival(); }))
+  , m_gated(!aServer.Options().m_tls.IsSet())
   , m_refused(aRefused)
   , m_since(aServer.GetLoop().Now())
   , m_out(LWS_PRE, '\0')
   , m_taken(LWS_PRE)
 {
+  SetGate(false);
 }
 
 ServerConnection::~ServerConnection()
 {
-  m_server.GetLoop().Hangups().Remove(m_hangupWatch);
+  m_server.GetLoop().Arrivals().Remove(m_arrivalWatch);
   if (m_exchange != nullptr) {
     m_server.CountAnswer(-1);
     m_exchange->Detach(false);
@@ -113,6 +115,7 @@
     bool headers = error.Kind() == ErrorKind::TooLarge && m_bodyWhole;
     return Refuse(error, headers ? 431 : 0);
   }
+  m_bodyBytes = framing.m_length;
   m_bodyWhole = framing.m_length == 0;
   m_closeAfter = framing.m_implicit || framing.m_oldVersion;
   m_oldVersion = framing.m_oldVersion;
@@ -130,6 +133,19 @@
   return 0;
 }
 
+int
+ServerConnection::OnUpgrade()
+{
+  Error error(ErrorKind::InvalidRequest,
+              "the connection cannot be upgraded",
+              "Use HTTP/1.1 and send no upgrade header.");
+  if (Refuse(error) != 0) {
+    return -1;
+  }
+  // libwebsockets writes and closes after this event by itself.
+  return WriteQueued() == 0 ? 1 : -1;
+}
+
 int
 ServerConnection::OnBody(std::string_view aBytes)
 {
@@ -156,7 +172,7 @@
   lws_set_timeout(m_wsi, NO_PENDING_TIMEOUT, 0);
   m_state = State::Answering;
   m_earlyBytes = 0;
-  m_server.GetLoop().Hangups().Arm(m_hangupWatch, lws_get_socket_fd(m_wsi));
+  m_closeAfter = m_closeAfter || HasReadBeyond();
   m_exchange = std::make_shared<ServerExchange>(*this);
   m_server.CountAnswer(1);
   m_server.Handler().OnRequest(m_exchange, std::move(m_request));
@@ -182,6 +198,29 @@
   return 0;
 }
 
+void
+ServerConnection::RefuseUnread(const Error& aError, int aStatus)
+{
+  // libwebsockets reads nothing any more, and so it gives no writable events.
+  m_unread = true;
+  m_bodyWhole = false;
+  if (Refuse(aError, aStatus) != 0 || WriteQueued() != 0 ||
+      FinishAnswer() != 0) {
+    m_server.CloseLater(m_id);
+  }
+}
+
+void
+ServerConnection::RefuseLate()
+{
+  auto limit = m_server.Options().m_requestTimeout;
+  Error error(ErrorKind::InvalidRequest,
+              "the request did not arrive within " +
+                std::to_string(limit.count()) + " ms",
+              "Send well-formed headers and the whole body at once.");
+  RefuseUnread(error, 408);
+}
+
 bool
 ServerConnection::QueueHead(int aStatus,
                             const HttpHeaders& aHeaders,
@@ -222,7 +261,9 @@
   if (aWasEmpty && m_state == State::Answering) {
     m_since = m_server.GetLoop().Now();
   }
-  lws_callback_on_writable(m_wsi);
+  if (!m_unread) {
+    lws_callback_on_writable(m_wsi);
+  }
 }
 
 void
@@ -304,11 +345,14 @@
 ServerConnection::FinishAnswer()
 {
   if (m_inSocket > 0) {
-    lws_callback_on_writable(m_wsi);
+    WantWrite(false);
     return 0;
   }
   if (m_state == State::Lingering && !m_bodyWhole) {
-    return 0; // CheckTimeouts() closes it after kLingerTime.
+    if (m_gated) {
+      ::shutdown(lws_get_socket_fd(m_wsi), SHUT_WR);
+    }
+    return 0; // The peer closes, or CheckTimeouts() after kLingerTime.
   }
   m_ended = false;
   m_since = m_server.GetLoop().Now();
@@ -320,29 +364,10 @@
   if (m_closeAfter) {
     return -1;
   }
+  SetGate(false);
   return lws_http_transaction_completed(m_wsi) != 0 ? -1 : 0;
 }
 
-void
-ServerConnection::OnEarlyBytes()
-{
-  if (m_state != State::Answering) {
-    return;
-  }
-  char dropped[4096];
-  int socket = lws_get_socket_fd(m_wsi);
-  ssize_t got = ::recv(socket, dropped, sizeof dropped, MSG_DONTWAIT);
-  bool blocked = got < 0 && (errno == EAGAIN || errno == EINTR);
-  m_earlyBytes += got > 0 ? static_cast<std::size_t>(got) : 0;
-  if ((got <= 0 && !blocked) || m_earlyBytes > kMaxEarlyBytes) {
-    m_server.CloseLater(m_id);
-    return;
-  }
-  // What was dropped cannot be served, so the peer has to connect again.
-  m_closeAfter = m_closeAfter || got > 0;
-  m_server.GetLoop().Hangups().Arm(m_hangupWatch, socket);
-}
-
 void
 ServerConnection::Abort()
 {
@@ -365,9 +390,16 @@
   } else if (m_state == State::Answering && Buffered() == 0) {
     return;
   }
-  if (silence > limit) {
-    CloseSocket(m_wsi);
+  if (silence <= limit) {
+    return;
+  }
+  bool handshaking = !m_used && m_server.Options().m_tls.IsSet();
+  bool late =
+    m_state == State::Receiving || (m_state == State::Idle && !m_used);
+  if (late && !handshaking) {
+    RefuseLate();
   }
+  CloseSocket(m_wsi);
 }
 
 } // namespace shallotford
--- a/src/net_strict.cpp
+++ b/src/net_strict.cpp
@@ -80,6 +80,54 @@
   }
 }
 
+/// Returns whether aName was sent with a stray character beside it, such as
+/// "content-length : 5" or a folded line. libwebsockets takes that for an
+/// unknown header, others may take it for aName.
+bool
+IsSentDisguised(lws* aWsi, const std::string& aName)
+{
+  for (char c : { ' ', '\t', '\v', '\f', '\r', '\0' }) {
+    for (const std::string& key :
+         { c + aName + ":", aName + c + ":", c + aName + c + ":" }) {
+      int length = static_cast<int>(key.size());
+      if (lws_hdr_custom_length(aWsi, key.c_str(), length) >= 0) {
+        return true;
+      }
+    }
+  }
+  return false;
+}
+
+void
+CheckVersionAndHost(lws* aWsi)
+{
+  std::string version = ReadFragment(aWsi, WSI_TOKEN_HTTP, 0).value_or("");
+  if (version != "HTTP/1.1" && version != "HTTP/1.0") {
+    throw Malformed("the version is not served", "Use HTTP/1.1.");
+  }
+  int hosts = CountFragments(aWsi, WSI_TOKEN_HOST);
+  if (hosts > 1 || (hosts == 0 && version == "HTTP/1.1")) {
+    throw Malformed("the request has " + std::to_string(hosts) +
+                      " host headers",
+                    "Send one host header.");
+  }
+}
+
+void
+CheckNoTransferEncoding(lws* aWsi)
+{
+  for (const char* name : { "content-length", "transfer-encoding" }) {
+    if (IsSentDisguised(aWsi, name)) {
+      throw Malformed(std::string("header \"") + name + "\" is malformed",
+                      "Send the header as NAME: VALUE on one line.");
+    }
+  }
+  if (CountFragments(aWsi, WSI_TOKEN_HTTP_TRANSFER_ENCODING) > 0) {
+    throw Malformed("transfer-encoding is not accepted in requests",
+                    "Send the body with one content-length.");
+  }
+}
+
 std::size_t
 ParseLength(const std::string& aText)
 {
@@ -128,13 +176,10 @@
              const ServerOptions& aOptions)
 {
   RequestFraming framing;
-  framing.m_oldVersion =
-    ReadFragment(aWsi, WSI_TOKEN_HTTP, 0).value_or("") == "1.0";
+  CheckVersionAndHost(aWsi);
+  CheckNoTransferEncoding(aWsi);
+  framing.m_oldVersion = ReadFragment(aWsi, WSI_TOKEN_HTTP, 0) == "HTTP/1.0";
   int lengths = CountFragments(aWsi, WSI_TOKEN_HTTP_CONTENT_LENGTH);
-  if (FindHeader(aRequest.m_headers, "transfer-encoding") != nullptr) {
-    throw Malformed("transfer-encoding is not accepted in requests",
-                    "Send the body with one content-length.");
-  }
   if (lengths > 1) {
     throw Malformed("content-length is sent more than once",
                     "Send one content-length.");
--- a/tests/net_fixture.h
+++ b/tests/net_fixture.h
@@ -256,6 +256,7 @@
   RawListener& operator=(const RawListener&) = delete;
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(m_port); }
+  std::uint16_t Port() const { return m_port; }
   std::unique_ptr<RawSocket> Accept()
   {
     pollfd item{ m_fd, POLLIN, 0 };
