--- a/tests/standin_program_test.sh
+++ b/tests/standin_program_test.sh
@@ -67,7 +67,7 @@
 # A plain service is no daemon: its answers to model requests are wrong, and the
 # load generator must say so.
 start service
-expect_code 1 "$program" load --daemons "$address" --requests 4 --rate 1000 \
+expect_code 1 "$program" load --daemons "$address" --requests 4 --seed 3 --rate 1000 \
   --stream-share 0 --max-tokens 3
 tail -1 "$folder/out" | grep -q '^answered=0 lost=4 ' ||
   fail "wrong answers were not counted as lost: $(tail -1 "$folder/out")"
--- a/tools/main_standin.cpp
+++ b/tools/main_standin.cpp
@@ -25,7 +25,7 @@
   shallotford-standin engine --config FILE
   shallotford-standin service [--listen ADDRESS] [--delay-ms N] [--seed N]
   shallotford-standin platform [--listen ADDRESS] [--fleet FILE] [--vms FILE]
-  shallotford-standin load --daemons LIST [options]
+  shallotford-standin load --daemons LIST [--seed N] [options]
   shallotford-standin --help
   shallotford-standin --version
 
