Prove revisions, membership and orders under faults

Cause: the promises of the control library need tests that cause the failures. Found and mended on the way: records of first acquaintance crowded out news of leaving VMs; a role split with fewer engines than the minima moved the last one; a pool at its minimum could never load a new version. Conclusion: an engine that checks takes no old order after a newer one; one that ignores numbers takes at most one per round begun with the old text, and ends at the newest text.

--- a/src/control_gossip.cpp
+++ b/src/control_gossip.cpp
@@ -230,15 +230,23 @@
     record.append(static_cast<Json::UInt64>(aMember.m_revision));
     records.append(record);
   };
+  std::vector<Member*> news;
   for (Member& member : m_members) {
-    if (records.size() >= kRecordsPerMessage) {
-      return records;
-    }
     if (member.m_sendsLeft > 0) {
-      --member.m_sendsLeft;
-      append(member);
+      news.push_back(&member);
     }
   }
+  std::size_t count = std::min(kRecordsPerMessage, news.size());
+  std::partial_sort(news.begin(),
+                    news.begin() + static_cast<std::ptrdiff_t>(count),
+                    news.end(),
+                    [](const Member* aLeft, const Member* aRight) {
+                      return aLeft->m_sendsLeft > aRight->m_sendsLeft;
+                    });
+  for (std::size_t i = 0; i < count; ++i) {
+    --news[i]->m_sendsLeft;
+    append(*news[i]);
+  }
   // Old news go on by chance, so that every VM gets them in the end.
   for (std::size_t tries = 0;
        tries < kRecordsPerMessage && records.size() < kRecordsPerMessage;
@@ -475,8 +483,8 @@
   aMember.m_bootOrder = aBootOrder;
   aMember.m_saidLeaving = false;
   aMember.m_revision = 0;
-  aMember.m_sendsLeft = kRecordSends;
-  // A first acquaintance is no news to the others.
+  // A first acquaintance is hardly news to the others.
+  aMember.m_sendsLeft = known ? kRecordSends : 1;
   m_urgent = m_urgent || known;
 }
 
--- a/src/control_reconcile.cpp
+++ b/src/control_reconcile.cpp
@@ -119,6 +119,7 @@
   const std::map<std::string, EngineGoal>& m_goals;
   const ServiceLoad& m_load;
   ReconcileResult& m_result;
+  RoleCounts m_pool; ///< engines that answer
   RoleCounts m_serving{};
   std::uint32_t m_changing{ 0 };            ///< engines, at the moment
   std::vector<std::string> m_underChange{}; ///< drained by an order
@@ -197,18 +198,24 @@
     m_result.m_waits.push_back(aEngine + ": " + aWhy);
   }
 
-  /// Whether the engine's role can do without it.
-  bool CanSpare(const EngineReadback& aEngine) const
+  /// Whether the engine's role can do without it. A model load may go one
+  /// engine below the minimum, where the pool could never be updated else; the
+  /// capacity in use stays.
+  bool CanSpare(const std::string& aEngine)
   {
-    if (!Serves(aEngine, m_service.m_model)) {
+    const EngineReadback& engine = Engine(aEngine);
+    if (!Serves(engine, m_service.m_model)) {
       return true;
     }
-    if (aEngine.m_role == EngineRole::Prefill) {
-      return m_serving.m_prefill >
-             EnginesNeeded(m_load.m_prefill, m_service.m_minPrefill);
+    bool prefills = engine.m_role == EngineRole::Prefill;
+    std::uint32_t least =
+      prefills ? m_service.m_minPrefill : m_service.m_minDecode;
+    if (!HasModel(engine, m_goals.at(aEngine))) {
+      std::uint32_t pool = prefills ? m_pool.m_prefill : m_pool.m_decode;
+      least = std::min(least, pool - 1);
     }
-    return m_serving.m_decode >
-           EnginesNeeded(m_load.m_decode, m_service.m_minDecode);
+    double load = prefills ? m_load.m_prefill : m_load.m_decode;
+    return ServingIn(engine.m_role) > EnginesNeeded(load, least);
   }
 };
 
@@ -305,7 +312,7 @@
     aRound.Wait(aEngine, "enough engines are being changed");
     return;
   }
-  if (!aRound.CanSpare(engine)) {
+  if (!aRound.CanSpare(aEngine)) {
     aRound.Wait(aEngine, "its capacity is in use");
     return;
   }
@@ -367,7 +374,8 @@
                .m_engines = engines,
                .m_goals = goals,
                .m_load = aInput.m_load,
-               .m_result = result };
+               .m_result = result,
+               .m_pool = actual };
   if (!m_loadFreeAt) {
     NoteLoad(m_since, round);
   }
--- a/src/control_roles.cpp
+++ b/src/control_roles.cpp
@@ -70,20 +70,19 @@
   return home != 0 && calm && spares(home, kLowUse) ? home : 0;
 }
 
-/// Brings counts of another number of engines to aTotal, keeping the minima
-/// where the engines suffice.
+/// Brings wanted counts to the number of engines that there are. With fewer
+/// than the minima ask for, every engine keeps its role.
 RoleCounts
-Fit(RoleCounts aCounts, std::uint32_t aTotal, const ServiceEntry& aService)
+Fit(RoleCounts aWanted, const RoleCounts& aActual, const ServiceEntry& aService)
 {
-  std::uint32_t least = std::min(aService.m_minPrefill, aTotal);
-  std::uint32_t most =
-    aTotal > aService.m_minDecode ? aTotal - aService.m_minDecode : 0;
-  // With too few engines for both minima, decode keeps one at least.
-  most = std::max(most, std::min(least, aTotal > 1 ? aTotal - 1 : aTotal));
-  aCounts.m_prefill =
-    std::clamp(aCounts.m_prefill, std::min(least, most), most);
-  aCounts.m_decode = aTotal - aCounts.m_prefill;
-  return aCounts;
+  std::uint32_t total = aActual.Total();
+  if (total < aService.m_minPrefill + aService.m_minDecode) {
+    return aActual;
+  }
+  aWanted.m_prefill = std::clamp(
+    aWanted.m_prefill, aService.m_minPrefill, total - aService.m_minDecode);
+  aWanted.m_decode = total - aWanted.m_prefill;
+  return aWanted;
 }
 
 } // namespace
@@ -115,7 +114,7 @@
       static_cast<std::uint32_t>(std::max<std::int64_t>(prefill, 0));
   }
   m_actual = aActual;
-  m_target = Fit(*m_target, aActual.Total(), aService);
+  m_target = Fit(*m_target, aActual, aService);
   int pressure = PressureOf(*m_target, aText, aService, aLoad);
   if (pressure != m_pressure) {
     m_pressure = pressure;
--- a/tools/control_net.h
+++ b/tools/control_net.h
@@ -326,13 +326,16 @@
 
   // ---------------------------------------------------------------- peers
 
+  using ServeCall = std::function<Json::Value(ControlVm&, const Json::Value&)>;
+  using EndCall = std::function<void(const Json::Value&)>;
+
   /// Calls aTo with aRequest. aServe makes the answer there, aDone takes it
   /// here; it gets null if none came.
   void Call(ControlVm& aFrom,
             const std::string& aTo,
             const std::string& aRequest,
-            std::function<Json::Value(ControlVm&, const Json::Value&)> aServe,
-            std::function<void(const Json::Value&)> aDone)
+            const ServeCall& aServe,
+            const EndCall& aDone)
   {
     std::size_t overhead = kHttpOverheadBytes + kRpcOverheadBytes;
     aFrom.m_bytesOut += aRequest.size() + overhead;
