Add tickets, resume tokens, quarantine, cancels and the sweeper

Cause: calls that must not be repeated, streams whose entry VM died, requests that crash engines and memory held for requests that are gone need decisions with one owner each. Change: tickets decided by their issuing incarnation only, with hand-over of the used ones; resume tokens with one text form; suspects of a crash run one to an engine under one coordinator per service; cancels that repeat until confirmed; a sweeper that asks before it cancels for a VM that answers. A crash is told from the next one by time and grants instead of by a number, since the VMs that report it share none.

--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -31,6 +31,8 @@
   std::chrono::milliseconds m_convictLifetime{ 3'600'000 };
   /// A run of a suspect is taken for dead after this time without an end.
   std::chrono::milliseconds m_grantLifetime{ 120'000 };
+  /// Time in which all VMs notice the same crash.
+  std::chrono::milliseconds m_crashWindow{ 2'000 };
   std::size_t m_maxEntries{ 4'096 };
 };
 
@@ -75,11 +77,10 @@
                   std::string_view aEngine,
                   bool aComplete,
                   TimePoint aNow);
-  /// aEngine crashed with aBatch on board, as far as known. Reports of one
-  /// crash by several VMs may come one after the other; aCrash tells them
-  /// apart from the next crash (the engine's start count or any such number).
+  /// aEngine crashed with aBatch on board, as far as the reporting VM knows.
+  /// Reports by several VMs within PoisonOptions::m_crashWindow are of one
+  /// crash, unless a suspect was granted the engine in between.
   CrashVerdict OnCrash(std::string_view aEngine,
-                       std::uint64_t aCrash,
                        const std::vector<std::string>& aBatch,
                        TimePoint aNow);
   /// Convicts what another VM found guilty.
@@ -100,28 +101,36 @@
   {
     PoisonStatus m_status{ PoisonStatus::Clear };
     std::uint64_t m_version{ 0 }; ///< grows with every change
+    TimePoint m_changed{};
     TimePoint m_expiry{};
     std::string m_engine{}; ///< where the suspect runs; empty if nowhere
     TimePoint m_grantExpiry{};
   };
-  using Entries = std::map<std::string, Entry, std::less<>>;
   struct Crash
   {
-    std::uint64_t m_number{};
-    bool m_solved{ false }; ///< its guilty request was convicted
+    TimePoint m_first{};
+    bool m_solved{ false };             ///< its guilty request was convicted
+    std::vector<std::string> m_added{}; ///< made suspects by it
   };
 
   const Entry* Find(std::string_view aFingerprint, TimePoint aNow) const;
-  Entry& Touch(std::string_view aFingerprint);
-  bool Runs(const Entry& aEntry, TimePoint aNow) const;
-  std::optional<std::string> LoneSuspectAt(
-    std::string_view aEngine,
+  Entry& Change(std::string_view aFingerprint,
+                PoisonStatus aStatus,
+                TimePoint aNow);
+  static bool Runs(const Entry& aEntry, TimePoint aNow);
+  Crash& CrashOf(std::string_view aEngine, TimePoint aNow);
+  /// Returns the members of aBatch that are suspects already, less those that
+  /// this same crash made suspects.
+  std::vector<std::string> FormerSuspects(
     const std::vector<std::string>& aBatch,
+    const Crash& aCrash,
     TimePoint aNow) const;
+  void Solve(Crash& aCrash, const std::string& aGuilty, TimePoint aNow);
+  void MergeOne(const std::string& aFingerprint, const Entry& aTheirs);
   void Bound();
 
   PoisonOptions m_options;
-  Entries m_entries;
+  std::map<std::string, Entry, std::less<>> m_entries; ///< by fingerprint
   std::map<std::string, Crash, std::less<>> m_crashes; ///< by engine
 };
 
--- a/include/shallotford/ledger/sweep.h
+++ b/include/shallotford/ledger/sweep.h
@@ -137,30 +137,39 @@
   void OnAnswer(const SweepAnswer& aAnswer);
 
 private:
-  struct Suspect
+  enum class Owner
   {
-    TimePoint m_since{};                ///< first seen without a live owner
-    std::set<std::string> m_disowned{}; ///< by these VMs, in m_askedIn
-    std::set<std::string> m_asked{};
-    std::uint64_t m_round{ 0 }; ///< of the question
-    bool m_owned{ false };      ///< said a VM in that round
+    Live,     ///< this incarnation was heard of
+    Replaced, ///< its address belongs to another incarnation
+    Silent,   ///< not heard of for longer than the grace time
+    Unknown,  ///< no VM of that address is known
   };
-
-  enum class Owner
+  /// A stream that nobody seems to need.
+  struct Suspect
   {
-    Live,
-    Silent,
-    Gone,
+    Owner m_owner{ Owner::Live };
+    TimePoint m_since{};                     ///< seen with m_owner since
+    std::set<std::string> m_asked{};         ///< VMs, in the last round
+    std::map<std::string, bool> m_answers{}; ///< of these: is it owned?
   };
+
+  void NoticeOwnPause(TimePoint aNow);
   Owner OwnerOf(const AttemptId& aStream,
-                const std::vector<SweepMember>& aMembers) const;
+                const std::vector<SweepMember>& aMembers,
+                TimePoint aNow) const;
+  bool IsGone(const HeldStream& aHeld,
+              const Suspect& aSuspect,
+              TimePoint aNow) const;
+  std::set<std::string> WhomToAsk(
+    const HeldStream& aHeld,
+    const Suspect& aSuspect,
+    const std::vector<SweepMember>& aMembers) const;
 
   SweepOptions m_options;
   std::map<AttemptId, Suspect> m_suspects;
-  std::map<std::string, std::vector<AttemptId>> m_asked; ///< last round
   std::uint64_t m_round{ 0 };
   std::optional<TimePoint> m_last;
-  TimePoint m_trustSilenceFrom;
+  TimePoint m_trustSilenceFrom{}; ///< before it nobody counts as silent
 };
 
 } // namespace shallotford
--- a/include/shallotford/ledger/tickets.h
+++ b/include/shallotford/ledger/tickets.h
@@ -116,7 +116,7 @@
   VmIncarnation m_vm{};
   std::chrono::milliseconds m_lifetime{ 600'000 };
   /// Used tickets kept at once; above it new uses are refused as overloaded.
-  std::size_t m_maxUsed{ 200'000 };
+  std::size_t m_maxUsed{ 100'000 };
   std::size_t m_maxKeptBytes{ 16u << 20 }; ///< of kept answers together
   std::size_t m_maxKeptAnswer{ 256u << 10 };
   std::chrono::milliseconds m_keepAnswers{ 300'000 };
@@ -162,7 +162,8 @@
   /// named successor. Call after Close(), when nothing runs any more; tickets
   /// that still run are exported as unknown.
   std::vector<std::string> ExportUsed(TimePoint aNow) const;
-  /// Takes over used tickets from a stopping VM.
+  /// Takes over used tickets from a stopping VM. Those that this VM has
+  /// already are left as they are.
   /// @returns the incarnations that this VM now answers for through aText
   /// @throws Error (InvalidRequest) if aText is malformed; nothing is changed
   /// @throws Error (Overloaded) if they don't fit; nothing is changed
--- a/src/config.h
+++ b/src/config.h
@@ -51,6 +51,13 @@
 // ledger
 constexpr std::chrono::milliseconds kExportLifetime = 900ms;
 constexpr std::chrono::milliseconds kGoneStreamBound = 5'000ms;
+constexpr std::size_t kMaxResumeTokenBytes = 1'024;
+constexpr std::uint64_t kMaxStreamPosition = 1u << 30;
+constexpr std::size_t kMaxTicketBytes = 512;
+/// Time from one look at a ticket that runs past its expiry to the next.
+constexpr std::chrono::milliseconds kTicketRecheck = 1'000ms;
+/// Longest remaining life of a ticket that is taken over.
+constexpr std::chrono::hours kMaxTicketLife{ 24 };
 
 // fleet
 /// The revision fills the upper half of a fencing number.
--- /dev/null
+++ b/src/ledger_poison.cpp
@@ -0,0 +1,384 @@
+/// Suspects and convicts among requests that crash engines.
+
+#include "shallotford/ledger/poison.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+std::chrono::milliseconds
+Left(TimePoint aUntil, TimePoint aNow)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aUntil - aNow);
+}
+
+[[noreturn]] void
+ThrowBadDigest(const std::string& aWhy)
+{
+  throw Error(ErrorKind::InvalidRequest,
+              "malformed quarantine digest: " + aWhy,
+              "Run the same version of the daemon on both VMs.");
+}
+
+PoisonStatus
+StatusFrom(const std::string& aText)
+{
+  for (PoisonStatus status : { PoisonStatus::Clear,
+                               PoisonStatus::Suspect,
+                               PoisonStatus::Convicted }) {
+    if (aText == ToString(status)) {
+      return status;
+    }
+  }
+  ThrowBadDigest("unknown status");
+}
+
+bool
+Contains(const std::vector<std::string>& aNames, const std::string& aName)
+{
+  return std::find(aNames.begin(), aNames.end(), aName) != aNames.end();
+}
+
+} // namespace
+
+std::string_view
+ToString(PoisonStatus aStatus)
+{
+  switch (aStatus) {
+    case PoisonStatus::Clear:
+      return "clear";
+    case PoisonStatus::Suspect:
+      return "suspect";
+    case PoisonStatus::Convicted:
+      break;
+  }
+  return "convicted";
+}
+
+PoisonTracker::PoisonTracker(const PoisonOptions& aOptions)
+  : m_options(aOptions)
+{
+}
+
+const PoisonTracker::Entry*
+PoisonTracker::Find(std::string_view aFingerprint, TimePoint aNow) const
+{
+  auto found = m_entries.find(aFingerprint);
+  if (found == m_entries.end() || found->second.m_expiry <= aNow) {
+    return nullptr;
+  }
+  return &found->second;
+}
+
+PoisonStatus
+PoisonTracker::StatusOf(std::string_view aFingerprint, TimePoint aNow) const
+{
+  const Entry* entry = Find(aFingerprint, aNow);
+  return entry == nullptr ? PoisonStatus::Clear : entry->m_status;
+}
+
+bool
+PoisonTracker::Runs(const Entry& aEntry, TimePoint aNow)
+{
+  return aEntry.m_status == PoisonStatus::Suspect && !aEntry.m_engine.empty() &&
+         aEntry.m_grantExpiry > aNow;
+}
+
+PoisonTracker::Entry&
+PoisonTracker::Change(std::string_view aFingerprint,
+                      PoisonStatus aStatus,
+                      TimePoint aNow)
+{
+  Entry& entry = m_entries[std::string(aFingerprint)];
+  entry.m_status = aStatus;
+  ++entry.m_version;
+  entry.m_changed = aNow;
+  entry.m_engine.clear();
+  entry.m_expiry =
+    aNow + (aStatus == PoisonStatus::Convicted ? m_options.m_convictLifetime
+                                               : m_options.m_suspectLifetime);
+  return entry;
+}
+
+bool
+PoisonTracker::MayPlace(std::string_view aFingerprint,
+                        std::string_view aEngine,
+                        TimePoint aNow) const
+{
+  const Entry* entry = Find(aFingerprint, aNow);
+  if (entry == nullptr || entry->m_status == PoisonStatus::Clear) {
+    return true;
+  }
+  if (entry->m_status == PoisonStatus::Convicted || Runs(*entry, aNow)) {
+    return false;
+  }
+  return std::none_of(
+    m_entries.begin(), m_entries.end(), [&](const auto& aOther) {
+      return aOther.second.m_engine == aEngine && Runs(aOther.second, aNow);
+    });
+}
+
+bool
+PoisonTracker::Grant(std::string_view aFingerprint,
+                     std::string_view aEngine,
+                     TimePoint aNow)
+{
+  if (!MayPlace(aFingerprint, aEngine, aNow)) {
+    return false;
+  }
+  if (StatusOf(aFingerprint, aNow) == PoisonStatus::Suspect) {
+    Entry& entry = Change(aFingerprint, PoisonStatus::Suspect, aNow);
+    entry.m_engine = std::string(aEngine);
+    entry.m_grantExpiry = aNow + m_options.m_grantLifetime;
+    m_crashes.erase(std::string(aEngine));
+  }
+  return true;
+}
+
+void
+PoisonTracker::OnRunEnded(std::string_view aFingerprint,
+                          std::string_view aEngine,
+                          bool aComplete,
+                          TimePoint aNow)
+{
+  const Entry* entry = Find(aFingerprint, aNow);
+  if (entry == nullptr || entry->m_status != PoisonStatus::Suspect ||
+      entry->m_engine != aEngine) {
+    return;
+  }
+  Change(aFingerprint,
+         aComplete ? PoisonStatus::Clear : PoisonStatus::Suspect,
+         aNow);
+}
+
+PoisonTracker::Crash&
+PoisonTracker::CrashOf(std::string_view aEngine, TimePoint aNow)
+{
+  Crash& crash = m_crashes[std::string(aEngine)];
+  bool isNew = crash.m_first == TimePoint{} ||
+               aNow - crash.m_first > m_options.m_crashWindow;
+  if (isNew) {
+    crash = Crash{ .m_first = aNow };
+  }
+  return crash;
+}
+
+std::vector<std::string>
+PoisonTracker::FormerSuspects(const std::vector<std::string>& aBatch,
+                              const Crash& aCrash,
+                              TimePoint aNow) const
+{
+  std::vector<std::string> suspects;
+  for (const std::string& fingerprint : aBatch) {
+    bool former = StatusOf(fingerprint, aNow) == PoisonStatus::Suspect &&
+                  !Contains(aCrash.m_added, fingerprint);
+    if (former && !Contains(suspects, fingerprint)) {
+      suspects.push_back(fingerprint);
+    }
+  }
+  return suspects;
+}
+
+void
+PoisonTracker::Solve(Crash& aCrash, const std::string& aGuilty, TimePoint aNow)
+{
+  Change(aGuilty, PoisonStatus::Convicted, aNow);
+  for (const std::string& innocent : aCrash.m_added) {
+    if (StatusOf(innocent, aNow) == PoisonStatus::Suspect) {
+      Change(innocent, PoisonStatus::Clear, aNow);
+    }
+  }
+  aCrash.m_added.clear();
+  aCrash.m_solved = true;
+}
+
+CrashVerdict
+PoisonTracker::OnCrash(std::string_view aEngine,
+                       const std::vector<std::string>& aBatch,
+                       TimePoint aNow)
+{
+  CrashVerdict verdict;
+  Crash& crash = CrashOf(aEngine, aNow);
+  if (crash.m_solved) {
+    return verdict;
+  }
+  std::vector<std::string> former = FormerSuspects(aBatch, crash, aNow);
+  if (former.size() == 1) {
+    Solve(crash, former.front(), aNow);
+    verdict.m_convicted = former;
+    return verdict;
+  }
+  for (const std::string& fingerprint : aBatch) {
+    PoisonStatus status = StatusOf(fingerprint, aNow);
+    if (status == PoisonStatus::Convicted) {
+      continue;
+    }
+    Change(fingerprint, PoisonStatus::Suspect, aNow);
+    if (status == PoisonStatus::Clear) {
+      verdict.m_suspects.push_back(fingerprint);
+      crash.m_added.push_back(fingerprint);
+    }
+  }
+  Bound();
+  return verdict;
+}
+
+void
+PoisonTracker::Convict(std::string_view aFingerprint, TimePoint aNow)
+{
+  Change(aFingerprint, PoisonStatus::Convicted, aNow);
+  Bound();
+}
+
+void
+PoisonTracker::Expire(TimePoint aNow)
+{
+  std::erase_if(m_entries, [aNow](const auto& aEntry) {
+    return aEntry.second.m_expiry <= aNow;
+  });
+  std::erase_if(m_crashes, [this, aNow](const auto& aCrash) {
+    return aNow - aCrash.second.m_first > m_options.m_crashWindow;
+  });
+}
+
+void
+PoisonTracker::Bound()
+{
+  while (m_entries.size() > m_options.m_maxEntries) {
+    auto least = std::min_element(
+      m_entries.begin(), m_entries.end(), [](const auto& aA, const auto& aB) {
+        return std::pair(aA.second.m_status, aA.second.m_changed) <
+               std::pair(aB.second.m_status, aB.second.m_changed);
+      });
+    m_entries.erase(least);
+  }
+}
+
+std::string
+PoisonTracker::Digest(std::size_t aMaxBytes, TimePoint aNow) const
+{
+  using Row = std::pair<const std::string, Entry>;
+  std::vector<const Row*> rows;
+  for (const Row& row : m_entries) {
+    if (row.second.m_expiry > aNow) {
+      rows.push_back(&row);
+    }
+  }
+  std::sort(rows.begin(), rows.end(), [](const Row* aA, const Row* aB) {
+    return aA->second.m_changed > aB->second.m_changed;
+  });
+  std::string text = "{\"entries\":[";
+  const std::string end = "]}";
+  for (const Row* row : rows) {
+    const Entry& entry = row->second;
+    Json::Value json(Json::objectValue);
+    json["request"] = row->first;
+    json["status"] = std::string(ToString(entry.m_status));
+    json["version"] = static_cast<Json::UInt64>(entry.m_version);
+    json["left_ms"] =
+      static_cast<Json::Int64>(Left(entry.m_expiry, aNow).count());
+    if (Runs(entry, aNow)) {
+      json["engine"] = entry.m_engine;
+      json["run_ms"] =
+        static_cast<Json::Int64>(Left(entry.m_grantExpiry, aNow).count());
+    }
+    std::string item = (row == rows.front() ? "" : ",") + WriteJson(json);
+    if (text.size() + item.size() + end.size() > aMaxBytes) {
+      break;
+    }
+    text += item;
+  }
+  return text + end;
+}
+
+void
+PoisonTracker::Merge(std::string_view aDigest, TimePoint aNow)
+{
+  std::vector<std::pair<std::string, Entry>> rows;
+  try {
+    Json::Value json = ParseJson(aDigest);
+    if (!json.isObject() || !json["entries"].isArray()) {
+      ThrowBadDigest("no list of entries");
+    }
+    for (const Json::Value& item : json["entries"]) {
+      Entry entry;
+      entry.m_status = StatusFrom(item["status"].asString());
+      entry.m_version = item["version"].asUInt64();
+      entry.m_changed = aNow;
+      std::chrono::milliseconds left{ item["left_ms"].asInt64() };
+      entry.m_expiry = aNow + std::min(left, m_options.m_convictLifetime);
+      entry.m_engine = item.get("engine", "").asString();
+      std::chrono::milliseconds run{ item.get("run_ms", 0).asInt64() };
+      entry.m_grantExpiry = aNow + std::min(run, m_options.m_grantLifetime);
+      rows.emplace_back(item["request"].asString(), std::move(entry));
+    }
+  } catch (const Json::Exception& exception) {
+    ThrowBadDigest(exception.what());
+  }
+  for (const auto& [fingerprint, entry] : rows) {
+    if (!fingerprint.empty() && entry.m_expiry > aNow) {
+      MergeOne(fingerprint, entry);
+    }
+  }
+  Bound();
+}
+
+void
+PoisonTracker::MergeOne(const std::string& aFingerprint, const Entry& aTheirs)
+{
+  auto [found, isNew] = m_entries.emplace(aFingerprint, aTheirs);
+  if (isNew) {
+    return;
+  }
+  Entry& mine = found->second;
+  bool convicts = aTheirs.m_status == PoisonStatus::Convicted;
+  bool convicted = mine.m_status == PoisonStatus::Convicted;
+  if (convicts != convicted) {
+    mine = convicts ? aTheirs : mine;
+    return;
+  }
+  if (std::pair(aTheirs.m_version, aTheirs.m_status) >
+      std::pair(mine.m_version, mine.m_status)) {
+    mine = aTheirs;
+  }
+}
+
+std::size_t
+PoisonTracker::Size() const
+{
+  return m_entries.size();
+}
+
+std::vector<std::string>
+PoisonTracker::Convicted(TimePoint aNow) const
+{
+  std::vector<std::string> convicted;
+  for (const auto& [fingerprint, entry] : m_entries) {
+    if (StatusOf(fingerprint, aNow) == PoisonStatus::Convicted) {
+      convicted.push_back(fingerprint);
+    }
+  }
+  return convicted;
+}
+
+std::string
+SuspectCoordinator(std::string_view aService,
+                   const std::vector<std::string>& aVms)
+{
+  std::string best;
+  std::uint64_t bestScore = 0;
+  for (const std::string& vm : aVms) {
+    std::uint64_t score = StableHash(std::string(aService) + "\n" + vm);
+    bool wins =
+      best.empty() || score > bestScore || (score == bestScore && vm < best);
+    if (wins) {
+      best = vm;
+      bestScore = score;
+    }
+  }
+  return best;
+}
+
+} // namespace shallotford
