--- /dev/null
+++ b/fuzz/ticket_fuzz.cpp
@@ -0,0 +1,27 @@
+/// Fuzzes the reader of tickets, and the office that gets forged ones.
+
+#include "fuzz.h"
+#include "shallotford/ledger/tickets.h"
+
+using namespace shallotford;
+
+extern "C" int
+LLVMFuzzerTestOneInput(const std::uint8_t* aData, std::size_t aSize)
+{
+  std::string_view text = fuzz::AsText(aData, aSize);
+  Ticket ticket;
+  if (fuzz::ReadsOrRefuses([&] { ticket = ParseTicket(text); })) {
+    // A ticket has one text form, so that no two texts name the same one.
+    fuzz::Require(ToString(ticket) == text);
+  }
+  TimePoint now{ std::chrono::seconds{ 100 } };
+  TicketOffice office({ .m_vm = { "10.0.0.1:18001", 1 } }, TicketKey{ 7 }, now);
+  TicketDecision decision = office.Decide(
+    { .m_ticket = text, .m_caller = "planners", .m_fingerprint = "call" },
+    TicketPeers{},
+    now);
+  // The office issued none, so nothing may run.
+  fuzz::Require(decision.m_step != TicketStep::Run);
+  fuzz::Require(office.Used() == 0);
+  return 0;
+}
