Say what readers see when an engine stream is cancelled

Cause: the page did not say how a cancel ends an attached reader or a waiting prefill, so a cancel could be taken for an engine's crash. Conclusion: the daemon must not count such an end as a failure of the engine.

--- a/tests/standin_http_test.cpp
+++ b/tests/standin_http_test.cpp
@@ -218,6 +218,39 @@
                "POST", decode.Address(), faults, R"({"no_such":1})")) == 400);
 }
 
+BOOST_AUTO_TEST_CASE(readers_learn_why_a_stream_ends)
+{
+  Running<EngineServer> prefill(FastEngine(EngineRole::Prefill));
+  EngineSettings slow = FastEngine(EngineRole::Decode);
+  slow.m_model.m_decodeStep = 60s;
+  Running<EngineServer> decode(slow);
+  std::string import = Prepare(prefill.Address(), decode.Address(), "a", "one");
+  std::string stream = "/engine/v1/streams/a";
+  Json::Value start(Json::objectValue);
+  start["stream"] = "a";
+  start["import"] = import;
+  start["max_tokens"] = 5;
+  auto attached = [&] {
+    Json::Value list = JsonOf(Send("GET", decode.Address(), "/admin/stats"));
+    return list["streams"][0]["attached"].asBool();
+  };
+  HttpResult older;
+  std::thread first([&] {
+    older =
+      Send("POST", decode.Address(), "/engine/v1/streams", WriteJson(start));
+  });
+  while (!attached()) {
+  }
+  HttpResult newer;
+  std::thread second(
+    [&] { newer = Send("GET", decode.Address(), stream + "?from=0"); });
+  first.join();
+  BOOST_TEST(older.m_reply->m_body == "event: superseded\ndata: {}\n\n");
+  Send("DELETE", decode.Address(), stream);
+  second.join();
+  BOOST_TEST(newer.m_reply->m_body == "event: cancelled\ndata: {}\n\n");
+}
+
 BOOST_AUTO_TEST_CASE(a_marked_prompt_crashes_the_decode_engine)
 {
   EngineSettings settings = FastEngine(EngineRole::Prefill);
