Let one VM coordinate the suspects of a crash

Cause: when every VM granted runs on its own and heard of the others by gossip only, suspects of different VMs met on one engine. Change: calls to a coordinator (grant, run ended, crash) with their answers; no suspect runs again before word of it is everywhere; a conviction is told to all at once. What is guaranteed and what is not stands in the header. Conclusion: the bound needs the coordinator; gossip alone is the fallback.

--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -8,17 +8,27 @@
 /// crash convicts exactly one. Convicted fingerprints are refused everywhere.
 ///
 /// A batch is spread over many VMs, so one VM coordinates the suspects of each
-/// service: SuspectCoordinator() names it by rendezvous hash, crashes are
-/// reported to it (OnCrash) and it grants every run of a suspect (Grant). With
-/// one coordinator reachable, a poison request costs at most two engines in the
-/// whole fleet. While VMs disagree about the coordinator, or it is gone, only
-/// what gossip has spread (Digest, Merge) holds: best effort.
+/// service: SuspectCoordinator() names it by rendezvous hash. Every VM asks it
+/// (SuspectCall, PoisonTracker::Serve(), ReadSuspectReply()) before it runs a
+/// suspect, when such a run has ended, and when an engine crashed, and retries
+/// nothing of a crashed batch before the reply has come.
+///
+/// The coordinator sends its digest to all VMs when it convicts.
+///
+/// Guaranteed while VMs agree about the coordinator and reach it, and gossip
+/// spreads within PoisonOptions::m_spread: a poison request costs two engines
+/// in the whole fleet, or as many as it was running at when it first crashed
+/// one, and no other request is convicted. Not guaranteed: a copy that reaches
+/// a VM before word of a conviction that followed within m_spread of the first
+/// crash costs one engine more. VMs that grant on their own, because the
+/// coordinator is out of reach, may put two suspects on one engine, convict
+/// both, and lose further engines. An engine that dies of another cause while
+/// a suspect runs there convicts the suspect.
 
 #include "shallotford/base.h"
 
 #include <cstddef>
 #include <map>
-#include <optional>
 #include <string>
 #include <string_view>
 #include <vector>
@@ -31,6 +41,9 @@
   std::chrono::milliseconds m_convictLifetime{ 3'600'000 };
   /// A run of a suspect is taken for dead after this time without an end.
   std::chrono::milliseconds m_grantLifetime{ 120'000 };
+  /// Time that gossip takes to every VM. No suspect runs again before, so that
+  /// no VM still takes it for clear when it is convicted.
+  std::chrono::milliseconds m_spread{ 1'500 };
   /// Time in which all VMs notice the same crash.
   std::chrono::milliseconds m_crashWindow{ 2'000 };
   std::size_t m_maxEntries{ 4'096 };
@@ -52,6 +65,35 @@
   std::vector<std::string> m_convicted{}; ///< at most one fingerprint
 };
 
+/// Parameters of a call to the coordinator.
+class SuspectCall
+{
+public:
+  /// Asks to run a suspect at an engine.
+  static Json::Value Grant(std::string_view aFingerprint,
+                           std::string_view aEngine);
+  /// Tells that a granted run ended without a crash.
+  static Json::Value RunEnded(std::string_view aFingerprint,
+                              std::string_view aEngine,
+                              bool aComplete);
+  /// Reports a crash. @param aBatch  fingerprints that this VM had there
+  static Json::Value Crash(std::string_view aEngine,
+                           const std::vector<std::string>& aBatch);
+};
+
+/// The coordinator's reply.
+struct SuspectReply
+{
+  bool m_granted{ false }; ///< of a Grant call
+  /// Status of the call's fingerprint, for a Grant call.
+  PoisonStatus m_status{ PoisonStatus::Clear };
+  CrashVerdict m_verdict{}; ///< of a Crash call
+  std::string m_digest{};   ///< for Merge(), before anything is retried
+};
+/// @throws Error (InvalidRequest) if it is malformed
+SuspectReply
+ReadSuspectReply(const Json::Value& aReply);
+
 /// Suspects and convicts known to one VM. The same class serves as the
 /// coordinator's table and as every VM's view.
 class PoisonTracker
@@ -83,6 +125,12 @@
   CrashVerdict OnCrash(std::string_view aEngine,
                        const std::vector<std::string>& aBatch,
                        TimePoint aNow);
+  /// Answers another VM's call, or the coordinator's own.
+  /// @param aMaxDigest  most bytes of the digest in the reply
+  /// @throws Error (InvalidRequest) if it is malformed; nothing is changed
+  Json::Value Serve(const Json::Value& aCall,
+                    std::size_t aMaxDigest,
+                    TimePoint aNow);
   /// Convicts what another VM found guilty.
   void Convict(std::string_view aFingerprint, TimePoint aNow);
   void Expire(TimePoint aNow);
@@ -105,6 +153,7 @@
     TimePoint m_expiry{};
     std::string m_engine{}; ///< where the suspect runs; empty if nowhere
     TimePoint m_grantExpiry{};
+    TimePoint m_runFrom{}; ///< no run before
   };
   struct Crash
   {
--- a/src/ledger_poison.cpp
+++ b/src/ledger_poison.cpp
@@ -8,33 +8,6 @@
 
 namespace {
 
-std::chrono::milliseconds
-Left(TimePoint aUntil, TimePoint aNow)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aUntil - aNow);
-}
-
-[[noreturn]] void
-ThrowBadDigest(const std::string& aWhy)
-{
-  throw Error(ErrorKind::InvalidRequest,
-              "malformed quarantine digest: " + aWhy,
-              "Run the same version of the daemon on both VMs.");
-}
-
-PoisonStatus
-StatusFrom(const std::string& aText)
-{
-  for (PoisonStatus status : { PoisonStatus::Clear,
-                               PoisonStatus::Suspect,
-                               PoisonStatus::Convicted }) {
-    if (aText == ToString(status)) {
-      return status;
-    }
-  }
-  ThrowBadDigest("unknown status");
-}
-
 bool
 Contains(const std::vector<std::string>& aNames, const std::string& aName)
 {
@@ -92,6 +65,9 @@
                       TimePoint aNow)
 {
   Entry& entry = m_entries[std::string(aFingerprint)];
+  if (entry.m_status != PoisonStatus::Suspect) {
+    entry.m_runFrom = aNow + m_options.m_spread;
+  }
   entry.m_status = aStatus;
   ++entry.m_version;
   entry.m_changed = aNow;
@@ -111,7 +87,9 @@
   if (entry == nullptr || entry->m_status == PoisonStatus::Clear) {
     return true;
   }
-  if (entry->m_status == PoisonStatus::Convicted || Runs(*entry, aNow)) {
+  bool mustWait = entry->m_status == PoisonStatus::Convicted ||
+                  entry->m_runFrom > aNow || Runs(*entry, aNow);
+  if (mustWait) {
     return false;
   }
   return std::none_of(
@@ -256,95 +234,6 @@
   }
 }
 
-std::string
-PoisonTracker::Digest(std::size_t aMaxBytes, TimePoint aNow) const
-{
-  using Row = std::pair<const std::string, Entry>;
-  std::vector<const Row*> rows;
-  for (const Row& row : m_entries) {
-    if (row.second.m_expiry > aNow) {
-      rows.push_back(&row);
-    }
-  }
-  std::sort(rows.begin(), rows.end(), [](const Row* aA, const Row* aB) {
-    return aA->second.m_changed > aB->second.m_changed;
-  });
-  std::string text = "{\"entries\":[";
-  const std::string end = "]}";
-  for (const Row* row : rows) {
-    const Entry& entry = row->second;
-    Json::Value json(Json::objectValue);
-    json["request"] = row->first;
-    json["status"] = std::string(ToString(entry.m_status));
-    json["version"] = static_cast<Json::UInt64>(entry.m_version);
-    json["left_ms"] =
-      static_cast<Json::Int64>(Left(entry.m_expiry, aNow).count());
-    if (Runs(entry, aNow)) {
-      json["engine"] = entry.m_engine;
-      json["run_ms"] =
-        static_cast<Json::Int64>(Left(entry.m_grantExpiry, aNow).count());
-    }
-    std::string item = (row == rows.front() ? "" : ",") + WriteJson(json);
-    if (text.size() + item.size() + end.size() > aMaxBytes) {
-      break;
-    }
-    text += item;
-  }
-  return text + end;
-}
-
-void
-PoisonTracker::Merge(std::string_view aDigest, TimePoint aNow)
-{
-  std::vector<std::pair<std::string, Entry>> rows;
-  try {
-    Json::Value json = ParseJson(aDigest);
-    if (!json.isObject() || !json["entries"].isArray()) {
-      ThrowBadDigest("no list of entries");
-    }
-    for (const Json::Value& item : json["entries"]) {
-      Entry entry;
-      entry.m_status = StatusFrom(item["status"].asString());
-      entry.m_version = item["version"].asUInt64();
-      entry.m_changed = aNow;
-      std::chrono::milliseconds left{ item["left_ms"].asInt64() };
-      entry.m_expiry = aNow + std::min(left, m_options.m_convictLifetime);
-      entry.m_engine = item.get("engine", "").asString();
-      std::chrono::milliseconds run{ item.get("run_ms", 0).asInt64() };
-      entry.m_grantExpiry = aNow + std::min(run, m_options.m_grantLifetime);
-      rows.emplace_back(item["request"].asString(), std::move(entry));
-    }
-  } catch (const Json::Exception& exception) {
-    ThrowBadDigest(exception.what());
-  }
-  for (const auto& [fingerprint, entry] : rows) {
-    if (!fingerprint.empty() && entry.m_expiry > aNow) {
-      MergeOne(fingerprint, entry);
-    }
-  }
-  Bound();
-}
-
-void
-PoisonTracker::MergeOne(const std::string& aFingerprint, const Entry& aTheirs)
-{
-  auto [found, isNew] = m_entries.emplace(aFingerprint, aTheirs);
-  if (isNew) {
-    return;
-  }
-  Entry& mine = found->second;
-  bool convicts = aTheirs.m_status == PoisonStatus::Convicted;
-  bool convicted = mine.m_status == PoisonStatus::Convicted;
-  if (convicts != convicted) {
-    mine = convicts ? aTheirs : mine;
-    return;
-  }
-  if (std::pair(aTheirs.m_version, aTheirs.m_status) >
-      std::pair(mine.m_version, mine.m_status)) {
-    mine = aTheirs;
-  }
-}
-
 std::size_t
 PoisonTracker::Size() const
 {
--- /dev/null
+++ b/src/ledger_poison_wire.cpp
@@ -0,0 +1,275 @@
+/// Messages about suspects: gossip digests and calls to the coordinator.
+
+#include "shallotford/ledger/poison.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+constexpr const char* kGrant = "grant";
+constexpr const char* kRunEnded = "run_ended";
+constexpr const char* kCrash = "crash";
+
+std::chrono::milliseconds
+Left(TimePoint aUntil, TimePoint aNow)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aUntil - aNow);
+}
+
+[[noreturn]] void
+ThrowBadMessage(const std::string& aWhy)
+{
+  throw Error(ErrorKind::InvalidRequest,
+              "malformed quarantine message: " + aWhy,
+              "Run the same version of the daemon on both VMs.");
+}
+
+PoisonStatus
+StatusFrom(const std::string& aText)
+{
+  for (PoisonStatus status : { PoisonStatus::Clear,
+                               PoisonStatus::Suspect,
+                               PoisonStatus::Convicted }) {
+    if (aText == ToString(status)) {
+      return status;
+    }
+  }
+  ThrowBadMessage("unknown status");
+}
+
+Json::Value
+ToJson(const std::vector<std::string>& aNames)
+{
+  Json::Value list(Json::arrayValue);
+  for (const std::string& name : aNames) {
+    list.append(name);
+  }
+  return list;
+}
+
+std::vector<std::string>
+NamesFrom(const Json::Value& aList)
+{
+  if (!aList.isArray()) {
+    ThrowBadMessage("a list is missing");
+  }
+  std::vector<std::string> names;
+  names.reserve(aList.size());
+  for (const Json::Value& name : aList) {
+    names.push_back(name.asString());
+  }
+  return names;
+}
+
+Json::Value
+CallAbout(const char* aCall,
+          std::string_view aFingerprint,
+          std::string_view aEngine)
+{
+  Json::Value call(Json::objectValue);
+  call["call"] = aCall;
+  call["request"] = std::string(aFingerprint);
+  call["engine"] = std::string(aEngine);
+  return call;
+}
+
+std::string
+TextFrom(const Json::Value& aCall, const char* aField)
+{
+  const Json::Value& text = aCall[aField];
+  if (!text.isString() || text.empty()) {
+    ThrowBadMessage(std::string("\"") + aField + "\" is missing");
+  }
+  return text.asString();
+}
+
+} // namespace
+
+Json::Value
+SuspectCall::Grant(std::string_view aFingerprint, std::string_view aEngine)
+{
+  return CallAbout(kGrant, aFingerprint, aEngine);
+}
+
+Json::Value
+SuspectCall::RunEnded(std::string_view aFingerprint,
+                      std::string_view aEngine,
+                      bool aComplete)
+{
+  Json::Value call = CallAbout(kRunEnded, aFingerprint, aEngine);
+  call["complete"] = aComplete;
+  return call;
+}
+
+Json::Value
+SuspectCall::Crash(std::string_view aEngine,
+                   const std::vector<std::string>& aBatch)
+{
+  Json::Value call(Json::objectValue);
+  call["call"] = kCrash;
+  call["engine"] = std::string(aEngine);
+  call["batch"] = ToJson(aBatch);
+  return call;
+}
+
+SuspectReply
+ReadSuspectReply(const Json::Value& aReply)
+{
+  try {
+    if (!aReply.isObject()) {
+      ThrowBadMessage("the reply is no object");
+    }
+    SuspectReply reply;
+    reply.m_granted = aReply.get("granted", false).asBool();
+    reply.m_status = StatusFrom(aReply.get("status", "clear").asString());
+    reply.m_verdict.m_suspects =
+      NamesFrom(aReply.get("suspects", Json::arrayValue));
+    reply.m_verdict.m_convicted =
+      NamesFrom(aReply.get("convicted", Json::arrayValue));
+    reply.m_digest = TextFrom(aReply, "digest");
+    return reply;
+  } catch (const Json::Exception& exception) {
+    ThrowBadMessage(exception.what());
+  }
+}
+
+Json::Value
+PoisonTracker::Serve(const Json::Value& aCall,
+                     std::size_t aMaxDigest,
+                     TimePoint aNow)
+{
+  if (!aCall.isObject()) {
+    ThrowBadMessage("the call is no object");
+  }
+  std::string name = TextFrom(aCall, "call");
+  std::string engine = TextFrom(aCall, "engine");
+  Json::Value reply(Json::objectValue);
+  if (name == kCrash) {
+    CrashVerdict verdict;
+    try {
+      verdict = OnCrash(engine, NamesFrom(aCall["batch"]), aNow);
+    } catch (const Json::Exception& exception) {
+      ThrowBadMessage(exception.what());
+    }
+    reply["suspects"] = ToJson(verdict.m_suspects);
+    reply["convicted"] = ToJson(verdict.m_convicted);
+  } else if (name == kGrant) {
+    std::string fingerprint = TextFrom(aCall, "request");
+    if (Find(fingerprint, aNow) == nullptr) {
+      // The asking VM knows of a crash that this one has not heard of.
+      Change(fingerprint, PoisonStatus::Suspect, aNow);
+    }
+    reply["granted"] = Grant(fingerprint, engine, aNow);
+    reply["status"] = std::string(ToString(StatusOf(fingerprint, aNow)));
+  } else if (name == kRunEnded) {
+    if (!aCall["complete"].isBool()) {
+      ThrowBadMessage("\"complete\" is missing");
+    }
+    OnRunEnded(
+      TextFrom(aCall, "request"), engine, aCall["complete"].asBool(), aNow);
+  } else {
+    ThrowBadMessage("unknown call \"" + name + "\"");
+  }
+  Bound();
+  reply["digest"] = Digest(aMaxDigest, aNow);
+  return reply;
+}
+
+std::string
+PoisonTracker::Digest(std::size_t aMaxBytes, TimePoint aNow) const
+{
+  using Row = std::pair<const std::string, Entry>;
+  std::vector<const Row*> rows;
+  for (const Row& row : m_entries) {
+    if (row.second.m_expiry > aNow) {
+      rows.push_back(&row);
+    }
+  }
+  std::sort(rows.begin(), rows.end(), [](const Row* aA, const Row* aB) {
+    return aA->second.m_changed > aB->second.m_changed;
+  });
+  std::string text = "{\"entries\":[";
+  const std::string end = "]}";
+  for (const Row* row : rows) {
+    const Entry& entry = row->second;
+    Json::Value json(Json::objectValue);
+    json["request"] = row->first;
+    json["status"] = std::string(ToString(entry.m_status));
+    json["version"] = static_cast<Json::UInt64>(entry.m_version);
+    json["left_ms"] =
+      static_cast<Json::Int64>(Left(entry.m_expiry, aNow).count());
+    if (entry.m_runFrom > aNow) {
+      json["wait_ms"] =
+        static_cast<Json::Int64>(Left(entry.m_runFrom, aNow).count());
+    }
+    if (Runs(entry, aNow)) {
+      json["engine"] = entry.m_engine;
+      json["run_ms"] =
+        static_cast<Json::Int64>(Left(entry.m_grantExpiry, aNow).count());
+    }
+    std::string item = (row == rows.front() ? "" : ",") + WriteJson(json);
+    if (text.size() + item.size() + end.size() > aMaxBytes) {
+      break;
+    }
+    text += item;
+  }
+  return text + end;
+}
+
+void
+PoisonTracker::Merge(std::string_view aDigest, TimePoint aNow)
+{
+  std::vector<std::pair<std::string, Entry>> rows;
+  try {
+    Json::Value json = ParseJson(aDigest);
+    if (!json.isObject() || !json["entries"].isArray()) {
+      ThrowBadMessage("no list of entries");
+    }
+    for (const Json::Value& item : json["entries"]) {
+      Entry entry;
+      entry.m_status = StatusFrom(item["status"].asString());
+      entry.m_version = item["version"].asUInt64();
+      entry.m_changed = aNow;
+      std::chrono::milliseconds left{ item["left_ms"].asInt64() };
+      entry.m_expiry = aNow + std::min(left, m_options.m_convictLifetime);
+      entry.m_engine = item.get("engine", "").asString();
+      std::chrono::milliseconds run{ item.get("run_ms", 0).asInt64() };
+      entry.m_grantExpiry = aNow + std::min(run, m_options.m_grantLifetime);
+      std::chrono::milliseconds wait{ item.get("wait_ms", 0).asInt64() };
+      entry.m_runFrom = aNow + std::min(wait, m_options.m_spread);
+      rows.emplace_back(item["request"].asString(), std::move(entry));
+    }
+  } catch (const Json::Exception& exception) {
+    ThrowBadMessage(exception.what());
+  }
+  for (const auto& [fingerprint, entry] : rows) {
+    if (!fingerprint.empty() && entry.m_expiry > aNow) {
+      MergeOne(fingerprint, entry);
+    }
+  }
+  Bound();
+}
+
+void
+PoisonTracker::MergeOne(const std::string& aFingerprint, const Entry& aTheirs)
+{
+  auto [found, isNew] = m_entries.emplace(aFingerprint, aTheirs);
+  if (isNew) {
+    return;
+  }
+  Entry& mine = found->second;
+  bool convicts = aTheirs.m_status == PoisonStatus::Convicted;
+  bool convicted = mine.m_status == PoisonStatus::Convicted;
+  if (convicts != convicted) {
+    mine = convicts ? aTheirs : mine;
+    return;
+  }
+  if (std::pair(aTheirs.m_version, aTheirs.m_status) >
+      std::pair(mine.m_version, mine.m_status)) {
+    mine = aTheirs;
+  }
+}
+
+} // namespace shallotford
