Test stalls, pauses and a paused ticket issuer by name

Cause: the failures that the users list should each have a test that names it. Change: tests of a stalled transfer, a VM that slept past a deadline and an issuer that was replaced while it was paused; resume tests moved beside the ledger's, to keep the files short. Conclusion: no change of the library was needed.

--- a/tests/ledger_requests_test.cpp
+++ b/tests/ledger_requests_test.cpp
@@ -1,6 +1,6 @@
 /// The request ledger and the retry policy against naive versions that keep
-/// every event and search them all, over generated orders of events; and the
-/// failures that they are there for.
+/// every event and search them all, over generated orders of events; the
+/// failures that they are there for; and resume tokens.
 
 #define BOOST_TEST_MODULE ledger_requests
 #include <boost/test/unit_test.hpp>
@@ -122,6 +122,13 @@
   return std::get<Action>(aActions.back());
 }
 
+const ResumeToken kToken{ .m_engine = "10.0.1.1:9000",
+                          .m_stream = { { { "10.0.0.1:7", 0xab }, 4 }, 2 },
+                          .m_entry = { "10.0.0.2:7", 0xcd },
+                          .m_service = "drafts",
+                          .m_prompt = "0123456789abcdef",
+                          .m_position = 41 };
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ledger_equals_naive_version)
@@ -292,6 +299,50 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(stalled_transfer_is_tried_elsewhere_and_frees_both_engines)
+{
+  Fixture fixture;
+  RequestId id = fixture.OpenDraft();
+  fixture.Do(id, Placed{ 1, "p1", "d1" });
+  fixture.Do(id, MemoryReserved{ 1 });
+  fixture.Do(id, Sent{ 1, "p1" });
+  fixture.Do(id, PrefillDone{ 1 });
+  LedgerActions actions = fixture.Do(
+    id,
+    AttemptFailed{ 1, "d1", FailureCause::Stalled, SendProgress::Sent, "" });
+  BOOST_TEST(actions.size() == 3u);
+  BOOST_TEST(Describe(actions[0]) == "cancel p1 " + ToString(id) + "~1");
+  BOOST_TEST(Describe(actions[1]) == "cancel d1 " + ToString(id) + "~1");
+  const auto& start = Last<ledger_action::StartAttempt>(actions);
+  BOOST_TEST((start.m_excluded == std::vector<std::string>{ "d1" }));
+  // The transfer that stalled ends after all, and so does the caller.
+  BOOST_TEST(fixture.Do(id, TransferDone{ 1 }).empty());
+  fixture.Do(id, Placed{ 2, "p1", "d2" });
+  actions = fixture.Do(id, CallerGone{});
+  BOOST_TEST(Describe(actions[0]) == "cancel p1 " + ToString(id) + "~2");
+  BOOST_TEST(Describe(actions[1]) == "cancel d2 " + ToString(id) + "~2");
+  BOOST_TEST(
+    (Last<ledger_action::EndRequest>(actions).m_outcome == Outcome::Cancelled));
+  BOOST_TEST(fixture.Do(id, CallerGone{}).empty());
+  BOOST_TEST(!fixture.m_ledger.Owns({ id, 2 }));
+}
+
+BOOST_AUTO_TEST_CASE(vm_that_slept_ends_overdue_requests_once)
+{
+  Fixture fixture;
+  RequestId id = fixture.OpenDraft();
+  fixture.Do(id, Placed{ 1, "p1", "d1" });
+  fixture.Do(id, Sent{ 1, "p1" });
+  fixture.m_now += 1h;
+  LedgerActions actions = fixture.m_ledger.Expire(fixture.m_now);
+  const auto& end = Last<ledger_action::EndRequest>(actions);
+  BOOST_TEST((end.m_error->Kind() == ErrorKind::DeadlineExceeded));
+  BOOST_TEST((end.m_error->Run() == RunState::Unknown));
+  // What the kernel kept for it meanwhile is too late.
+  BOOST_TEST(fixture.Do(id, Token{ 1, 0, "a" }).empty());
+  BOOST_TEST(fixture.Do(id, Finished{ 1, 1, "stop" }).empty());
+}
+
 BOOST_AUTO_TEST_CASE(refusal_ends_at_once_and_says_when_to_come_back)
 {
   Fixture fixture;
@@ -358,3 +409,40 @@
     BOOST_TEST((delay >= 0ms && delay <= most / 2));
   }
 }
+
+BOOST_AUTO_TEST_CASE(resume_token_has_one_text_form)
+{
+  std::string text = ToString(kToken);
+  BOOST_TEST((ParseResumeToken(text) == kToken));
+  BOOST_TEST(ResumePrefix(kToken) + "41" == text);
+  std::vector<std::string> bad{ text + "x",
+                                text + " ",
+                                " " + text,
+                                text + "!1",
+                                "r2" + text,
+                                text + "0000000000",
+                                "41",
+                                text + "\n1",
+                                ResumePrefix(kToken),
+                                ResumePrefix(kToken) + "041" };
+  for (std::size_t i = 0; i + 2 < text.size(); ++i) {
+    bad.push_back(text.substr(0, i));
+  }
+  for (const std::string& wrong : bad) {
+    BOOST_CHECK_THROW(ParseResumeToken(wrong), Error);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(resume_goes_on_only_for_the_same_request_and_known_engines)
+{
+  std::vector<std::string> engines{ "10.0.1.1:9000" };
+  ResumeDecision decision =
+    DecideResume(kToken, "drafts", kToken.m_prompt, engines);
+  BOOST_TEST((decision.m_step == ResumeStep::Attach));
+  BOOST_TEST(decision.m_from == 42u);
+  decision = DecideResume(kToken, "drafts", kToken.m_prompt, {});
+  BOOST_TEST((decision.m_step == ResumeStep::Regenerate));
+  BOOST_CHECK_THROW(DecideResume(kToken, "other", kToken.m_prompt, engines),
+                    Error);
+  BOOST_CHECK_THROW(DecideResume(kToken, "drafts", "other", engines), Error);
+}
--- a/tests/ledger_tickets_test.cpp
+++ b/tests/ledger_tickets_test.cpp
@@ -1,5 +1,5 @@
-/// Tickets and resume tokens: decisions against a naive version that remembers
-/// every ticket and every run for ever, and the failures they are there for.
+/// Tickets: decisions against a naive version that remembers every ticket and
+/// every run for ever, and the failures that they are there for.
 
 #define BOOST_TEST_MODULE ledger_tickets
 #include <boost/test/unit_test.hpp>
@@ -318,13 +318,6 @@
     { .m_ticket = aTicket, .m_caller = "c", .m_fingerprint = "f" }, {}, aNow);
 }
 
-const ResumeToken kToken{ .m_engine = "10.0.1.1:9000",
-                          .m_stream = { { { "10.0.0.1:7", 0xab }, 4 }, 2 },
-                          .m_entry = { "10.0.0.2:7", 0xcd },
-                          .m_service = "drafts",
-                          .m_prompt = "0123456789abcdef",
-                          .m_position = 41 };
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(ticket_decisions_equal_naive_version)
@@ -421,6 +414,26 @@
   BOOST_TEST((Use(office, late, kStart + 21s).m_step == TicketStep::Run));
 }
 
+BOOST_AUTO_TEST_CASE(paused_issuer_stays_the_only_owner)
+{
+  TicketOffice paused(SmallOptions(0, 1), MakeTicketKey(), kStart);
+  std::string ticket = paused.Issue("c", kStart);
+  std::string late = paused.Issue("c", kStart);
+  // Another process took its address meanwhile, and a third VM forwards there.
+  TicketOffice successor(SmallOptions(0, 2), MakeTicketKey(), kStart + 1s);
+  TicketCall call{ .m_ticket = ticket,
+                   .m_caller = "c",
+                   .m_fingerprint = "f",
+                   .m_forwarded = true };
+  TicketDecision decision = successor.Decide(call, {}, kStart + 2s);
+  BOOST_TEST((decision.m_error->Kind() == ErrorKind::TicketIssuerGone));
+  BOOST_TEST((decision.m_error->Run() == RunState::No));
+  // The paused one wakes with a call that had reached it before.
+  BOOST_TEST((Use(paused, ticket, kStart + 3s).m_step == TicketStep::Run));
+  decision = Use(paused, late, kStart + 1h);
+  BOOST_TEST((decision.m_error->Kind() == ErrorKind::TicketInvalid));
+}
+
 BOOST_AUTO_TEST_CASE(malformed_hand_over_changes_nothing)
 {
   TicketOffice from(SmallOptions(0, 1), MakeTicketKey(), kStart);
@@ -447,40 +460,3 @@
   BOOST_TEST((ForwardFailed(false).Run() == RunState::No));
   BOOST_TEST((ForwardFailed(true).Run() == RunState::Unknown));
 }
-
-BOOST_AUTO_TEST_CASE(resume_token_has_one_text_form)
-{
-  std::string text = ToString(kToken);
-  BOOST_TEST((ParseResumeToken(text) == kToken));
-  BOOST_TEST(ResumePrefix(kToken) + "41" == text);
-  std::vector<std::string> bad{ text + "x",
-                                text + " ",
-                                " " + text,
-                                text + "!1",
-                                "r2" + text,
-                                text + "0000000000",
-                                "41",
-                                text + "\n1",
-                                ResumePrefix(kToken),
-                                ResumePrefix(kToken) + "041" };
-  for (std::size_t i = 0; i + 2 < text.size(); ++i) {
-    bad.push_back(text.substr(0, i));
-  }
-  for (const std::string& wrong : bad) {
-    BOOST_CHECK_THROW(ParseResumeToken(wrong), Error);
-  }
-}
-
-BOOST_AUTO_TEST_CASE(resume_goes_on_only_for_the_same_request_and_known_engines)
-{
-  std::vector<std::string> engines{ "10.0.1.1:9000" };
-  ResumeDecision decision =
-    DecideResume(kToken, "drafts", kToken.m_prompt, engines);
-  BOOST_TEST((decision.m_step == ResumeStep::Attach));
-  BOOST_TEST(decision.m_from == 42u);
-  decision = DecideResume(kToken, "drafts", kToken.m_prompt, {});
-  BOOST_TEST((decision.m_step == ResumeStep::Regenerate));
-  BOOST_CHECK_THROW(DecideResume(kToken, "other", kToken.m_prompt, engines),
-                    Error);
-  BOOST_CHECK_THROW(DecideResume(kToken, "drafts", "other", engines), Error);
-}
