--- a/src/net_client.h
+++ b/src/net_client.h
@@ -65,6 +65,9 @@
   std::size_t m_bodySent{ 0 };
   std::optional<std::size_t> m_bodyLeft; ///< of an answer with a length
   bool m_untilClose{ false }; ///< the answer ends with the connection
+  /// While libwebsockets reads: where it is, and where it began.
+  char** m_readAt{ nullptr };
+  const char* m_readStart{ nullptr };
   bool m_paused{ false };
   bool m_failing{ false }; ///< the failure is on its way to the handler
 };
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -218,7 +218,10 @@
   static thread_local std::string sBuffer(kServiceBufferBytes, '\0');
   char* at = sBuffer.data();
   int room = static_cast<int>(sBuffer.size());
+  m_readStart = at;
+  m_readAt = &at;
   int result = lws_http_client_read(m_wsi, &at, &room);
+  m_readAt = nullptr;
   return result < 0 || m_handler == nullptr ? -1 : 0;
 }
 
@@ -239,7 +242,12 @@
 int
 ClientCall::OnCompleted()
 {
-  if (m_bodyLeft && *m_bodyLeft > 0) {
+  // libwebsockets also calls a chunked answer complete when the connection
+  // closes inside it. Only when it has just moved over bytes was the last of
+  // them the end of the last chunk.
+  bool moved = m_readAt != nullptr && *m_readAt != m_readStart;
+  bool whole = m_bodyLeft ? *m_bodyLeft == 0 : m_untilClose || moved;
+  if (!whole) {
     Fail("the connection closed inside the answer");
   } else {
     End();
