Add the rpc library: JSON-RPC 2.0 over libjsonrpccpp

Cause: daemons and operators talk JSON-RPC, and libjsonrpccpp's headers do not compile from C++17 on. Change: RpcServer wraps its protocol handler in a C++14 library behind a header of our own; requests and replies of the calling side are built and checked here, since its client blocks.

--- /dev/null
+++ b/include/shallotford/rpc.h
@@ -0,0 +1,91 @@
+#ifndef SHALLOTFORD_RPC_H
+#define SHALLOTFORD_RPC_H
+
+/// JSON-RPC 2.0 between daemons and to operators, without its transport: text
+/// in, text out. The server side is libjsonrpccpp's.
+///
+/// This header is valid in C++14 and C++20 and includes nothing of
+/// libjsonrpccpp, whose headers don't compile from C++17 on.
+
+#include <functional>
+#include <memory>
+#include <stdexcept>
+#include <string>
+
+#include <json/value.h>
+
+namespace shallotford {
+
+/// Error codes of JSON-RPC 2.0, and ours. libjsonrpccpp puts words of its own
+/// before the message of those below zero.
+constexpr int kRpcParseError = -32700;     ///< the text is not JSON
+constexpr int kRpcInvalidRequest = -32600; ///< neither request nor reply
+constexpr int kRpcMethodNotFound = -32601;
+constexpr int kRpcInvalidParams = -32602;
+constexpr int kRpcInternalError = -32603;
+constexpr int kRpcApplicationError = 1; ///< the method refused; see the data
+
+/// An error that a method throws, or that a reply carries.
+class RpcError : public std::runtime_error
+{
+public:
+  /// @param aCode     one of the codes above, or one of the method's own
+  /// @param aMessage  what is wrong, in one sentence
+  /// @param aData     further fields, such as the remedy
+  RpcError(int aCode, const std::string& aMessage, Json::Value aData = {});
+
+  int Code() const { return m_code; }
+  const Json::Value& Data() const { return m_data; }
+
+private:
+  int m_code;
+  Json::Value m_data;
+};
+
+/// Returns parameter aName of aParams as a string.
+/// @throws RpcError (kRpcInvalidParams) if it is missing or not a string
+std::string
+RpcStringParam(const Json::Value& aParams, const std::string& aName);
+
+/// Answers requests by its methods. Used by one task only.
+class RpcServer
+{
+public:
+  /// Gets "params" (an object, an array or null) and returns "result".
+  /// What it throws becomes the reply's error: an RpcError as it is, any
+  /// other exception as kRpcInternalError.
+  using Method = std::function<Json::Value(const Json::Value& aParams)>;
+
+  RpcServer();
+  ~RpcServer();
+  RpcServer(const RpcServer&) = delete;
+  RpcServer& operator=(const RpcServer&) = delete;
+
+  /// @throws std::invalid_argument if aName is empty or already there
+  void AddMethod(const std::string& aName, Method aMethod);
+
+  /// Returns the reply to the request, or the batch of requests, in aBody.
+  /// Never throws for a malformed request: the reply says what is wrong.
+  std::string Handle(const std::string& aBody);
+
+private:
+  class Implementation;
+  std::unique_ptr<Implementation> m_implementation;
+};
+
+/// Returns the text of a request.
+/// @param aId  comes back in the reply
+std::string
+RpcRequestBody(const std::string& aMethod,
+               const Json::Value& aParams,
+               Json::Int64 aId);
+
+/// Returns the result in the reply aBody to request aId.
+/// @throws RpcError  the reply's error; kRpcParseError or kRpcInvalidRequest
+///                   if aBody is not the reply to that request
+Json::Value
+ParseRpcReply(const std::string& aBody, Json::Int64 aId);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_RPC_H
