--- a/include/shallotford/control/membership.h
+++ b/include/shallotford/control/membership.h
@@ -100,7 +100,8 @@
   VmIncarnation m_self;
   /// Orders the incarnations of one address: wall time at boot, in seconds.
   std::uint64_t m_bootOrder{ 0 };
-  Duration m_interval{ std::chrono::seconds{ 2 } }; ///< between exchanges
+  /// Between exchanges.
+  Duration m_interval{ std::chrono::milliseconds{ 2'500 } };
 };
 
 /// What is known of one listed VM.
@@ -151,8 +152,20 @@
 
   // What this VM knows by itself.
 
-  /// The platform's list of entry VMs, this one included.
-  void SetListed(const std::vector<ListedVm>& aVms, TimePoint aNow);
+  /// The platform's list of entry VMs, this one included. An older version
+  /// than the known one is dropped.
+  /// @param aVersion  the platform's; 0 if not to be passed on to peers
+  void SetListed(const std::vector<ListedVm>& aVms,
+                 TimePoint aNow,
+                 std::uint64_t aVersion = 0);
+  std::uint64_t ListVersion() const { return m_listVersion; }
+  /// Returns the result of a peer's JSON-RPC call "vm_list": our list, as a
+  /// difference to the version aHave if that is known here.
+  Json::Value ListFor(std::uint64_t aHave) const;
+  /// Takes in such a result.
+  /// @returns false if it doesn't fit; ask again with 0, for the whole list
+  /// @throws Error (InvalidRequest) if it is malformed
+  bool AcceptList(const Json::Value& aResult, TimePoint aNow);
   void SetRevision(const RevisionName& aName,
                    const std::string& aPlatformVersion);
   /// This VM takes no new work any more.
@@ -208,6 +221,8 @@
   // News since the last call of each.
 
   std::vector<RevisionOffer> TakeOffers();
+  /// Returns a peer whose list is newer than ours.
+  std::optional<std::string> TakeListOffer();
   std::vector<MembershipEvent> TakeEvents(TimePoint aNow);
   std::vector<Rumor> TakeRumors();
   /// Returns peers' quarantine digests.
@@ -245,6 +260,8 @@
   std::vector<std::size_t> Fingers(TimePoint aNow) const;
   std::optional<std::string> NextPeer(TimePoint aNow);
 
+  void KeepListText(const std::vector<ListedVm>& aVms, std::uint64_t aVersion);
+  void ReadListOffer(const Json::Value& aMessage, const Member& aFrom);
   void AddExchange(std::vector<GossipMessage>& aMessages, TimePoint aNow);
   void AddUrgent(std::vector<GossipMessage>& aMessages, TimePoint aNow);
   Json::Value MakeMessage(MessageForm aForm, TimePoint aNow);
@@ -277,6 +294,9 @@
   std::vector<std::size_t> m_ring;                      ///< by hash
   std::size_t m_selfInRing{ 0 };
   std::string m_listHash; ///< names the list in messages
+  std::uint64_t m_listVersion{ 0 };
+  std::map<std::uint64_t, std::string> m_listTexts; ///< the newest, by version
+  std::optional<std::string> m_listOffer;
   std::optional<TimePoint> m_watchAt;
   std::uint64_t m_selfOrder{ 0 };
   bool m_selfLeaving{ false };
--- a/include/shallotford/control/revision.h
+++ b/include/shallotford/control/revision.h
@@ -116,11 +116,17 @@
   const std::vector<RevisionConflict>& Conflicts() const { return m_conflicts; }
 
 private:
-  const FleetText* FindKept(const std::string& aFingerprint) const;
+  struct KeptText
+  {
+    std::string m_fingerprint;
+    std::string m_text;
+  };
+
+  const KeptText* FindKept(const std::string& aFingerprint) const;
 
   FleetPtr m_current;
   std::string m_platformVersion;
-  std::deque<FleetPtr> m_kept; ///< newest last; bases of differences
+  std::deque<KeptText> m_kept; ///< newest last; bases of differences
   std::vector<RevisionConflict> m_conflicts;
 };
 
--- a/src/config.h
+++ b/src/config.h
@@ -140,8 +140,8 @@
 constexpr std::uint64_t kRandomExchangeEvery = 4;
 /// A VM without a revision exchanges so many times as often.
 constexpr int kBootSpeedUp = 8;
-constexpr std::chrono::milliseconds kHeardFor = 25'000ms;
-constexpr std::chrono::milliseconds kAgeUnit = 500ms;
+constexpr std::chrono::milliseconds kHeardFor = 30'000ms;
+constexpr std::chrono::milliseconds kAgeUnit = 600ms;
 /// Ages in one message, where both sides have the same list of VMs, and where
 /// they have not.
 constexpr std::size_t kAgesPerMessage = 384;
@@ -167,6 +167,8 @@
 constexpr std::chrono::milliseconds kDigestUrgentEvery = 30'000ms;
 /// Entries of one kind that are read from one message.
 constexpr std::size_t kMaxEntriesRead = 64;
+constexpr std::size_t kKeptLists = 4;
+constexpr std::size_t kMaxListBytes = 1u << 20;
 constexpr std::size_t kMaxPendingOffers = 64;
 constexpr std::size_t kMaxPendingDigests = 64;
 constexpr std::chrono::milliseconds kSkipFailedPeer = 10'000ms;
--- a/src/control_gossip.cpp
+++ b/src/control_gossip.cpp
@@ -137,6 +137,9 @@
       message["pv"] = m_platformVersion;
     }
   }
+  if (m_listVersion != 0) {
+    message["lv"] = static_cast<Json::UInt64>(m_listVersion);
+  }
   message["m"] = PickRecords();
   message["r"] = PickRumors(aNow);
   if (IsDigestDue()) {
@@ -331,6 +334,7 @@
   HearOf(aFrom, aNow);
   ReadSender(aMessage, aFrom);
   ReadOffer(aMessage, aFrom);
+  ReadListOffer(aMessage, aFrom);
   ReadAges(aMessage, aFrom, aNow);
   ReadWatch(aMessage, aNow);
   ReadRecords(aMessage["m"]);
@@ -371,6 +375,14 @@
   }
 }
 
+void
+Membership::ReadListOffer(const Json::Value& aMessage, const Member& aFrom)
+{
+  if (NumberOr0(aMessage["lv"]) > m_listVersion) {
+    m_listOffer = aFrom.m_address;
+  }
+}
+
 void
 Membership::ReadAges(const Json::Value& aMessage, Member& aFrom, TimePoint aNow)
 {
--- a/src/control_membership.cpp
+++ b/src/control_membership.cpp
@@ -63,8 +63,16 @@
 // ------------------------------------------------------------------ list
 
 void
-Membership::SetListed(const std::vector<ListedVm>& aVms, TimePoint aNow)
+Membership::SetListed(const std::vector<ListedVm>& aVms,
+                      TimePoint aNow,
+                      std::uint64_t aVersion)
 {
+  if (aVersion != 0 && aVersion <= m_listVersion) {
+    return;
+  }
+  if (aVersion != 0) {
+    KeepListText(aVms, aVersion);
+  }
   std::vector<Member> members;
   for (const ListedVm& vm : aVms) {
     Member* known = Find(vm.m_address);
@@ -284,8 +292,8 @@
 bool
 Membership::IsUsable(const Member& aMember, TimePoint aNow) const
 {
+  // Leaving VMs still end requests, and want news as long as they answer.
   return aMember.m_address != m_options.m_self.m_address &&
-         !aMember.m_listedLeaving && !aMember.m_saidLeaving &&
          aMember.m_skipUntil <= aNow;
 }
 
--- a/src/control_revision.cpp
+++ b/src/control_revision.cpp
@@ -110,7 +110,7 @@
   m_current = fleet;
   m_platformVersion = aPlatformVersion;
   m_conflicts.clear();
-  m_kept.push_back(fleet);
+  m_kept.push_back({ fleet->m_fingerprint, fleet->m_text });
   if (m_kept.size() > kKeptFleetTexts) {
     m_kept.pop_front();
   }
@@ -125,7 +125,7 @@
   if (aTransfer.m_base.empty()) {
     text = aTransfer.m_content.asString();
   } else {
-    const FleetText* base = FindKept(aTransfer.m_base);
+    const KeptText* base = FindKept(aTransfer.m_base);
     if (base == nullptr) {
       return { AcceptResult::Invalid, "the base of the difference is unknown" };
     }
@@ -151,7 +151,7 @@
   TextTransfer transfer;
   transfer.m_name = CurrentName();
   transfer.m_platformVersion = m_platformVersion;
-  if (const FleetText* base = FindKept(aHave.m_fingerprint)) {
+  if (const KeptText* base = FindKept(aHave.m_fingerprint)) {
     transfer.m_base = base->m_fingerprint;
     transfer.m_content = MakeTextDelta(base->m_text, m_current->m_text);
   } else {
@@ -160,12 +160,12 @@
   return transfer;
 }
 
-const FleetText*
+const RevisionKeeper::KeptText*
 RevisionKeeper::FindKept(const std::string& aFingerprint) const
 {
-  for (const FleetPtr& fleet : m_kept) {
-    if (fleet->m_fingerprint == aFingerprint) {
-      return fleet.get();
+  for (const KeptText& kept : m_kept) {
+    if (kept.m_fingerprint == aFingerprint) {
+      return &kept;
     }
   }
   return nullptr;
--- a/tests/control_membership_test.cpp
+++ b/tests/control_membership_test.cpp
@@ -335,6 +335,43 @@
   BOOST_TEST(!leaving.IsLeaving("c"));
 }
 
+BOOST_AUTO_TEST_CASE(TheListTravelsBetweenVms)
+{
+  Fleet fleet(20);
+  // Only VM 3's platform shows that VM 7 leaves and that VM 9 is gone.
+  std::vector<ListedVm> list;
+  for (std::size_t i = 0; i < 20; ++i) {
+    if (i != 9) {
+      list.push_back({ VmAddress(i), i == 7 });
+    }
+  }
+  for (auto& vm : fleet.m_net.Vms()) {
+    vm->m_platform.m_up = &*vm == &fleet.Vm(3);
+  }
+  fleet.m_net.RunFor(60s);
+  fleet.m_net.SetList(
+    list, 0, [&](const ControlVm& aVm) { return &aVm == &fleet.Vm(3); });
+  fleet.m_net.RunFor(5s);
+  for (std::size_t i = 0; i < 20; ++i) {
+    if (i == 9) {
+      continue; // nobody talks to it any more
+    }
+    BOOST_TEST(fleet.Vm(i).m_membership->ListedCount() == 19u);
+    BOOST_TEST(!fleet.SeesLive(i, VmAddress(7)));
+  }
+  Membership& vm = *fleet.Vm(0).m_membership;
+  TimePoint now = fleet.m_net.Now();
+  vm.SetListed({ { VmAddress(0) } }, now, 1); // an old version
+  BOOST_TEST(vm.ListedCount() == 19u);
+  Json::Value result = vm.ListFor(1);
+  BOOST_TEST(result["base"].asUInt64() == 1u);
+  result["version"] = 99;
+  result["fingerprint"] = "other";
+  BOOST_TEST(!vm.AcceptList(result, now));
+  BOOST_CHECK_THROW(vm.AcceptList(ParseJson("[]"), now), Error);
+  BOOST_TEST(vm.ListedCount() == 19u);
+}
+
 BOOST_AUTO_TEST_CASE(OnlyListedVmsAreHeard)
 {
   Fleet fleet(9);
--- a/tools/control_net.h
+++ b/tools/control_net.h
@@ -49,6 +49,7 @@
   std::uint64_t m_seenFleetVersion{ 0 };
   std::uint64_t m_seenListVersion{ 0 };
   bool m_fetching{ false };
+  bool m_fetchingList{ false };
   std::uint64_t m_bytesOut{ 0 };
   std::uint64_t m_bytesIn{ 0 };
   std::uint64_t m_platformCalls{ 0 };
@@ -110,7 +111,8 @@
       PlatformSchedule::Options{ .m_pollEvery = std::chrono::seconds{ 120 } },
       *fresh.m_random);
     fresh.m_listCalls = std::make_unique<PlatformSchedule>(
-      PlatformSchedule::Options{}, *fresh.m_random);
+      PlatformSchedule::Options{ .m_pollEvery = std::chrono::seconds{ 120 } },
+      *fresh.m_random);
     aVm = std::move(fresh);
   }
 
@@ -139,11 +141,18 @@
     }
     SetList(list, aUpstreamBytes);
   }
-  void SetList(const std::vector<ListedVm>& aList,
-               std::size_t aUpstreamBytes = 0)
+  void SetList(
+    const std::vector<ListedVm>& aList,
+    std::size_t aUpstreamBytes = 0,
+    const std::function<bool(const ControlVm&)>& aTo = [](const ControlVm&) {
+      return true;
+    })
   {
     ++m_listVersion;
     for (auto& vm : m_vms) {
+      if (!aTo(*vm)) {
+        continue;
+      }
       vm->m_platform.m_list = aList;
       vm->m_platform.m_listVersion = m_listVersion;
       vm->m_platform.m_listBytes =
@@ -268,7 +277,7 @@
       }
       bool news = aFleet
                     ? aVm.m_platform.m_fleetVersion != KnownFleetVersion(aVm)
-                    : aVm.m_platform.m_listVersion != aVm.m_seenListVersion;
+                    : aVm.m_platform.m_listVersion != KnownListVersion(aVm);
       if (aVm.m_platform.m_up && !news && m_now < aUntil) {
         Poll(aVm, aFleet, aWatch, aUntil);
         return;
@@ -287,6 +296,11 @@
                                    known.empty() ? 0 : std::stoull(known));
   }
 
+  static std::uint64_t KnownListVersion(const ControlVm& aVm)
+  {
+    return std::max(aVm.m_seenListVersion, aVm.m_membership->ListVersion());
+  }
+
   void AnswerPlatform(ControlVm& aVm, bool aFleet, bool aNews)
   {
     auto& calls = aFleet ? *aVm.m_fleetCalls : *aVm.m_listCalls;
@@ -314,11 +328,16 @@
     }
     seen = aVm.m_platform.m_listVersion;
     aVm.m_bytesIn += aVm.m_platform.m_listBytes;
-    aVm.m_membership->SetListed(aVm.m_platform.m_list, m_now);
+    aVm.m_membership->SetListed(aVm.m_platform.m_list, m_now, seen);
+    ListToGate(aVm);
+  }
+
+  void ListToGate(ControlVm& aVm)
+  {
     std::vector<std::string> others;
-    for (const ListedVm& listed : aVm.m_platform.m_list) {
-      if (listed.m_address != aVm.m_address) {
-        others.push_back(listed.m_address);
+    for (const MemberView& member : aVm.m_membership->Members(m_now)) {
+      if (member.m_address != aVm.m_address) {
+        others.push_back(member.m_address);
       }
     }
     aVm.m_gate.SetListed(others);
@@ -416,6 +435,10 @@
         Fetch(aVm, offer);
       }
     }
+    std::optional<std::string> listOffer = aVm.m_membership->TakeListOffer();
+    if (listOffer && !aVm.m_fetchingList) {
+      FetchList(aVm, *listOffer);
+    }
     for (const Rumor& rumor : aVm.m_membership->TakeRumors()) {
       if (rumor.m_kind == kRumorLeaving) {
         WallTime seen{ std::chrono::milliseconds{ rumor.m_version } };
@@ -450,6 +473,28 @@
       });
   }
 
+  void FetchList(ControlVm& aVm, const std::string& aPeer)
+  {
+    aVm.m_fetchingList = true;
+    Json::Value request(Json::objectValue);
+    request["have"] =
+      static_cast<Json::UInt64>(aVm.m_membership->ListVersion());
+    Call(
+      aVm,
+      aPeer,
+      WriteJson(request),
+      [](ControlVm& aTo, const Json::Value& aParams) {
+        return aTo.m_membership->ListFor(aParams["have"].asUInt64());
+      },
+      [this, &aVm](const Json::Value& aResult) {
+        aVm.m_fetchingList = false;
+        if (!aResult.isNull()) {
+          aVm.m_membership->AcceptList(aResult, m_now);
+          ListToGate(aVm);
+        }
+      });
+  }
+
   void NoteRevision(ControlVm& aVm)
   {
     RevisionName name = aVm.m_keeper.CurrentName();
