Expect other VMs' work behind stale load reports

Cause: all VMs saw the same old reports and sent their work to the same engines; reported queues count whole prompts, though half of them is cached. Change: the expected work of the other VMs since the report, a multiple of this VM's own, fills the shortest queues first; equals are chosen by chance in proportion to their room; reported queues are scaled by the share of prompts that was computed of late; a refused claim bounds the engine's free memory until a newer report.

--- a/bench/policy_simulation.h
+++ b/bench/policy_simulation.h
@@ -249,6 +249,7 @@
     report.m_piecesTotal = aLoad.m_piecesTotal;
     report.m_piecesFree = aLoad.m_piecesFree;
     report.m_prefillQueueTokens = aQueueTokens;
+    report.m_queueCountsCached = !m_options.m_policy.m_oracle;
     report.m_age = std::chrono::duration_cast<std::chrono::milliseconds>(aAge);
     aVm.m_table.OnLoadReport(m_queue.Now(), m_cluster.Address(aEngine), report);
   }
--- a/bench/policy_simulation_flow.h
+++ b/bench/policy_simulation_flow.h
@@ -198,9 +198,9 @@
   Vm& vm = *m_vms[aRequest.m_vm];
   if (aAnswer.m_refused) {
     ++m_result.m_claimsRefused;
-    vm.m_table.OnRefused(m_queue.Now(),
-                         m_cluster.Address(aRequest.m_decodeEngine),
-                         ParseRefusalReason(ToString(*aAnswer.m_refused)));
+    vm.m_table.OnClaimRefused(m_queue.Now(),
+                              aRequest.m_work,
+                              ParseRefusalReason(ToString(*aAnswer.m_refused)));
     const bool again = aRequest.m_claimRefused;
     aRequest.m_claimRefused = true;
     if (again)
--- a/include/shallotford/placement.h
+++ b/include/shallotford/placement.h
@@ -37,6 +37,8 @@
   std::uint32_t m_piecesTotal{ 0 };
   std::uint32_t m_piecesFree{ 0 };
   std::uint64_t m_prefillQueueTokens{ 0 };
+  /// The queue counts whole prompts, with what the prefix cache will save.
+  bool m_queueCountsCached{ true };
   std::chrono::milliseconds m_age{ 0 }; ///< time since the engine measured it
 };
 
@@ -110,8 +112,11 @@
   std::uint32_t m_newPieces{ 0 };
   std::uint32_t m_endedDecodes{ 0 };
   std::uint32_t m_endedPieces{ 0 };
+  std::uint32_t m_refusedPieces{ 0 }; ///< didn't fit at m_refusedAt; 0: none
+  TimePoint m_refusedAt{};
   double m_queueTokens{ 0 }; ///< estimate at m_queueAt
   TimePoint m_queueAt{};
+  double m_undrainedTokens{ 0 }; ///< reported, and own work since
   double m_tokensPerSecond{ 1 }; ///< of prefill
 
   /// Whether new work may be placed here at all.
@@ -171,6 +176,8 @@
   void OnDecodeMoved(TimePoint aNow, WorkId aWork, const std::string& aEngine);
   /// Everything of this work is over or cancelled, whatever the outcome.
   void OnEnded(TimePoint aNow, WorkId aWork);
+  /// The decode engine refused the import of this work.
+  void OnClaimRefused(TimePoint aNow, WorkId aWork, RefusalReason aReason);
   /// An engine refused work: it isn't asked again for a moment.
   void OnRefused(TimePoint aNow,
                  const std::string& aEngine,
@@ -193,8 +200,12 @@
   std::uint32_t OwnTransfers(std::uint32_t aFrom, std::uint32_t aTo) const;
   std::uint32_t VmCount() const { return m_vmCount; }
 
-  /// Predicted tokens waiting before a new prefill starts.
+  /// Predicted tokens waiting before a new prefill starts, without what other
+  /// VMs may have sent since the report.
   double QueueTokens(TimePoint aNow, std::uint32_t aEngine) const;
+  /// Work that the other VMs place on a model's prefill engines, in tokens per
+  /// second, taking them for VMs like this one.
+  double OthersTokensPerSecond(TimePoint aNow, const std::string& aModel) const;
   /// Predicted requests in the engine's decode batch.
   double Running(TimePoint aNow, std::uint32_t aEngine) const;
   /// Predicted free decode memory, in pieces; may be negative.
--- a/src/placement_cost.cpp
+++ b/src/placement_cost.cpp
@@ -3,6 +3,7 @@
 #include "config.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotford {
 
@@ -36,8 +37,29 @@
          double(aBytes) * sharers / double(link->m_bytesPerSecond);
 }
 
+/// Returns the level that aAmount reaches when it fills the lowest first.
+double
+FillLevel(std::vector<double> aLevels, double aAmount)
+{
+  std::sort(aLevels.begin(), aLevels.end());
+  double sum = 0;
+  for (std::size_t i = 0; i < aLevels.size(); ++i) {
+    sum += aLevels[i];
+    const double level = (sum + aAmount) / double(i + 1);
+    if (i + 1 == aLevels.size() || level <= aLevels[i + 1])
+      return level;
+  }
+  return 0;
+}
+
 } // namespace
 
+double
+WeightedTie(double aWeight, RandomI& aRandom)
+{
+  return -std::log(1.0 - aRandom.Unit()) / aWeight;
+}
+
 std::uint32_t
 PiecesNeeded(const PlacementRequest& aRequest)
 {
@@ -53,6 +75,15 @@
          (1.0 + kDecodeStepGrowth * std::max(0.0, aRunning - 1));
 }
 
+double
+LargestBatch(const PlacementRequest& aRequest)
+{
+  const double growth = Seconds(aRequest.m_service->m_targets.m_perToken) /
+                          Seconds(aRequest.m_model->m_decodeStep) -
+                        1.0;
+  return 1.0 + std::floor(growth / kDecodeStepGrowth);
+}
+
 PrefillCandidate
 WeighPrefill(TimePoint aNow,
              const PlacementRequest& aRequest,
@@ -62,11 +93,12 @@
 {
   const EngineFacts& facts = aTable.Engines()[aEngine];
   const std::uint32_t cached = std::min(aCachedTokens, aRequest.m_promptTokens);
+  const double queue = aTable.QueueTokens(aNow, aEngine);
   return { .m_engine = aEngine,
            .m_region = facts.m_region,
            .m_cachedTokens = cached,
-           .m_queue =
-             aTable.QueueTokens(aNow, aEngine) / facts.m_tokensPerSecond,
+           .m_queueTokens = queue,
+           .m_queue = queue / facts.m_tokensPerSecond,
            .m_prefill = double(aRequest.m_promptTokens - cached) /
                         facts.m_tokensPerSecond };
 }
@@ -81,13 +113,15 @@
   const double running = aTable.Running(aNow, aEngine);
   const double pieces = PiecesNeeded(aRequest);
   const double spare = aTable.FreePieces(aNow, aEngine) - pieces;
-  const double places = facts.m_batchLimit - running - 1;
+  const double places =
+    std::min<double>(facts.m_batchLimit, LargestBatch(aRequest)) - running - 1;
   DecodeCandidate candidate{ .m_engine = aEngine,
                              .m_region = facts.m_region,
                              .m_step =
                                DecodeStep(*aRequest.m_model, running + 1) };
   // What is free shrinks by other VMs' work that no report shows yet.
   const double margin = std::min(spare / std::max(1.0, pieces), places) + 1.0;
+  candidate.m_margin = margin;
   candidate.m_risk = std::clamp(1.0 - margin / kSafeSpareRequests, 0.0, 1.0);
   if (spare >= 0 && places >= 0)
     return candidate;
@@ -97,6 +131,43 @@
   return candidate;
 }
 
+void
+AddOthersWork(TimePoint aNow,
+              const EngineTable& aTable,
+              const std::string& aModel,
+              double aShare,
+              std::vector<PrefillCandidate>& aCandidates,
+              RandomI& aRandom)
+{
+  double waiting = 0;
+  double undrained = 0;
+  double drained = 0;
+  double age = 0;
+  std::vector<double> queues;
+  queues.reserve(aCandidates.size());
+  for (const PrefillCandidate& candidate : aCandidates) {
+    const EngineFacts& facts = aTable.Engines()[candidate.m_engine];
+    const double seconds = Seconds(aNow - facts.m_reportedAt);
+    queues.push_back(candidate.m_queueTokens);
+    waiting += candidate.m_queueTokens;
+    undrained += facts.m_undrainedTokens;
+    drained += facts.m_tokensPerSecond * seconds;
+    age += seconds / double(aCandidates.size());
+  }
+  const double sent = aTable.OthersTokensPerSecond(aNow, aModel) * aShare *
+                      age * kStaleReportFactor;
+  const double added =
+    std::clamp(undrained + sent - drained - waiting, 0.0, sent);
+  const double level = FillLevel(queues, added);
+  for (PrefillCandidate& candidate : aCandidates) {
+    const EngineFacts& facts = aTable.Engines()[candidate.m_engine];
+    const double room = std::max(0.0, level - candidate.m_queueTokens);
+    candidate.m_queue =
+      std::max(level, candidate.m_queueTokens) / facts.m_tokensPerSecond;
+    candidate.m_tie = WeightedTie(room + 1.0, aRandom);
+  }
+}
+
 PairCost
 WeighPair(const PlacementRequest& aRequest,
           const EngineTable& aTable,
@@ -110,8 +181,8 @@
   PairCost cost{ .m_crossRegionBytes = crosses ? bytes : 0 };
   cost.m_transfer =
     TransferTime(aTable, aPrefill.m_region, aDecode.m_region, bytes);
-  cost.m_firstToken =
-    std::max(aPrefill.Time(), aDecode.m_wait) + cost.m_transfer;
+  cost.m_firstToken = std::max(aPrefill.Time(), aDecode.m_wait) +
+                      cost.m_transfer + kFirstStepShare * aDecode.m_step;
   const LinkEntry* link =
     crosses ? aTable.Link(aPrefill.m_region, aDecode.m_region) : nullptr;
   const double billed =
--- a/src/placement_cost.h
+++ b/src/placement_cost.h
@@ -13,8 +13,10 @@
   std::uint32_t m_engine{};
   std::uint32_t m_region{};
   std::uint32_t m_cachedTokens{};
-  double m_queue{};   ///< seconds
-  double m_prefill{}; ///< seconds
+  double m_queueTokens{}; ///< without what other VMs may have sent since
+  double m_queue{};       ///< seconds
+  double m_prefill{};     ///< seconds
+  double m_tie{};         ///< random; the least wins among equals
   double Time() const { return m_queue + m_prefill; }
 };
 
@@ -23,9 +25,11 @@
 {
   std::uint32_t m_engine{};
   std::uint32_t m_region{};
-  double m_wait{}; ///< seconds until memory and a place are free
-  double m_step{}; ///< seconds per token with this request in the batch
-  double m_risk{}; ///< chance that the claim is refused, in [0, 1]
+  double m_wait{};   ///< seconds until memory and a place are free
+  double m_step{};   ///< seconds per token with this request in the batch
+  double m_risk{};   ///< chance that the claim is refused, in [0, 1]
+  double m_margin{}; ///< requests like this one that fit, itself included
+  double m_tie{};    ///< random; the least wins among equals
 };
 
 /// What a pair of engines costs a request.
@@ -44,6 +48,15 @@
 double
 DecodeStep(const ModelEntry& aModel, double aRunning);
 
+/// Largest batch whose step meets the per-token target.
+double
+LargestBatch(const PlacementRequest& aRequest);
+
+/// Returns a random number; of several, each is the least with a chance in
+/// proportion to its weight.
+double
+WeightedTie(double aWeight, RandomI& aRandom);
+
 PrefillCandidate
 WeighPrefill(TimePoint aNow,
              const PlacementRequest& aRequest,
@@ -57,6 +70,17 @@
             const EngineTable& aTable,
             std::uint32_t aEngine);
 
+/// Adds to the candidates' queues what other VMs are likely to have sent since
+/// the reports: they see the same reports, so they fill the shortest queues.
+/// @param aShare  share of the pool that the candidates are, in (0, 1]
+void
+AddOthersWork(TimePoint aNow,
+              const EngineTable& aTable,
+              const std::string& aModel,
+              double aShare,
+              std::vector<PrefillCandidate>& aCandidates,
+              RandomI& aRandom);
+
 PairCost
 WeighPair(const PlacementRequest& aRequest,
           const EngineTable& aTable,
--- a/src/placement_joint.cpp
+++ b/src/placement_joint.cpp
@@ -6,6 +6,8 @@
 #include "placement_placers.h"
 
 #include <algorithm>
+#include <cmath>
+#include <tuple>
 
 namespace shallotford {
 
@@ -167,19 +169,29 @@
       candidates.push_back(
         WeighPrefill(aNow, aRequest, aTable, engine, tokens));
     }
+    if (m_options.m_expectOthers && !candidates.empty()) {
+      const std::size_t pool = aTable.Pool(service, EngineRole::Prefill).size();
+      AddOthersWork(aNow,
+                    aTable,
+                    aRequest.m_service->m_model,
+                    double(candidates.size()) / double(pool),
+                    candidates,
+                    aRandom);
+    }
     KeepBestPerRegion(
       candidates,
       [&](const PrefillCandidate& aOne, const PrefillCandidate& aTwo) {
-        return RankOf(aOne, hashed) < RankOf(aTwo, hashed);
+        return std::make_pair(RankOf(aOne, hashed), aOne.m_tie) <
+               std::make_pair(RankOf(aTwo, hashed), aTwo.m_tie);
       });
     return candidates;
   }
 
-  double RankOf(const PrefillCandidate& aCandidate, std::uint32_t aHashed) const
+  static long RankOf(const PrefillCandidate& aCandidate, std::uint32_t aHashed)
   {
     const double bonus =
       aCandidate.m_engine == aHashed ? kRendezvousBonus : 0.0;
-    return aCandidate.Time() - bonus;
+    return std::lround((aCandidate.Time() - bonus) / kNearEqualCost);
   }
 
   /// The engine that every VM prefers for a session's first prefix.
@@ -213,12 +225,17 @@
     for (const std::uint32_t engine :
          Candidates(aNow, aRequest, aTable, EngineRole::Decode, aRandom))
       decodes.push_back(WeighDecode(aNow, aRequest, aTable, engine));
+    for (DecodeCandidate& decode : decodes)
+      decode.m_tie =
+        m_options.m_spreadNearEqual
+          ? WeightedTie(std::max(decode.m_margin, kLeastMargin), aRandom)
+          : decode.m_step;
     if (decodes.empty())
       return NoEngine(EngineRole::Decode);
     KeepBestPerRegion(
       decodes, [](const DecodeCandidate& aOne, const DecodeCandidate& aTwo) {
-        return std::tie(aOne.m_wait, aOne.m_risk, aOne.m_step) <
-               std::tie(aTwo.m_wait, aTwo.m_risk, aTwo.m_step);
+        return std::tie(aOne.m_wait, aOne.m_tie) <
+               std::tie(aTwo.m_wait, aTwo.m_tie);
       });
     std::vector<Pair> pairs;
     for (const PrefillCandidate& prefill : aPrefills)
@@ -229,7 +246,7 @@
       pairs.begin(), pairs.end(), [](const Pair& aOne, const Pair& aTwo) {
         return aOne.m_cost.m_total < aTwo.m_cost.m_total;
       });
-    const Pair& chosen = pairs[ChooseRank(pairs, aRandom)];
+    const Pair& chosen = pairs[ChooseRank(pairs)];
     if (const auto refusal = RefuseLate(aNow, aRequest, chosen))
       return *refusal;
     Placement placement = MakePlacement(
@@ -246,16 +263,22 @@
   }
 
   /// Spreads the choices of many VMs over pairs that cost nearly the same.
-  std::size_t ChooseRank(const std::vector<Pair>& aPairs,
-                         RandomI& aRandom) const
+  std::size_t ChooseRank(const std::vector<Pair>& aPairs) const
   {
     if (!m_options.m_spreadNearEqual)
       return 0;
     const double limit = aPairs.front().m_cost.m_total + kNearEqualCost;
-    std::size_t near = 1;
-    while (near < aPairs.size() && aPairs[near].m_cost.m_total <= limit)
-      ++near;
-    return aRandom.Below(near);
+    const auto tie = [&](std::size_t aAt) {
+      return std::make_pair(aPairs[aAt].m_prefill->m_tie,
+                            aPairs[aAt].m_decode->m_tie);
+    };
+    std::size_t best = 0;
+    for (std::size_t i = 1;
+         i < aPairs.size() && aPairs[i].m_cost.m_total <= limit;
+         ++i)
+      if (tie(i) < tie(best))
+        best = i;
+    return best;
   }
 
   std::optional<PlacementRefusal> RefuseLate(TimePoint aNow,
--- a/src/placement_placers.cpp
+++ b/src/placement_placers.cpp
@@ -34,6 +34,8 @@
       [] { return MakeJointPlacer({ .m_affinity = false }); } },
     { "joint_strict_best",
       [] { return MakeJointPlacer({ .m_spreadNearEqual = false }); } },
+    { "joint_reports_only",
+      [] { return MakeJointPlacer({ .m_expectOthers = false }); } },
     { "joint_never_refuse",
       [] { return MakeJointPlacer({ .m_refuseLate = false }); } },
   };
--- a/src/placement_placers.h
+++ b/src/placement_placers.h
@@ -14,6 +14,7 @@
   bool m_rendezvous{ true };      ///< send new prefixes to hashed engines
   bool m_twoChoices{ false };     ///< weigh two random engines of each role
   bool m_spreadNearEqual{ true }; ///< choose at random among near-equal pairs
+  bool m_expectOthers{ true };    ///< add the likely work of other VMs
   bool m_refuseLate{ true };      ///< refuse what would miss its target
 };
 
--- a/src/placement_table.cpp
+++ b/src/placement_table.cpp
@@ -89,6 +89,7 @@
         m_engines.emplace_back();
         m_engines.back().m_address = entry.m_address;
         m_engines.back().m_queueAt = aNow;
+        m_engines.back().m_reportedAt = aNow;
       }
       EngineFacts& facts = m_engines[at->second];
       if (RegionIndex(entry.m_region) == kNoEngine)
@@ -164,6 +165,8 @@
   facts.m_backAt = aNow;
   facts.m_hasReport = false;
   facts.m_queueTokens = double(facts.m_ownPrefillTokens);
+  facts.m_undrainedTokens = facts.m_queueTokens;
+  facts.m_reportedAt = aNow;
   facts.m_queueAt = aNow;
 }
 
@@ -273,6 +276,18 @@
   return std::max(0.0, facts.m_queueTokens - drained);
 }
 
+double
+EngineTable::OthersTokensPerSecond(TimePoint aNow,
+                                   const std::string& aModel) const
+{
+  const auto found = m_index->m_demand.find(aModel);
+  if (found == m_index->m_demand.end())
+    return 0;
+  ModelDemand demand = found->second;
+  demand.Decay(aNow);
+  return demand.m_tokens / Seconds(kOwnDemandTime) * (m_vmCount - 1);
+}
+
 double
 EngineTable::Running(TimePoint, std::uint32_t aEngine) const
 {
@@ -293,7 +308,10 @@
   const double reported =
     facts.m_hasReport ? facts.m_report.m_piecesFree : total;
   const double free = reported - facts.m_newPieces + facts.m_endedPieces;
-  return std::min(free, total - facts.m_ownPieces);
+  const double most = std::min(free, total - facts.m_ownPieces);
+  if (facts.m_refusedPieces == 0)
+    return most;
+  return std::min(most, facts.m_refusedPieces - 1.0);
 }
 
 double
--- a/src/placement_table.h
+++ b/src/placement_table.h
@@ -15,6 +15,7 @@
 {
   std::uint32_t m_prefillEngine{};
   std::uint32_t m_decodeEngine{};
+  std::uint32_t m_promptTokens{};
   std::uint32_t m_prefillTokens{}; ///< predicted, less the cached prefix
   std::uint32_t m_pieces{};        ///< decode memory
   WorkStep m_step{ WorkStep::Placed };
@@ -25,6 +26,19 @@
   std::vector<PrefixKey> m_prefixes;
 };
 
+/// Own demand for a model's prefill engines, decaying.
+struct ModelDemand
+{
+  double m_tokens{ 0 };       ///< decaying sum of predicted work
+  double m_workTokens{ 0 };   ///< decaying sum of tokens computed
+  double m_promptTokens{ 0 }; ///< of the same prompts, with cached ones
+  TimePoint m_at{};
+
+  void Decay(TimePoint aNow);
+  /// Share of a prompt that is computed, as prefills of late went.
+  double WorkShare() const;
+};
+
 /// Own work that ended; a report measured before still counts it.
 struct EndedWork
 {
@@ -46,6 +60,7 @@
   std::vector<std::vector<WorkId>> m_worksOf;    ///< by decode engine
   std::vector<std::vector<WorkId>> m_prefillsOf; ///< by prefill engine, open
   std::vector<std::deque<EndedWork>> m_endedOf;  ///< by decode engine
+  std::unordered_map<std::string, ModelDemand> m_demand; ///< by model
   PrefixHints m_hints;
   WorkId m_lastWork{ 0 };
 
--- a/src/placement_work.cpp
+++ b/src/placement_work.cpp
@@ -4,6 +4,7 @@
 #include "placement_table.h"
 
 #include <algorithm>
+#include <cmath>
 
 namespace shallotford {
 
@@ -27,8 +28,37 @@
   aFacts.m_queueAt = aNow;
 }
 
+/// Returns the work that was left in a reported queue when it was measured.
+double
+QueuedWork(const EngineFacts& aFacts, const ModelDemand& aDemand)
+{
+  const double reported = double(aFacts.m_report.m_prefillQueueTokens);
+  if (!aFacts.m_report.m_queueCountsCached)
+    return reported;
+  // Reports count whole prompts, with what the cache saves.
+  return reported * aDemand.WorkShare();
+}
+
 } // namespace
 
+void
+ModelDemand::Decay(TimePoint aNow)
+{
+  const double elapsed = std::chrono::duration<double>(aNow - m_at).count();
+  const double kept =
+    std::exp(-elapsed / std::chrono::duration<double>(kOwnDemandTime).count());
+  m_tokens *= kept;
+  m_workTokens *= kept;
+  m_promptTokens *= kept;
+  m_at = aNow;
+}
+
+double
+ModelDemand::WorkShare() const
+{
+  return m_promptTokens > 0 ? m_workTokens / m_promptTokens : 1.0;
+}
+
 EngineWork*
 EngineTable::Index::Find(WorkId aWork)
 {
@@ -105,6 +135,8 @@
                             EngineFacts& aFacts)
 {
   const TimePoint measured = aFacts.m_reportedAt;
+  if (aFacts.m_refusedAt <= measured)
+    aFacts.m_refusedPieces = 0;
   aFacts.m_newDecodes = aFacts.m_newPieces = 0;
   aFacts.m_endedDecodes = aFacts.m_endedPieces = 0;
   for (const WorkId id : m_worksOf[aEngine]) {
@@ -125,12 +157,15 @@
     aFacts.m_endedPieces += work.m_pieces;
   }
 
-  aFacts.m_queueTokens = double(aFacts.m_report.m_prefillQueueTokens);
+  aFacts.m_queueTokens = QueuedWork(aFacts, m_demand[aFacts.m_model]);
+  aFacts.m_undrainedTokens = aFacts.m_queueTokens;
   aFacts.m_queueAt = measured;
   for (const WorkId id : m_prefillsOf[aEngine]) {
     const EngineWork& work = m_works.at(id);
-    if (work.m_placedAt > measured)
-      AddQueueTokens(work.m_placedAt, aFacts, work.m_prefillTokens);
+    if (work.m_placedAt <= measured)
+      continue;
+    AddQueueTokens(work.m_placedAt, aFacts, work.m_prefillTokens);
+    aFacts.m_undrainedTokens += work.m_prefillTokens;
   }
   AddQueueTokens(aNow, aFacts, 0);
 }
@@ -149,6 +184,7 @@
   EngineWork& work = index.m_works[id];
   work.m_prefillEngine = prefill;
   work.m_decodeEngine = decode;
+  work.m_promptTokens = aRequest.m_promptTokens;
   work.m_prefillTokens =
     aRequest.m_promptTokens -
     std::min(aRequest.m_promptTokens, aPlacement.m_cachedTokens);
@@ -161,6 +197,10 @@
   ++facts.m_ownPrefills;
   facts.m_ownPrefillTokens += work.m_prefillTokens;
   AddQueueTokens(aNow, facts, work.m_prefillTokens);
+  facts.m_undrainedTokens += work.m_prefillTokens;
+  ModelDemand& demand = index.m_demand[facts.m_model];
+  demand.Decay(aNow);
+  demand.m_tokens += work.m_prefillTokens;
   index.m_prefillsOf[prefill].push_back(id);
   index.AddDecode(id, work, m_engines[decode]);
   return id;
@@ -173,6 +213,23 @@
     work->m_claimedAt = aNow;
 }
 
+void
+EngineTable::OnClaimRefused(TimePoint aNow, WorkId aWork, RefusalReason aReason)
+{
+  const EngineWork* work = m_index->Find(aWork);
+  if (!work)
+    return;
+  EngineFacts& facts = m_engines[work->m_decodeEngine];
+  if (aReason != RefusalReason::Memory) {
+    OnRefused(aNow, facts.m_address, aReason);
+    return;
+  }
+  // Smaller requests may still fit.
+  if (facts.m_refusedPieces == 0 || work->m_pieces < facts.m_refusedPieces)
+    facts.m_refusedPieces = work->m_pieces;
+  facts.m_refusedAt = aNow;
+}
+
 void
 EngineTable::OnStep(TimePoint aNow, WorkId aWork, WorkStep aStep)
 {
@@ -200,7 +257,12 @@
   EngineWork* work = m_index->Find(aWork);
   if (!work)
     return;
-  (void)aCachedTokens;
+  ModelDemand& demand =
+    m_index->m_demand[m_engines[work->m_prefillEngine].m_model];
+  demand.Decay(aNow);
+  demand.m_promptTokens += work->m_promptTokens;
+  demand.m_workTokens +=
+    work->m_promptTokens - std::min(work->m_promptTokens, aCachedTokens);
   std::uint32_t tokens = 0;
   for (const PrefixKey prefix : work->m_prefixes) {
     tokens += kKvPieceTokens;
@@ -231,8 +293,11 @@
   if (!work)
     return;
   EngineFacts& facts = m_engines[work->m_prefillEngine];
-  if (work->m_prefillOpen)
+  if (work->m_prefillOpen) {
     AddQueueTokens(aNow, facts, -double(work->m_prefillTokens));
+    facts.m_undrainedTokens =
+      std::max(0.0, facts.m_undrainedTokens - work->m_prefillTokens);
+  }
   m_index->ClosePrefill(aWork, *work, facts);
   if (work->m_step == WorkStep::Transferring)
     m_index->AddTransfer(*work, m_engines, -1);
