Claim decode memory first where it is tight

Change: a placement whose claim is likely to be refused claims before the prefill; others still claim at the predicted end.

--- a/bench/policy_simulation_run.h
+++ b/bench/policy_simulation_run.h
@@ -87,7 +87,7 @@
 }
 
 inline void
-Simulation::Collect()
+Simulation::CollectEngines()
 {
   for (const auto& engine : m_cluster.Engines()) {
     const standin::EngineStats& stats = engine.m_model->Stats();
@@ -102,6 +102,11 @@
   m_result.m_seconds = std::chrono::duration<double>(
                          m_options.m_workload.m_time - m_options.m_warmUp)
                          .count();
+}
+
+inline void
+Simulation::CollectRequests()
+{
   for (std::size_t i = 0; i < m_offeredBySecond.size(); ++i)
     m_result.m_goodBySecond.push_back(m_offeredBySecond[i]
                                         ? double(m_goodBySecond[i]) /
@@ -138,10 +143,11 @@
   }
   m_queue.After(m_options.m_warmUp, [this] { SampleMemory(); });
   m_queue.RunUntil(Workload::kStart + m_options.m_workload.m_time);
-  Collect();
+  CollectEngines();
   // What was accepted in the time is followed to its end.
   for (int i = 0; i < kMostTail && !m_active.empty(); ++i)
     m_queue.RunUntil(m_queue.Now() + 1s);
+  CollectRequests();
   return m_result;
 }
 
--- a/include/shallotford/placement.h
+++ b/include/shallotford/placement.h
@@ -267,6 +267,8 @@
   std::chrono::microseconds m_firstToken{ 0 }; ///< predicted, from now
   std::uint32_t m_cachedTokens{ 0 };           ///< predicted
   std::uint64_t m_crossRegionBytes{ 0 };
+  /// How this request claims: the service's policy, but ClaimFirst in place of
+  /// AtPredictedEnd where decode memory is tight.
   ClaimPolicy m_claim{ ClaimPolicy::AtPredictedEnd };
   /// Open the import after this time, or when the prefill ends if that is
   /// earlier. Zero: at once. PrefillFirst: not before the prefill's end.
--- a/src/config.h
+++ b/src/config.h
@@ -89,6 +89,7 @@
 constexpr double kCrossRegionPenalty = 1.0; // seconds per price unit
 constexpr double kNearEqualCost = 0.01;     // seconds
 constexpr double kRendezvousBonus = 0.05;   // seconds
+constexpr double kClaimFirstRisk = 0.3;
 constexpr std::chrono::microseconds kClaimLead = 20ms;
 constexpr std::chrono::milliseconds kNoEngineRetryAfter = 1'000ms;
 constexpr std::chrono::milliseconds kLeastRetryAfter = 200ms;
--- a/src/placement_cost.cpp
+++ b/src/placement_cost.cpp
@@ -240,11 +240,17 @@
   placement.m_crossRegionBytes = aCost.m_crossRegionBytes;
   placement.m_cost = aCost.m_total;
   placement.m_claim = aRequest.m_service->m_claim;
-  if (placement.m_claim == ClaimPolicy::AtPredictedEnd)
-    placement.m_claimDelay =
-      std::max(0us, placement.m_queue + placement.m_prefill - kClaimLead);
+  const std::chrono::microseconds end = placement.m_queue + placement.m_prefill;
   if (placement.m_claim == ClaimPolicy::PrefillFirst)
-    placement.m_claimDelay = placement.m_queue + placement.m_prefill;
+    placement.m_claimDelay = end;
+  if (placement.m_claim == ClaimPolicy::AtPredictedEnd) {
+    placement.m_claimDelay = std::max(0us, end - kClaimLead);
+    // A prefill isn't risked where memory may be gone when it ends.
+    if (aDecode.m_risk >= kClaimFirstRisk) {
+      placement.m_claim = ClaimPolicy::ClaimFirst;
+      placement.m_claimDelay = 0us;
+    }
+  }
   return placement;
 }
 
