Add TLS: servers, peers with certificates, calls by IP, reloading

Cause: callers, peers and operators may need TLS, and peers must prove who they are. Change: a server with an authority demands a client certificate and gives its common name to the handler; libwebsockets' default answer, which would let an invalid one pass, is replaced. Calls trust only the given authority and demand the server's IP address in its certificate; libwebsockets 4.1.6 looks for a DNS name there. ReloadCertificates() tries the files apart, then changes the context that new connections take.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -100,6 +100,7 @@
   /// demands a client certificate.
   std::string m_peerAuthority;
 
+  bool operator==(const TlsFiles&) const = default;
   bool IsSet() const
   {
     return !m_certificate.empty() || !m_peerAuthority.empty();
@@ -252,6 +253,8 @@
   virtual std::unique_ptr<HttpServerI> Listen(const ServerOptions& aOptions,
                                               HttpHandlerI& aHandler) = 0;
   /// Re-reads certificate files for new connections; open ones stay.
+  /// @throws Error (InvalidConfig) if a file cannot be used; the earlier
+  ///         certificates of that server or client stay in use
   virtual void ReloadCertificates() = 0;
 };
 
--- a/src/net_client.cpp
+++ b/src/net_client.cpp
@@ -2,6 +2,8 @@
 
 #include "net_client.h"
 
+#include "net_tls.h"
+
 namespace shallotford {
 
 namespace {
@@ -75,18 +77,31 @@
   }
 }
 
+/// @throws Error (InvalidConfig) unless a vhost is ready for calls
+void
+CheckVhost(bool aCreated, const TlsFiles& aFiles, ssl_ctx_st* aContext)
+{
+  bool trusted =
+    !aFiles.IsSet() || (aContext != nullptr && !aFiles.m_peerAuthority.empty());
+  if (!aCreated || !trusted) {
+    throw Error(ErrorKind::InvalidConfig,
+                "the certificate files for calls cannot be used",
+                "Name an authority's bundle, and a PEM chain with its key if "
+                "the other side demands one.");
+  }
+  if (aFiles.IsSet()) {
+    // libwebsockets passes over files that it cannot read.
+    ReloadTls(aContext, aFiles);
+  }
+}
+
 } // namespace
 
 HttpClient::HttpClient(Loop& aLoop)
   : m_loop(aLoop)
   , m_self(std::make_shared<HttpClient*>(this))
 {
-  lws_context_creation_info info{};
-  info.port = CONTEXT_PORT_NO_LISTEN;
-  info.protocols = kClientProtocols;
-  info.vhost_name = "client";
-  info.timeout_secs = kLibraryTimeout.count();
-  m_vhost = lws_create_vhost(aLoop.Context(), &info);
+  VhostFor({});
 }
 
 HttpClient::~HttpClient()
@@ -94,6 +109,45 @@
   Shutdown();
 }
 
+lws_vhost*
+HttpClient::VhostFor(const TlsFiles& aTls)
+{
+  for (const auto& known : m_vhosts) {
+    if (known->m_files == aTls) {
+      return known->m_vhost;
+    }
+  }
+  auto added = std::make_unique<TlsVhost>();
+  added->m_files = aTls;
+  added->m_vhost = CreateVhost(*added);
+  m_vhosts.push_back(std::move(added));
+  return m_vhosts.back()->m_vhost;
+}
+
+lws_vhost*
+HttpClient::CreateVhost(TlsVhost& aTls)
+{
+  lws_context_creation_info info{};
+  info.port = CONTEXT_PORT_NO_LISTEN;
+  info.protocols = kClientProtocols;
+  info.vhost_name = "client";
+  info.timeout_secs = kLibraryTimeout.count();
+  info.user = &aTls;
+  if (aTls.m_files.IsSet()) {
+    ApplyClientTls(info, aTls.m_files);
+  }
+  lws_vhost* vhost = lws_create_vhost(m_loop.Context(), &info);
+  try {
+    CheckVhost(vhost != nullptr, aTls.m_files, aTls.m_context);
+  } catch (const Error&) {
+    if (vhost != nullptr) {
+      lws_vhost_destroy(vhost);
+    }
+    throw;
+  }
+  return vhost;
+}
+
 std::unique_ptr<HttpClientCallI>
 HttpClient::Fetch(HttpCall aCall, std::shared_ptr<HttpClientHandlerI> aHandler)
 {
@@ -118,6 +172,11 @@
 void
 HttpClient::ReloadCertificates()
 {
+  for (const auto& known : m_vhosts) {
+    if (known->m_context != nullptr) {
+      ReloadTls(known->m_context, known->m_files);
+    }
+  }
 }
 
 void
@@ -147,16 +206,25 @@
 int
 HttpClient::OnEvent(lws* aWsi,
                     lws_callback_reasons aReason,
-                    void* /*aUser*/,
+                    void* aUser,
                     void* aIn,
                     std::size_t aLength)
 {
   if (aWsi == nullptr) {
     return 0;
   }
+  if (aReason == LWS_CALLBACK_OPENSSL_LOAD_EXTRA_CLIENT_VERIFY_CERTS) {
+    void* owner = lws_vhost_user(lws_get_vhost(aWsi));
+    static_cast<TlsVhost*>(owner)->m_context = static_cast<ssl_ctx_st*>(aUser);
+    return 0;
+  }
   auto* raw = static_cast<ClientCall*>(lws_get_opaque_user_data(aWsi));
   if (raw == nullptr) {
-    return 0;
+    // A call that is gone trusts nobody.
+    return aReason == LWS_CALLBACK_OPENSSL_PERFORM_SERVER_CERT_VERIFICATION;
+  }
+  if (aReason == LWS_CALLBACK_OPENSSL_PERFORM_SERVER_CERT_VERIFICATION) {
+    return VerifyPeer(aUser, aLength != 0, raw->Ip());
   }
   // The handler may drop the last other reference.
   std::shared_ptr<ClientCall> call = raw->shared_from_this();
--- a/src/net_client.h
+++ b/src/net_client.h
@@ -7,6 +7,8 @@
 
 #include <unordered_map>
 
+struct ssl_ctx_st;
+
 namespace shallotford {
 
 class HttpClient;
@@ -31,6 +33,9 @@
   /// The client is gone, and with it every socket.
   void Detach();
 
+  /// IP address that the server's certificate must name.
+  const std::string& Ip() const { return m_ip; }
+
   // libwebsockets events; nonzero closes the connection.
   int OnAppendHeaders(unsigned char** aAt, std::size_t aRoom);
   int OnWritable();
@@ -56,6 +61,8 @@
   HttpClient* m_client; ///< null once detached
   std::uint64_t m_id;
   HttpCall m_call;
+  std::string m_ip;
+  int m_port{ 0 };
   std::shared_ptr<HttpClientHandlerI> m_handler; ///< null once ended
   lws* m_wsi{ nullptr };
   CallProgress m_progress{ CallProgress::NotSent };
@@ -95,17 +102,28 @@
                      std::size_t aLength);
 
   Loop& GetLoop() { return m_loop; }
-  lws_vhost* Vhost() { return m_vhost; }
+  /// Returns the vhost for connections by aTls, made when first asked for.
+  /// @throws Error (InvalidConfig) if the certificate files cannot be used
+  lws_vhost* VhostFor(const TlsFiles& aTls);
   /// Closes the socket of call aId, if it has one, and forgets the call, in
   /// the next round of the loop.
   void RemoveLater(std::uint64_t aId);
   void Forget(std::uint64_t aId) { m_calls.erase(aId); }
 
 private:
+  /// The vhost of one set of certificate files.
+  struct TlsVhost
+  {
+    TlsFiles m_files;
+    lws_vhost* m_vhost{ nullptr };
+    ssl_ctx_st* m_context{ nullptr }; ///< the vhost's own
+  };
+
   void Remove(std::uint64_t aId);
+  lws_vhost* CreateVhost(TlsVhost& aTls);
 
   Loop& m_loop;
-  lws_vhost* m_vhost{ nullptr };
+  std::vector<std::unique_ptr<TlsVhost>> m_vhosts;
   std::uint64_t m_lastId{ 0 };
   std::unordered_map<std::uint64_t, std::shared_ptr<ClientCall>> m_calls;
   std::shared_ptr<HttpClient*> m_self; ///< expires with this client
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -94,23 +94,31 @@
 void
 ClientCall::Connect()
 {
-  std::string ip;
-  int port = 0;
-  if (!SplitAddress(m_call.m_address, ip, port)) {
+  if (!SplitAddress(m_call.m_address, m_ip, m_port)) {
     Fail("the address is not IP:PORT");
     return;
   }
   lws_client_connect_info info{};
   info.context = m_client->GetLoop().Context();
-  info.vhost = m_client->Vhost();
-  info.address = ip.c_str();
-  info.port = port;
+  try {
+    info.vhost = m_client->VhostFor(m_call.m_tls);
+  } catch (const Error& error) {
+    Fail(error.what());
+    return;
+  }
+  info.address = m_ip.c_str();
+  info.port = m_port;
   info.path = m_call.m_path.c_str();
   info.host = m_call.m_address.c_str();
   info.method = m_call.m_method.c_str();
   info.alpn = "http/1.1";
   info.local_protocol_name = "http";
   info.ssl_connection = LCCSCF_HTTP_NO_FOLLOW_REDIRECT;
+  if (m_call.m_tls.IsSet()) {
+    // libwebsockets would look for a DNS name; VerifyPeer() checks the IP.
+    info.ssl_connection |=
+      LCCSCF_USE_SSL | LCCSCF_SKIP_SERVER_CERT_HOSTNAME_CHECK;
+  }
   info.opaque_user_data = this;
   info.pwsi = &m_wsi;
   if (lws_client_connect_via_info(&info) == nullptr) {
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -4,6 +4,7 @@
 
 #include "net_client.h"
 #include "net_server.h"
+#include "net_tls.h"
 
 #include <sys/socket.h>
 #include <unistd.h>
@@ -17,10 +18,17 @@
 int
 OnInternalEvent(lws* aWsi,
                 lws_callback_reasons aReason,
-                void* /*aUser*/,
-                void* /*aIn*/,
-                std::size_t /*aLength*/)
+                void* aUser,
+                void* aIn,
+                std::size_t aLength)
 {
+  // libwebsockets asks the context's first vhost about certificates.
+  if (aReason == LWS_CALLBACK_OPENSSL_PERFORM_CLIENT_CERT_VERIFICATION) {
+    return VerifyPeer(aUser, aLength != 0, {});
+  }
+  if (aReason == LWS_CALLBACK_OPENSSL_PERFORM_SERVER_CERT_VERIFICATION) {
+    return HttpClient::OnEvent(aWsi, aReason, aUser, aIn, aLength);
+  }
   if (aReason == LWS_CALLBACK_RAW_RX_FILE) {
     auto* onReadable =
       static_cast<const std::function<void()>*>(lws_get_opaque_user_data(aWsi));
--- a/src/net_server.cpp
+++ b/src/net_server.cpp
@@ -135,6 +135,9 @@
 void
 HttpServer::ReloadCertificates()
 {
+  if (m_tlsContext != nullptr) {
+    ReloadTls(m_tlsContext, m_options.m_tls);
+  }
 }
 
 void
@@ -185,10 +188,19 @@
 int
 HttpServer::OnEvent(lws* aWsi,
                     lws_callback_reasons aReason,
-                    void* /*aUser*/,
+                    void* aUser,
                     void* aIn,
                     std::size_t aLength)
 {
+  if (aReason == LWS_CALLBACK_OPENSSL_PERFORM_CLIENT_CERT_VERIFICATION) {
+    return VerifyPeer(aUser, aLength != 0, {});
+  }
+  if (aReason == LWS_CALLBACK_OPENSSL_LOAD_EXTRA_SERVER_VERIFY_CERTS) {
+    auto* owner = static_cast<lws_vhost*>(aIn);
+    static_cast<HttpServer*>(lws_vhost_user(owner))->m_tlsContext =
+      static_cast<ssl_ctx_st*>(aUser);
+    return 0;
+  }
   lws_vhost* vhost = aWsi == nullptr ? nullptr : lws_get_vhost(aWsi);
   if (vhost == nullptr) {
     return 0;
--- a/src/net_server.h
+++ b/src/net_server.h
@@ -7,6 +7,8 @@
 
 #include <unordered_map>
 
+struct ssl_ctx_st;
+
 namespace shallotford {
 
 class HttpServer;
@@ -185,6 +187,7 @@
   ServerOptions m_options;
   HttpHandlerI& m_handler;
   lws_vhost* m_vhost{ nullptr };
+  ssl_ctx_st* m_tlsContext{ nullptr }; ///< the vhost's own
   bool m_accepting{ true };
   std::uint16_t m_port{ 0 };
   std::size_t m_inFlight{ 0 };
--- a/src/net_server_connection.cpp
+++ b/src/net_server_connection.cpp
@@ -3,6 +3,7 @@
 #include "net_server.h"
 
 #include "net_strict.h"
+#include "net_tls.h"
 
 #include <sys/socket.h>
 
@@ -109,6 +110,13 @@
   m_bodyWhole = true;
   try {
     m_request = ReadRequest(m_wsi, m_server.Options());
+    if (!m_server.Options().m_tls.m_peerAuthority.empty()) {
+      std::optional<std::string> name = VerifiedPeerName(m_wsi);
+      if (!name) {
+        return -1;
+      }
+      m_request.m_peerCertificate = *name;
+    }
     m_bodyWhole = false;
     framing = CheckFraming(m_wsi, m_request, m_server.Options());
   } catch (const Error& error) {
