Count old readings, but order on fresh ones only

Cause: a pool of hundreds of engines is read in minutes within the budget of calls, while readings older than 10 s counted as engines that don't answer, so counts by role were those of a few engines; an unsettled pool was read whole every second; adapters went to all engines at once. Change: every reading counts for goals, roles and capacity; orders need a fresh one. The result names the few engines to read again; a new owner reads each engine once before it orders (AllAsked), 16 at a time. Adapter orders keep orders_at_once.

--- a/include/shallotford/control/reconcile.h
+++ b/include/shallotford/control/reconcile.h
@@ -29,7 +29,8 @@
   bool m_busy{ false };     ///< loading, or holds requests
   std::uint32_t m_running{ 0 };
 };
-/// By address. Engines that don't answer are absent.
+/// By address. Engines that don't answer are absent. Old readings count, but
+/// orders are given on fresh ones only.
 using Readbacks = std::map<std::string, EngineReadback>;
 
 enum class OrderKind
@@ -125,6 +126,8 @@
   Readbacks m_readbacks; ///< of the service's engines
   ServiceLoad m_load;
   bool m_dependenciesSettled{ true };
+  /// Every engine was read, or didn't answer, since this VM became the owner.
+  bool m_allRead{ true };
 };
 
 struct ReconcileResult
@@ -133,6 +136,8 @@
   bool m_settled{ false };     ///< every engine that answers is at its goal
   bool m_outdated{ false };    ///< an engine has seen a newer revision
   RoleCounts m_target;
+  /// Engines to read again soon: the ones under change, or about to be.
+  std::set<std::string> m_toRead;
   std::vector<std::string> m_waits; ///< why engines wait, for operators
 };
 
@@ -151,6 +156,7 @@
   struct Round;
 
   bool AnsweredSinceSent(const Round& aRound, const std::string& aEngine) const;
+  bool MayActOn(Round& aRound, const std::string& aEngine) const;
   bool MayLoad(TimePoint aNow, const Round& aRound) const;
   void NoteLoad(TimePoint aNow, const Round& aRound);
   void ContinueChange(Round& aRound, const std::string& aEngine);
@@ -183,6 +189,8 @@
   std::vector<std::string> Due(TimePoint aNow,
                                const std::vector<std::string>& aEngines,
                                const std::set<std::string>& aUrgent);
+  /// Returns whether each of aEngines was due at least once.
+  bool AllAsked(const std::vector<std::string>& aEngines) const;
 
 private:
   double m_callsPerSecond;
--- a/src/config.h
+++ b/src/config.h
@@ -135,6 +135,8 @@
 /// Engines left in a role are at least the work in use divided by this.
 constexpr double kMostUse = 0.9;
 constexpr std::chrono::milliseconds kReadbackFresh = 10'000ms;
+/// Engines that a new owner reads for the first time, in one turn.
+constexpr std::size_t kFirstReadsAtOnce = 16;
 /// States of engines under change are read so often.
 constexpr std::chrono::milliseconds kUrgentReadback = 1'000ms;
 
--- a/src/control_depend.cpp
+++ b/src/control_depend.cpp
@@ -60,11 +60,17 @@
                       m_budget + m_callsPerSecond * elapsed.count());
   std::vector<std::pair<TimePoint, std::string>> others;
   std::vector<std::string> due;
+  std::size_t first = 0;
   for (const std::string& engine : aEngines) {
-    auto [read, isNew] = m_readAt.emplace(engine, TimePoint{});
-    if (!aUrgent.contains(engine)) {
+    auto read = m_readAt.find(engine);
+    if (read == m_readAt.end()) {
+      if (first < kFirstReadsAtOnce) {
+        ++first;
+        due.push_back(engine);
+      }
+    } else if (!aUrgent.contains(engine)) {
       others.emplace_back(read->second, engine);
-    } else if (isNew || aNow - read->second >= kUrgentReadback) {
+    } else if (aNow - read->second >= kUrgentReadback) {
       due.push_back(engine);
     }
   }
@@ -86,4 +92,13 @@
   return due;
 }
 
+bool
+ReadbackSchedule::AllAsked(const std::vector<std::string>& aEngines) const
+{
+  return std::all_of(
+    aEngines.begin(), aEngines.end(), [this](const std::string& aEngine) {
+      return m_readAt.contains(aEngine);
+    });
+}
+
 } // namespace shallotford
--- a/src/control_reconcile.cpp
+++ b/src/control_reconcile.cpp
@@ -64,18 +64,6 @@
   return counts;
 }
 
-Readbacks
-FreshOnes(const Readbacks& aReadbacks, TimePoint aNow)
-{
-  Readbacks fresh;
-  for (const auto& [address, engine] : aReadbacks) {
-    if (aNow - engine.m_readAt <= kReadbackFresh) {
-      fresh.emplace(address, engine);
-    }
-  }
-  return fresh;
-}
-
 std::uint32_t
 ModelServices(const FleetText& aFleet)
 {
@@ -239,6 +227,16 @@
          aRound.Engine(aEngine).m_readAt > sent->second;
 }
 
+/// Whether an order may be based on the engine's reading; if not, it is to be
+/// read again.
+bool
+Reconciler::MayActOn(Round& aRound, const std::string& aEngine) const
+{
+  aRound.m_result.m_toRead.insert(aEngine);
+  Duration age = aRound.m_now - aRound.Engine(aEngine).m_readAt;
+  return age <= kReadbackFresh && AnsweredSinceSent(aRound, aEngine);
+}
+
 /// Each model service may use an equal part of the weight store's rate, so
 /// that their owners need not agree. A new owner can't know when the last load
 /// was, and waits as if it had just been.
@@ -316,6 +314,11 @@
     aRound.Wait(aEngine, "its capacity is in use");
     return;
   }
+  if (!MayActOn(aRound, aEngine)) {
+    aRound.Wait(aEngine, "is read again");
+    aRound.TakeOut(engine); // others wait for its turn
+    return;
+  }
   const EngineGoal& goal = aRound.m_goals.at(aEngine);
   bool hasModel = HasModel(engine, goal);
   aRound.Give(aEngine,
@@ -361,7 +364,7 @@
     result.m_settled = true;
     return result;
   }
-  Readbacks engines = FreshOnes(aInput.m_readbacks, aNow);
+  const Readbacks& engines = aInput.m_readbacks;
   RoleCounts text = CountRoles(*service, engines, true);
   RoleCounts actual = CountRoles(*service, engines, false);
   result.m_target = m_split.Decide(
@@ -382,6 +385,8 @@
   round.Classify();
   if (result.m_outdated) {
     result.m_waits.emplace_back("an engine has orders of a newer revision");
+  } else if (!aInput.m_allRead) {
+    result.m_waits.emplace_back("not every engine was read yet");
   } else if (!aInput.m_dependenciesSettled) {
     result.m_waits.emplace_back("a dependency isn't settled yet");
   } else {
@@ -394,7 +399,7 @@
 Reconciler::GiveOrders(Round& aRound)
 {
   for (const std::string& address : aRound.m_underChange) {
-    if (AnsweredSinceSent(aRound, address)) {
+    if (MayActOn(aRound, address)) {
       ContinueChange(aRound, address);
     }
   }
@@ -403,14 +408,21 @@
     if (AnsweredSinceSent(aRound, address)) {
       answered.push_back(address);
     } else {
-      aRound.TakeOut(aRound.Engine(address)); // the order may have been taken
+      // The order may have been taken.
+      aRound.m_result.m_toRead.insert(address);
+      aRound.TakeOut(aRound.Engine(address));
     }
   }
   for (const std::string& address : answered) {
     if (NeedsDrain(aRound.Engine(address), aRound.m_goals.at(address))) {
       BeginChange(aRound, address);
+    } else if (aRound.m_changing >= aRound.m_fleet.m_ordersAtOnce) {
+      aRound.Wait(address, "enough engines are being changed");
     } else {
-      SetAdapters(aRound, address);
+      ++aRound.m_changing;
+      if (MayActOn(aRound, address)) {
+        SetAdapters(aRound, address);
+      }
     }
   }
 }
