--- a/include/shallotford/base.h
+++ b/include/shallotford/base.h
@@ -109,6 +109,7 @@
 // ----------------------------------------------------------- identifiers
 
 /// One boot of the daemon on one VM. Both parts together never repeat.
+/// Text form: "IP:PORT~INCARNATION_HEX".
 struct VmIncarnation
 {
   std::string m_address;         ///< peer address, "IP:PORT"
@@ -140,11 +141,15 @@
   auto operator<=>(const AttemptId&) const = default;
 };
 
+std::string
+ToString(const VmIncarnation& aVm);
 std::string
 ToString(const RequestId& aId);
 std::string
 ToString(const AttemptId& aId);
 /// @throws Error (InvalidRequest) if aText is not the text form of an id
+VmIncarnation
+ParseVmIncarnation(std::string_view aText);
 RequestId
 ParseRequestId(std::string_view aText);
 AttemptId
--- a/src/base_id.cpp
+++ b/src/base_id.cpp
@@ -68,11 +68,16 @@
 
 } // namespace
 
+std::string
+ToString(const VmIncarnation& aVm)
+{
+  return aVm.m_address + kSeparator + Hex(aVm.m_incarnation);
+}
+
 std::string
 ToString(const RequestId& aId)
 {
-  return aId.m_vm.m_address + kSeparator + Hex(aId.m_vm.m_incarnation) +
-         kSeparator + std::to_string(aId.m_sequence);
+  return ToString(aId.m_vm) + kSeparator + std::to_string(aId.m_sequence);
 }
 
 std::string
@@ -81,6 +86,20 @@
   return ToString(aId.m_request) + kSeparator + std::to_string(aId.m_attempt);
 }
 
+VmIncarnation
+ParseVmIncarnation(std::string_view aText)
+{
+  std::string_view rest = aText;
+  VmIncarnation vm;
+  vm.m_incarnation =
+    ParseNumber<std::uint64_t>(CutLastPart(rest, aText), 16, aText);
+  if (rest.empty() || rest.find(kSeparator) != std::string_view::npos) {
+    ThrowBadId(aText);
+  }
+  vm.m_address = std::string(rest);
+  return vm;
+}
+
 RequestId
 ParseRequestId(std::string_view aText)
 {
@@ -88,12 +107,7 @@
   RequestId id;
   id.m_sequence =
     ParseNumber<std::uint64_t>(CutLastPart(rest, aText), 10, aText);
-  id.m_vm.m_incarnation =
-    ParseNumber<std::uint64_t>(CutLastPart(rest, aText), 16, aText);
-  if (rest.empty() || rest.find(kSeparator) != std::string_view::npos) {
-    ThrowBadId(aText);
-  }
-  id.m_vm.m_address = std::string(rest);
+  id.m_vm = ParseVmIncarnation(rest);
   return id;
 }
 
--- a/src/config.h
+++ b/src/config.h
@@ -48,6 +48,52 @@
 // engines
 constexpr std::uint32_t kKvPieceTokens = 2'000;
 
+// daemon
+constexpr std::chrono::milliseconds kCancelTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kReportTimeout = 1'000ms;
+constexpr std::chrono::milliseconds kPrefillTimeout = 30'000ms;
+constexpr std::chrono::milliseconds kPullTimeout = 2'000ms;
+constexpr std::chrono::milliseconds kEngineCheckTimeout = 500ms;
+constexpr std::chrono::milliseconds kClaimPoll = 2ms;
+constexpr std::chrono::milliseconds kWorkerTick = 20ms;
+constexpr std::chrono::milliseconds kReportPeriod = 500ms;
+constexpr std::chrono::milliseconds kDrainGrace = 1'000ms;
+constexpr std::chrono::milliseconds kSuspectRetryAfter = 1'000ms;
+constexpr std::chrono::milliseconds kOverloadRetryAfter = 1'000ms;
+constexpr std::chrono::milliseconds kPlainRetryAfter = 500ms;
+constexpr std::chrono::milliseconds kPlainBackOff = 100ms;
+constexpr std::chrono::milliseconds kLeavingWordLifetime = 10'000ms;
+constexpr std::chrono::milliseconds kLeastPlainTimeout = 1ms;
+constexpr std::chrono::milliseconds kForwardTimeout = 30'000ms;
+constexpr std::chrono::milliseconds kShutdownRetryAfter = 200ms;
+constexpr std::uint32_t kMaxPlainDoublings = 6;
+constexpr std::uint32_t kMaxDecodeMoves = 3;
+constexpr std::uint32_t kFailedPollsForDown = 2;
+constexpr std::size_t kMaxVerifiedKeys = 4'096;
+constexpr std::size_t kCancelsAtOnce = 64;
+constexpr std::size_t kMaxListedRequests = 200;
+constexpr std::size_t kPoisonDigestBytes = 512;
+constexpr std::chrono::milliseconds kPeerTimeout = 2'000ms;
+constexpr std::chrono::milliseconds kPlatformAnswerTime = 5'000ms;
+constexpr std::chrono::milliseconds kPlatformTick = 100ms;
+constexpr std::chrono::milliseconds kGossipTick = 100ms;
+constexpr std::chrono::milliseconds kSweepTick = 500ms;
+constexpr std::chrono::milliseconds kOrderTick = 500ms;
+constexpr std::chrono::milliseconds kBeat = 200ms;
+constexpr std::chrono::milliseconds kLeavingRumorLifetime = 60'000ms;
+constexpr std::chrono::milliseconds kSuccessionLifetime = 600'000ms;
+constexpr std::size_t kSweepsPerTick = 4;
+/// Engine states read per second while nothing changes.
+constexpr double kStateReadsPerSecond = 2.0;
+/// Stands for the sum of all other VMs in demand figures.
+constexpr const char* kOtherVms = "others";
+/// Load reports asked for per second, over all engines.
+constexpr std::size_t kLoadPollsPerSecond = 16;
+/// Own calls that a server in another region counts as.
+constexpr double kOtherRegionCalls = 2.0;
+/// Share of the first-token target that a request may wait for placement.
+constexpr double kQueueShare = 0.5;
+
 // ledger
 constexpr std::chrono::milliseconds kExportLifetime = 900ms;
 constexpr std::chrono::milliseconds kGoneStreamBound = 5'000ms;
--- /dev/null
+++ b/src/daemon_claim.h
@@ -0,0 +1,39 @@
+#ifndef SHALLOTFORD_SRC_DAEMON_CLAIM_H
+#define SHALLOTFORD_SRC_DAEMON_CLAIM_H
+
+/// Claims of decode memory, and the failures of attempts.
+
+#include "daemon_flow.h"
+
+#include <functional>
+
+namespace shallotford {
+
+class Worker;
+
+/// Describes what a flow's next attempt needs.
+PlacementRequest
+MakePlacementRequest(Worker& aWorker, const Flow& aFlow);
+
+/// Opens an import for the flow's current attempt, unless one is open or being
+/// opened. An engine that refuses is replaced by another while there is one.
+/// @param aGranted  called once the import is open; may be empty
+void
+ClaimMemory(Worker& aWorker,
+            const FlowPtr& aFlow,
+            std::function<void()> aGranted);
+
+/// Tells the ledger that the current attempt failed at aEngine.
+void
+FailAttempt(Worker& aWorker,
+            const FlowPtr& aFlow,
+            const std::string& aEngine,
+            const EngineError& aError);
+
+/// Returns whether aAttempt still is the flow's current attempt.
+bool
+IsCurrent(const Flow& aFlow, std::uint32_t aAttempt);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_DAEMON_CLAIM_H
--- /dev/null
+++ b/src/daemon_control_config.cpp
@@ -0,0 +1,237 @@
+/// Keeps the fleet text and the VM list up to date.
+
+#include "config.h"
+#include "daemon_control.h"
+
+namespace shallotford {
+
+ConfigSync::ConfigSync(ControlState& aState, RandomI& aRandom)
+  : m_state(aState)
+  , m_fleetSchedule(PlatformSchedule::Options{}, aRandom)
+  , m_vmsSchedule(PlatformSchedule::Options{}, aRandom)
+{
+}
+
+void
+ConfigSync::Start()
+{
+  Tick();
+}
+
+void
+ConfigSync::Tick()
+{
+  TimePoint now = m_state.Now();
+  bool watches = m_duty.Watches(m_state.m_options.m_vm.m_address,
+                                m_state.m_membership.Live(now),
+                                m_state.m_membership.LastWatch(),
+                                now,
+                                std::chrono::system_clock::now());
+  if (auto wait = m_vmsSchedule.Due(now, watches)) {
+    AskVms(*wait);
+  }
+  if (auto wait = m_fleetSchedule.Due(now, watches)) {
+    AskFleet(*wait);
+  }
+  m_state.m_loop.RunAfter(kPlatformTick, [this] { Tick(); });
+}
+
+void
+ConfigSync::OnHint()
+{
+  m_vmsSchedule.OnHint(m_state.Now());
+}
+
+void
+ConfigSync::Answered(PlatformSchedule& aSchedule,
+                     std::chrono::milliseconds aWait,
+                     PlatformAnswer aAnswer)
+{
+  TimePoint now = m_state.Now();
+  aSchedule.OnAnswer(aAnswer, now);
+  if (aWait.count() > 0 && aAnswer != PlatformAnswer::Failure) {
+    m_state.m_membership.NoteWatch(now);
+  }
+}
+
+void
+ConfigSync::AskFleet(std::chrono::milliseconds aWait)
+{
+  auto done = [this,
+               aWait](std::variant<PlatformFleet, PlatformFailure> aResult) {
+    auto* fleet = std::get_if<PlatformFleet>(&aResult);
+    if (fleet == nullptr) {
+      Answered(m_fleetSchedule, aWait, PlatformAnswer::Failure);
+      return;
+    }
+    Answered(m_fleetSchedule,
+             aWait,
+             fleet->m_text ? PlatformAnswer::News : PlatformAnswer::NoNews);
+    OnFleet(*fleet);
+  };
+  m_fleetCall = m_state.m_platform.WatchFleet(m_fleetVersion, aWait, done);
+}
+
+void
+ConfigSync::AskVms(std::chrono::milliseconds aWait)
+{
+  auto done = [this,
+               aWait](std::variant<PlatformVms, PlatformFailure> aResult) {
+    auto* vms = std::get_if<PlatformVms>(&aResult);
+    if (vms == nullptr) {
+      Answered(m_vmsSchedule, aWait, PlatformAnswer::Failure);
+      return;
+    }
+    Answered(m_vmsSchedule,
+             aWait,
+             vms->m_vms ? PlatformAnswer::News : PlatformAnswer::NoNews);
+    if (vms->m_vms) {
+      m_vmsVersion = vms->m_version;
+      OnVms(*vms->m_vms);
+    }
+  };
+  m_vmsCall = m_state.m_platform.WatchVms(m_vmsVersion, aWait, done);
+}
+
+void
+ConfigSync::OnFleet(const PlatformFleet& aFleet)
+{
+  bool news =
+    m_fleetSeen && aFleet.m_text && aFleet.m_version != m_fleetVersion;
+  m_fleetSeen = true;
+  m_state.m_gate.OnPlatformAnswer(m_state.Now(), news);
+  if (aFleet.m_text) {
+    m_fleetVersion = aFleet.m_version;
+    Settle(
+      m_state.m_keeper.Accept(*aFleet.m_text, "platform", aFleet.m_version),
+      "platform");
+  }
+  CheckReady();
+}
+
+void
+ConfigSync::OnVms(const std::vector<PlatformVm>& aVms)
+{
+  std::vector<ListedVm> entries;
+  std::vector<std::string> others;
+  std::set<std::string> leaving;
+  for (const PlatformVm& vm : aVms) {
+    if (vm.m_kind == PlatformVmKind::Entry) {
+      entries.push_back(
+        { .m_address = vm.m_address, .m_leaving = vm.m_leaving });
+      if (vm.m_address != m_state.m_options.m_vm.m_address) {
+        others.push_back(vm.m_address);
+      }
+      continue;
+    }
+    if (vm.m_leaving) {
+      leaving.insert(vm.m_address);
+    }
+  }
+  m_state.m_membership.SetListed(entries, m_state.Now());
+  m_state.m_gate.SetListed(others);
+  std::set<std::string> before = m_state.m_leaving.All();
+  m_state.m_leaving.SetListed(leaving);
+  std::set<std::string> after = m_state.m_leaving.All();
+  before.insert(after.begin(), after.end());
+  for (const std::string& upstream : before) {
+    m_state.m_toWorker(
+      UpstreamLeaving{ upstream, m_state.m_leaving.IsLeaving(upstream) });
+  }
+  CheckReady();
+}
+
+void
+ConfigSync::Settle(const AcceptOutcome& aOutcome, const std::string& aSource)
+{
+  RevisionName name = m_state.m_keeper.CurrentName();
+  if (aOutcome.m_result == AcceptResult::Accepted) {
+    m_state.m_membership.SetRevision(name, m_state.m_keeper.PlatformVersion());
+    m_state.m_toWorker(FleetInForce{ m_state.m_keeper.Current() });
+    m_state.Audit(AuditKind::Configuration,
+                  "fleet",
+                  "revision " + std::to_string(name.m_revision) + " in force",
+                  "from " + aSource);
+    return;
+  }
+  bool alarming = aOutcome.m_result == AcceptResult::Conflict ||
+                  aOutcome.m_result == AcceptResult::Invalid;
+  if (alarming) {
+    m_state.Audit(AuditKind::Configuration,
+                  "fleet",
+                  std::string(ToString(aOutcome.m_result)) + " text refused",
+                  aOutcome.m_reason + " (from " + aSource + ")");
+  }
+}
+
+void
+ConfigSync::OnOffer(const RevisionOffer& aOffer)
+{
+  switch (m_state.m_keeper.Weigh(aOffer.m_name)) {
+    case OfferVerdict::Fetch:
+      Fetch(aOffer.m_peer, m_state.m_keeper.CurrentName());
+      break;
+    case OfferVerdict::Conflict:
+      m_state.m_keeper.NoteConflict(aOffer.m_name, aOffer.m_peer);
+      break;
+    case OfferVerdict::Same:
+    case OfferVerdict::Older:
+      break;
+  }
+  CheckReady();
+}
+
+void
+ConfigSync::Fetch(const std::string& aPeer, const RevisionName& aHave)
+{
+  if (m_fetching) {
+    return;
+  }
+  m_fetching = true;
+  Json::Value params(Json::objectValue);
+  params["revision"] = static_cast<Json::UInt64>(aHave.m_revision);
+  params["fingerprint"] = aHave.m_fingerprint;
+  auto done = [this, aPeer, whole = aHave.m_revision == 0](PeerResult aResult) {
+    m_fetching = false;
+    auto* value = std::get_if<Json::Value>(&aResult);
+    if (value == nullptr) {
+      return;
+    }
+    AcceptOutcome outcome;
+    try {
+      outcome = m_state.m_keeper.Accept(ParseTextTransfer(*value), aPeer);
+    } catch (const Error& error) {
+      outcome.m_reason = error.what();
+    }
+    if (outcome.m_result == AcceptResult::Invalid && !whole) {
+      Fetch(aPeer, {});
+      return;
+    }
+    Settle(outcome, aPeer);
+    CheckReady();
+  };
+  m_state.m_peer.Call(aPeer, "fleet_text", params, std::move(done));
+}
+
+Json::Value
+ConfigSync::OnFleetText(const Json::Value& aParams) const
+{
+  RevisionName have{ .m_revision = aParams["revision"].asUInt64(),
+                     .m_fingerprint = aParams["fingerprint"].asString() };
+  return ToJson(m_state.m_keeper.TransferFor(have));
+}
+
+void
+ConfigSync::CheckReady()
+{
+  bool ready =
+    m_state.m_gate.IsReady(m_state.Now(), m_state.m_keeper.CurrentName());
+  if (ready == m_ready) {
+    return;
+  }
+  m_ready = ready;
+  m_state.m_log.Write(LogEvent(ready ? "ready" : "not_ready"));
+  m_state.m_toWorker(PlatformReady{ ready });
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_control_gossip.cpp
@@ -0,0 +1,172 @@
+/// Runs the gossip exchanges and spreads what they bring.
+
+#include "config.h"
+#include "daemon_control.h"
+
+namespace shallotford {
+
+namespace {
+
+constexpr const char* kDemandPrefix = "demand:";
+
+} // namespace
+
+GossipTask::GossipTask(ControlState& aState, ConfigSync& aConfig)
+  : m_state(aState)
+  , m_config(aConfig)
+{
+}
+
+void
+GossipTask::Start()
+{
+  Tick();
+}
+
+void
+GossipTask::Tick()
+{
+  for (const GossipMessage& message :
+       m_state.m_membership.Tick(m_state.Now())) {
+    auto done = [this, peer = message.m_to](PeerResult aResult) {
+      TimePoint now = m_state.Now();
+      auto* value = std::get_if<Json::Value>(&aResult);
+      if (value == nullptr) {
+        m_state.m_membership.OnFailure(peer, now);
+        return;
+      }
+      try {
+        m_state.m_membership.OnResult(peer, *value, now);
+        m_state.m_gate.OnPeerAnswer(
+          peer, { .m_revision = (*value)["rev"].asUInt64() });
+      } catch (const Error& error) {
+        m_state.m_log.Write(LogEvent("gossip_refused", LogLevel::Warning)
+                              .Add("vm", peer)
+                              .Add("reason", error.what()));
+      }
+      TakeNews();
+    };
+    m_state.m_peer.Call(
+      message.m_to, "gossip", message.m_params, std::move(done));
+  }
+  TakeNews();
+  m_config.CheckReady();
+  m_state.m_loop.RunAfter(kGossipTick, [this] { Tick(); });
+}
+
+Json::Value
+GossipTask::OnCall(const Json::Value& aParams)
+{
+  try {
+    Json::Value result = m_state.m_membership.OnCall(aParams, m_state.Now());
+    TakeNews();
+    return result;
+  } catch (const Error& error) {
+    if (error.Kind() == ErrorKind::Unauthenticated) {
+      // A VM that is not listed here may have been listed a moment ago.
+      m_config.OnHint();
+    }
+    throw;
+  }
+}
+
+void
+GossipTask::TakeNews()
+{
+  Membership& membership = m_state.m_membership;
+  TimePoint now = m_state.Now();
+  for (const RevisionOffer& offer : membership.TakeOffers()) {
+    m_config.OnOffer(offer);
+  }
+  for (const MembershipEvent& event : membership.TakeEvents(now)) {
+    m_state.Audit(AuditKind::Membership,
+                  event.m_vm,
+                  std::string(ToString(event.m_kind)),
+                  "gossip");
+  }
+  for (const Rumor& rumor : membership.TakeRumors()) {
+    TakeRumor(rumor);
+  }
+  for (const std::string& digest : membership.TakeDigests()) {
+    PeerNews news;
+    news.m_poisonDigest = digest;
+    m_state.m_toWorker(std::move(news));
+  }
+  TellMembership();
+}
+
+void
+GossipTask::TakeRumor(const Rumor& aRumor)
+{
+  if (aRumor.m_kind == kRumorLeaving) {
+    WallTime seen{ std::chrono::milliseconds{ aRumor.m_version } };
+    bool leaving = aRumor.m_body == "leaving";
+    if (m_state.m_leaving.OnAnswer(aRumor.m_id, leaving, seen)) {
+      m_state.m_toWorker(UpstreamLeaving{
+        aRumor.m_id, m_state.m_leaving.IsLeaving(aRumor.m_id) });
+    }
+    return;
+  }
+  if (aRumor.m_kind == kRumorSuccession) {
+    m_state.m_successions.push_back({ .m_from = ParseVmIncarnation(aRumor.m_id),
+                                      .m_successor = aRumor.m_body });
+    m_state.m_toWorker(TicketSuccessions{ m_state.m_successions });
+  }
+}
+
+void
+GossipTask::TellMembership()
+{
+  std::vector<std::string> live = m_state.m_membership.Live(m_state.Now());
+  if (live == m_told) {
+    return;
+  }
+  m_told = live;
+  MembershipView view;
+  view.m_live = live;
+  for (const MemberView& member : m_state.m_membership.Members(m_state.Now())) {
+    view.m_listed.push_back(member.m_address);
+  }
+  m_state.m_toWorker(std::move(view));
+}
+
+void
+GossipTask::OnReport(const WorkerReport& aReport)
+{
+  Membership& membership = m_state.m_membership;
+  membership.SetDigest(aReport.m_poisonDigest);
+  PeerNews others;
+  others.m_vm = kOtherVms;
+  for (const CallerDemand& demand : aReport.m_demand) {
+    std::string key = kDemandPrefix + demand.m_caller;
+    membership.Averages().SetOwn(key, demand.m_tokensPerSecond);
+    double rest =
+      membership.Total(key, m_state.Now()) - demand.m_tokensPerSecond;
+    others.m_demand.push_back({ .m_caller = demand.m_caller,
+                                .m_tokensPerSecond = rest > 0 ? rest : 0 });
+  }
+  m_state.m_toWorker(std::move(others));
+}
+
+void
+GossipTask::OnLeaving(const SawUpstreamLeaving& aSeen)
+{
+  WallTime now = std::chrono::system_clock::now();
+  if (!m_state.m_leaving.OnAnswer(aSeen.m_address, aSeen.m_leaving, now)) {
+    return;
+  }
+  auto version = std::chrono::duration_cast<std::chrono::milliseconds>(
+    now.time_since_epoch());
+  m_state.m_membership.Spread(kRumorLeaving,
+                              aSeen.m_address,
+                              static_cast<std::uint64_t>(version.count()),
+                              aSeen.m_leaving ? "leaving" : "back",
+                              kLeavingRumorLifetime,
+                              m_state.Now());
+  m_state.Audit(AuditKind::Membership,
+                aSeen.m_address,
+                aSeen.m_leaving ? "upstream leaving" : "upstream back",
+                "its own answer");
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_control_orders.cpp
@@ -0,0 +1,178 @@
+/// Brings the engines of the services that this VM owns to the fleet text.
+
+#include "config.h"
+#include "daemon_control.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+EngineReadback
+ToReadback(const EngineState& aState, TimePoint aNow)
+{
+  return { .m_readAt = aNow,
+           .m_role = aState.m_role,
+           .m_model = aState.m_model,
+           .m_version = aState.m_version,
+           .m_adapters = { aState.m_adapters.begin(), aState.m_adapters.end() },
+           .m_acceptedFence = aState.m_acceptedFence,
+           .m_draining = aState.m_draining,
+           .m_leaving = aState.m_leaving,
+           .m_busy = aState.m_busy };
+}
+
+} // namespace
+
+OrderTask::OrderTask(ControlState& aState)
+  : m_state(aState)
+  , m_schedule(kStateReadsPerSecond)
+{
+}
+
+void
+OrderTask::Start()
+{
+  Tick();
+}
+
+void
+OrderTask::SetLoad(const std::string& aService, const ServiceLoad& aLoad)
+{
+  m_loads[aService] = aLoad;
+}
+
+void
+OrderTask::Tick()
+{
+  m_state.m_loop.RunAfter(kOrderTick, [this] { Tick(); });
+  FleetPtr fleet = m_state.m_keeper.Current();
+  if (!fleet || m_state.m_draining) {
+    return;
+  }
+  TimePoint now = m_state.Now();
+  std::vector<std::string> live = m_state.m_membership.Live(now);
+  std::vector<std::string> engines;
+  for (const ServiceEntry& service : fleet->m_services) {
+    bool owned =
+      service.m_kind == ServiceKind::Model &&
+      ServiceOwner(service.m_name, live) == m_state.m_options.m_vm.m_address;
+    if (!owned) {
+      m_reconcilers.erase(service.m_name);
+      continue;
+    }
+    m_reconcilers.try_emplace(service.m_name, now);
+    for (const EngineEntry& engine : service.m_engines) {
+      engines.push_back(engine.m_address);
+    }
+    Step(service);
+  }
+  for (const std::string& engine : m_schedule.Due(now, engines, m_urgent)) {
+    Read(engine);
+  }
+}
+
+void
+OrderTask::Read(const std::string& aEngine)
+{
+  m_reads[aEngine] = m_state.m_engine.State(
+    aEngine, [this, aEngine](const EngineResult<EngineState>& aResult) {
+      OnState(aEngine, aResult);
+    });
+}
+
+void
+OrderTask::OnState(const std::string& aEngine,
+                   const EngineResult<EngineState>& aResult)
+{
+  const auto* state = std::get_if<EngineState>(&aResult);
+  if (state == nullptr) {
+    m_readbacks.erase(aEngine);
+    return;
+  }
+  m_readbacks[aEngine] = ToReadback(*state, m_state.Now());
+}
+
+bool
+OrderTask::DependenciesSettled(const ServiceEntry& aService) const
+{
+  return std::all_of(
+    aService.m_dependsOn.begin(),
+    aService.m_dependsOn.end(),
+    [this](const std::string& aName) {
+      const ServiceEntry* service =
+        m_state.m_keeper.Current()->FindService(aName);
+      bool model = service != nullptr && service->m_kind == ServiceKind::Model;
+      auto settled = m_settled.find(aName);
+      return !model || (settled != m_settled.end() && settled->second);
+    });
+}
+
+void
+OrderTask::Step(const ServiceEntry& aService)
+{
+  TimePoint now = m_state.Now();
+  ReconcileInput input;
+  input.m_fleet = m_state.m_keeper.Current();
+  input.m_service = aService.m_name;
+  input.m_load = m_loads[aService.m_name];
+  input.m_dependenciesSettled = DependenciesSettled(aService);
+  for (const EngineEntry& engine : aService.m_engines) {
+    auto known = m_readbacks.find(engine.m_address);
+    if (known != m_readbacks.end()) {
+      input.m_readbacks.insert(*known);
+    }
+  }
+  auto reconciler = m_reconcilers.find(aService.m_name);
+  ReconcileResult result = reconciler->second.Step(now, input);
+  m_settled[aService.m_name] = result.m_settled;
+  for (const EngineEntry& engine : aService.m_engines) {
+    if (result.m_settled) {
+      m_urgent.erase(engine.m_address);
+    } else {
+      m_urgent.insert(engine.m_address);
+    }
+  }
+  for (const Order& order : result.m_orders) {
+    Send(aService.m_name, order);
+  }
+}
+
+void
+OrderTask::Send(const std::string& aService, const Order& aOrder)
+{
+  TimePoint now = m_state.Now();
+  bool may = m_state.m_guard.MayOrder(now,
+                                      m_state.m_membership.HeardCount(now),
+                                      m_state.m_membership.ListedCount()) &&
+             m_state.m_keeper.Conflicts().empty();
+  if (!may) {
+    return;
+  }
+  m_reconcilers.at(aService).OnSent(aOrder, now);
+  EngineOrder order{ .m_fence = aOrder.m_fence,
+                     .m_order = std::string(ToString(aOrder.m_kind)),
+                     .m_model = aOrder.m_model,
+                     .m_version = aOrder.m_version,
+                     .m_adapter = aOrder.m_adapter,
+                     .m_role = aOrder.m_role };
+  m_state.Audit(AuditKind::Order,
+                aOrder.m_engine,
+                order.m_order + " " + aOrder.m_model + " fence " +
+                  std::to_string(aOrder.m_fence),
+                aOrder.m_cause);
+  auto done = [this, engine = aOrder.m_engine](
+                const EngineResult<std::monostate>& aResult) {
+    const auto* error = std::get_if<EngineError>(&aResult);
+    if (error != nullptr) {
+      m_state.m_log.Write(LogEvent("order_refused", LogLevel::Warning)
+                            .Add("engine", engine)
+                            .Add("reason", error->m_reason));
+    }
+  };
+  m_orders[aOrder.m_engine] =
+    m_state.m_engine.Order(aOrder.m_engine, order, std::move(done));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_filter_stream.cpp
@@ -0,0 +1,166 @@
+/// Relays a decode engine's tokens into the ledger.
+
+#include "config.h"
+#include "daemon_claim.h"
+#include "daemon_filters.h"
+#include "daemon_worker.h"
+
+namespace shallotford {
+
+namespace {
+
+/// Receives one stream's tokens for one attempt.
+class FlowSink : public TokenSinkI
+{
+public:
+  FlowSink(Worker& aWorker, const FlowPtr& aFlow, std::string aEngine)
+    : m_worker(aWorker)
+    , m_flow(aFlow)
+    , m_attempt(aFlow->m_attempt.m_id.m_attempt)
+    , m_engine(std::move(aEngine))
+  {
+  }
+
+  void OnToken(TokenEvent aToken) override
+  {
+    FlowPtr flow = Current();
+    if (flow) {
+      m_worker.Apply(flow,
+                     ledger_event::Token{ .m_attempt = m_attempt,
+                                          .m_position = aToken.m_position,
+                                          .m_text = std::move(aToken.m_text) });
+    }
+  }
+
+  void OnFinished(std::string aReason, std::uint64_t aEnd) override
+  {
+    FlowPtr flow = Current();
+    if (flow) {
+      m_worker.Apply(
+        flow,
+        ledger_event::Finished{ .m_attempt = m_attempt,
+                                .m_endPosition = aEnd,
+                                .m_finishReason = std::move(aReason) });
+    }
+  }
+
+  void OnSuperseded() override
+  {
+    FlowPtr flow = Current();
+    if (flow) {
+      m_worker.Apply(flow, ledger_event::Superseded{ m_attempt });
+    }
+  }
+
+  void OnError(EngineError aError) override
+  {
+    FlowPtr flow = Current();
+    if (flow) {
+      FailAttempt(m_worker, flow, m_engine, aError);
+    }
+  }
+
+private:
+  FlowPtr Current() const
+  {
+    FlowPtr flow = m_flow.lock();
+    return flow && IsCurrent(*flow, m_attempt) ? flow : nullptr;
+  }
+
+  Worker& m_worker;
+  std::weak_ptr<Flow> m_flow;
+  std::uint32_t m_attempt;
+  std::string m_engine;
+};
+
+class StreamFilter : public FilterI
+{
+public:
+  explicit StreamFilter(Worker& aWorker)
+    : m_worker(aWorker)
+  {
+  }
+  std::string_view Name() const override { return "stream"; }
+
+  void Start(const FlowPtr& aFlow) override
+  {
+    FlowAttempt& attempt = aFlow->m_attempt;
+    std::string engine = attempt.m_placement.m_decodeEngine;
+    WorkerState& state = m_worker.State();
+    if (!MoveSuspect(aFlow)) {
+      return;
+    }
+    SetEventPrefix(*aFlow, engine, attempt.m_id);
+    state.m_table.OnStep(m_worker.Now(), *attempt.m_work, WorkStep::Decoding);
+    DecodeCall call{ .m_stream = attempt.m_id,
+                     .m_import = attempt.m_import,
+                     .m_promptTokens = attempt.m_promptTokens,
+                     .m_maxTokens = TokensLeft(*aFlow),
+                     .m_start = attempt.m_position,
+                     .m_seedPrompt = Fingerprint(*aFlow->m_prompt),
+                     .m_stop = aFlow->m_call.m_stop };
+    auto sink = std::make_shared<FlowSink>(m_worker, aFlow, engine);
+    // Earlier calls of this attempt are over; the stream's is the last one.
+    attempt.m_calls.push_back(
+      state.m_engine.Decode(engine, call, std::move(sink)));
+  }
+
+private:
+  static std::uint32_t TokensLeft(const Flow& aFlow)
+  {
+    auto done = static_cast<std::uint32_t>(aFlow.m_attempt.m_position);
+    return aFlow.m_maxTokens > done ? aFlow.m_maxTokens - done : 1;
+  }
+
+  /// A suspect is granted one engine at a time: first the prefill engine, now
+  /// the decode engine.
+  bool MoveSuspect(const FlowPtr& aFlow)
+  {
+    PoisonTracker& poison = m_worker.State().m_poison;
+    const Placement& placement = aFlow->m_attempt.m_placement;
+    TimePoint now = m_worker.Now();
+    poison.OnRunEnded(
+      aFlow->m_fingerprint, placement.m_prefillEngine, false, now);
+    if (poison.Grant(aFlow->m_fingerprint, placement.m_decodeEngine, now)) {
+      return true;
+    }
+    FailAttempt(m_worker,
+                aFlow,
+                placement.m_decodeEngine,
+                { .m_fault = EngineFault::Refused,
+                  .m_reason = "another suspect runs there" });
+    return false;
+  }
+
+  Worker& m_worker;
+};
+
+} // namespace
+
+void
+SetEventPrefix(Flow& aFlow,
+               const std::string& aEngine,
+               const AttemptId& aStream)
+{
+  aFlow.m_reply.m_eventPrefix =
+    ResumePrefix({ .m_engine = aEngine,
+                   .m_stream = aStream,
+                   .m_entry = aFlow.m_id.m_vm,
+                   .m_service = aFlow.m_service->m_name,
+                   .m_prompt = aFlow.m_fingerprint,
+                   .m_position = 0 });
+}
+
+std::shared_ptr<TokenSinkI>
+MakeFlowSink(Worker& aWorker, const FlowPtr& aFlow, std::string aEngine)
+{
+  return std::make_shared<FlowSink>(aWorker, aFlow, std::move(aEngine));
+}
+
+std::unique_ptr<FilterI>
+MakeStreamFilter(Worker& aWorker)
+{
+  return std::make_unique<StreamFilter>(aWorker);
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_flow.h
@@ -0,0 +1,123 @@
+#ifndef SHALLOTFORD_SRC_DAEMON_FLOW_H
+#define SHALLOTFORD_SRC_DAEMON_FLOW_H
+
+/// One request on its way through the pipeline, and the filters it passes.
+
+#include "daemon_engine.h"
+#include "daemon_openai.h"
+#include "shallotford/ledger.h"
+#include "shallotford/placement.h"
+
+#include <memory>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace shallotford {
+
+/// The current try of a model request at a pair of engines.
+struct FlowAttempt
+{
+  AttemptId m_id;
+  std::vector<std::string> m_excluded; ///< engines that failed this request
+  std::uint64_t m_position{ 0 };       ///< first token to generate
+  std::shared_ptr<const std::string> m_prompt; ///< with the text so far
+  std::uint32_t m_promptTokens{ 0 };
+  Placement m_placement;
+  std::optional<WorkId> m_work;
+  std::string m_import;                ///< empty until decode memory is claimed
+  std::string m_export;                ///< empty until the prefill is done
+  std::uint32_t m_computedTokens{ 0 }; ///< prefill work of this attempt
+  bool m_claiming{ false };
+  bool m_transferred{ false };
+  std::string m_plainServer;        ///< with a call under way; else empty
+  std::uint32_t m_decodeMoves{ 0 }; ///< decode engines tried after the first
+  TimePoint m_prefilledAt{};
+  std::vector<CallHandle> m_calls;
+  std::vector<TimersI::TimerId> m_timers;
+};
+
+/// Writes one model request's answer to its caller.
+struct FlowReply
+{
+  std::optional<CompletionWriter> m_writer;
+  std::string m_text; ///< of a whole answer
+  bool m_begun{ false };
+  bool m_ended{ false };
+  bool m_paused{ false };    ///< the caller reads slower than the engine writes
+  std::string m_eventPrefix; ///< of event ids, up to the position
+  std::uint64_t m_lastPosition{ 0 };
+  std::uint32_t m_tokens{ 0 };
+  std::optional<TimePoint> m_firstTokenAt;
+  TimePoint m_lastTokenAt{};
+};
+
+/// One request. Owned by the worker until it ends.
+struct Flow : std::enable_shared_from_this<Flow>
+{
+  std::shared_ptr<HttpExchangeI> m_exchange;
+  HttpRequest m_http;
+  TimePoint m_receivedAt{};
+  FleetPtr m_fleet; ///< in force when the request came
+  const ServiceEntry* m_service{ nullptr };
+  const ModelEntry* m_model{ nullptr };
+  std::string m_caller;
+  std::int32_t m_priority{ 0 };
+  std::string m_fingerprint;
+  RequestId m_id;
+  bool m_open{ false }; ///< has an entry in the ledger
+  double m_cost{ 0 };   ///< taken from the caller's limit
+  std::size_t m_step{ 0 };
+  QueuedRequest m_queued; ///< its place in the admission queue
+
+  // Model requests.
+  ModelCall m_call;
+  std::shared_ptr<const std::string> m_prompt;
+  std::uint32_t m_promptTokens{ 0 };
+  std::uint32_t m_maxTokens{ 0 };
+  std::vector<PrefixKey> m_prefixes;
+  std::optional<ResumeToken> m_resume;
+  FlowAttempt m_attempt;
+  FlowReply m_reply;
+
+  // Plain calls.
+  std::string m_plainPath; ///< below the service's name
+  bool m_repeatable{ true };
+  bool m_forwarded{ false }; ///< sent here by another VM
+  std::optional<TicketRef> m_ticket;
+};
+using FlowPtr = std::shared_ptr<Flow>;
+
+/// One step of the pipeline. A filter holds no state of single requests.
+class FilterI
+{
+public:
+  virtual ~FilterI() = default;
+  virtual std::string_view Name() const = 0;
+  /// Starts the step. When it is done the filter calls Pipeline::Next(), at
+  /// once or later; when it fails it tells the ledger.
+  /// @throws Error if the request is refused before it entered the ledger
+  virtual void Start(const FlowPtr& aFlow) = 0;
+};
+
+/// An ordered list of filters.
+class Pipeline
+{
+public:
+  void Add(std::unique_ptr<FilterI> aFilter);
+  /// Starts the first filter.
+  void Begin(const FlowPtr& aFlow);
+  /// Starts the filter behind the flow's current one.
+  void Next(const FlowPtr& aFlow);
+  /// Starts the filter named aName, for a further attempt.
+  void RestartAt(const FlowPtr& aFlow, std::string_view aName);
+  /// Names of the filters, in order.
+  std::vector<std::string_view> Names() const;
+
+private:
+  std::vector<std::unique_ptr<FilterI>> m_filters;
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_DAEMON_FLOW_H
--- /dev/null
+++ b/src/daemon_handlers.h
@@ -0,0 +1,28 @@
+#ifndef SHALLOTFORD_SRC_DAEMON_HANDLERS_H
+#define SHALLOTFORD_SRC_DAEMON_HANDLERS_H
+
+/// What the control task serves on the peers' and on the operators' port.
+
+#include "daemon_control.h"
+
+namespace shallotford {
+
+/// Serves other VMs: JSON-RPC at /rpc (gossip, fleet_text, owns, take_tickets)
+/// and ticketed calls at /forward/. All references must outlive the result.
+std::unique_ptr<HttpHandlerI>
+MakePeerHandler(ControlState& aState,
+                ConfigSync& aConfig,
+                GossipTask& aGossip,
+                SweepTask& aSweep);
+
+/// Serves operators: JSON-RPC at /rpc (status, upstreams, requests, explain,
+/// audit, fleet, drain).
+/// @param aDrain  begins a planned stop, given its cause
+std::unique_ptr<HttpHandlerI>
+MakeOperatorHandler(ControlState& aState,
+                    const OrderTask& aOrders,
+                    std::function<void(const std::string&)> aDrain);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_DAEMON_HANDLERS_H
--- /dev/null
+++ b/src/daemon_peer.cpp
@@ -0,0 +1,59 @@
+/// Asynchronous JSON-RPC calls to other VMs.
+
+#include "daemon_peer.h"
+
+#include "config.h"
+#include "shallotford/rpc.h"
+
+namespace shallotford {
+
+HttpPeer::HttpPeer(LoopI& aLoop, TlsFiles aTls)
+  : m_loop(aLoop)
+  , m_tls(std::move(aTls))
+{
+}
+
+void
+HttpPeer::Call(const std::string& aPeer,
+               const std::string& aMethod,
+               const Json::Value& aParams,
+               PeerDone aDone)
+{
+  std::uint64_t number = m_next++;
+  HttpCall call{ .m_method = "POST",
+                 .m_address = aPeer,
+                 .m_path = "/rpc",
+                 .m_headers = { { "content-type", "application/json" } },
+                 .m_body = RpcRequestBody(aMethod, aParams, number),
+                 .m_headersTimeout = kPeerTimeout,
+                 .m_tls = m_tls };
+  m_calls[number] = m_loop.Client().FetchWhole(
+    std::move(call),
+    [this, number, done = std::move(aDone)](HttpResult aResult) {
+      Finish(number, done, std::move(aResult));
+    });
+}
+
+void
+HttpPeer::Finish(std::uint64_t aNumber,
+                 const PeerDone& aDone,
+                 HttpResult aResult)
+{
+  // A handle must not be destroyed inside its own callback.
+  std::shared_ptr<HttpClientCallI> call = std::move(m_calls[aNumber]);
+  m_calls.erase(aNumber);
+  m_loop.Post([call] {});
+  if (aResult.m_failure) {
+    aDone(PeerFailure{ aResult.m_failure->m_progress,
+                       aResult.m_failure->m_reason });
+    return;
+  }
+  RpcReply reply = ParseRpcReply(aResult.m_reply->m_body);
+  if (!reply.m_ok) {
+    aDone(PeerFailure{ CallProgress::Answered, reply.m_error });
+    return;
+  }
+  aDone(std::move(reply.m_result));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_plain.cpp
@@ -0,0 +1,130 @@
+/// What the worker knows of plain services' servers, and the form of calls.
+
+#include "daemon_plain.h"
+
+#include "config.h"
+
+#include <algorithm>
+#include <array>
+
+namespace shallotford {
+
+namespace {
+
+/// Headers that belong to one connection (RFC 9110, 7.6.1), that the client
+/// library writes itself, or that only this program may set.
+constexpr std::array<std::string_view, 14> kConnectionHeaders = {
+  "connection",    "content-length",    "expect",  "host",
+  "keep-alive",    "proxy-connection",  "te",      "trailer",
+  "authorization", "transfer-encoding", "upgrade", "accept-encoding",
+  "x-caller",      "x-request-id",
+};
+
+bool
+IsConnectionHeader(const std::string& aName)
+{
+  return std::find(kConnectionHeaders.begin(),
+                   kConnectionHeaders.end(),
+                   aName) != kConnectionHeaders.end();
+}
+
+} // namespace
+
+bool
+PlainTable::Usable(const std::string& aServer, TimePoint aNow) const
+{
+  auto found = m_servers.find(aServer);
+  if (found == m_servers.end()) {
+    return true;
+  }
+  const Facts& facts = found->second;
+  return !facts.m_leaving && aNow >= facts.m_backOffUntil &&
+         aNow >= facts.m_leavingUntil;
+}
+
+std::size_t
+PlainTable::Running(const std::string& aServer) const
+{
+  auto found = m_servers.find(aServer);
+  return found == m_servers.end() ? 0 : found->second.m_running;
+}
+
+void
+PlainTable::OnStarted(const std::string& aServer)
+{
+  ++m_servers[aServer].m_running;
+}
+
+void
+PlainTable::OnEnded(const std::string& aServer)
+{
+  Facts& facts = m_servers[aServer];
+  if (facts.m_running > 0) {
+    --facts.m_running;
+  }
+}
+
+void
+PlainTable::OnAnswered(const std::string& aServer)
+{
+  m_servers[aServer].m_failures = 0;
+}
+
+void
+PlainTable::OnFailed(const std::string& aServer, TimePoint aNow)
+{
+  Facts& facts = m_servers[aServer];
+  std::uint32_t doublings = std::min(facts.m_failures, kMaxPlainDoublings);
+  ++facts.m_failures;
+  facts.m_backOffUntil = aNow + kPlainBackOff * (1u << doublings);
+}
+
+void
+PlainTable::OnLeaving(const std::string& aServer, TimePoint aNow)
+{
+  m_servers[aServer].m_leavingUntil = aNow + kLeavingWordLifetime;
+}
+
+void
+PlainTable::SetLeaving(const std::string& aServer, bool aLeaving)
+{
+  m_servers[aServer].m_leaving = aLeaving;
+}
+
+HttpHeaders
+PassedHeaders(const HttpHeaders& aHeaders)
+{
+  HttpHeaders passed;
+  for (const HttpHeader& header : aHeaders) {
+    if (!IsConnectionHeader(header.m_name)) {
+      passed.push_back(header);
+    }
+  }
+  return passed;
+}
+
+HttpCall
+PlainCall(const Flow& aFlow, const std::string& aServer, TimePoint aNow)
+{
+  HttpCall call;
+  call.m_method = aFlow.m_http.m_method;
+  call.m_address = aServer;
+  call.m_path = aFlow.m_plainPath;
+  if (!aFlow.m_http.m_query.empty()) {
+    call.m_path += '?' + aFlow.m_http.m_query;
+  }
+  call.m_headers = PassedHeaders(aFlow.m_http.m_headers);
+  call.m_headers.push_back({ "x-request-id", ToString(aFlow.m_id) });
+  if (!aFlow.m_caller.empty()) {
+    call.m_headers.push_back({ "x-caller", aFlow.m_caller });
+  }
+  call.m_body = aFlow.m_http.m_body;
+  Duration left = aFlow.m_receivedAt + aFlow.m_service->m_deadline - aNow;
+  auto milliseconds =
+    std::chrono::duration_cast<std::chrono::milliseconds>(left);
+  call.m_headersTimeout = std::max(milliseconds, kLeastPlainTimeout);
+  call.m_idleTimeout = call.m_headersTimeout;
+  return call;
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_platform.h
@@ -0,0 +1,80 @@
+#ifndef SHALLOTFORD_SRC_DAEMON_PLATFORM_H
+#define SHALLOTFORD_SRC_DAEMON_PLATFORM_H
+
+/// The platform's configuration service and VM list, as far as the daemon
+/// reads them. docs/ENGINE.md describes the calls.
+
+#include "shallotford/net.h"
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace shallotford {
+
+/// One answer to a watch of the fleet text.
+struct PlatformFleet
+{
+  std::string m_version;
+  std::optional<std::string> m_text; ///< nothing if there is no newer one
+};
+
+enum class PlatformVmKind
+{
+  Entry,
+  Engine,
+  Service,
+};
+
+struct PlatformVm
+{
+  std::string m_address;
+  PlatformVmKind m_kind{ PlatformVmKind::Entry };
+  bool m_leaving{ false };
+};
+
+/// One answer to a watch of the VM list.
+struct PlatformVms
+{
+  std::string m_version;
+  std::optional<std::vector<PlatformVm>> m_vms; ///< nothing if none is newer
+};
+
+/// Why the platform gave no answer.
+struct PlatformFailure
+{
+  std::string m_reason;
+};
+
+template<class Value>
+using PlatformDone = std::function<void(std::variant<Value, PlatformFailure>)>;
+
+/// Reads and watches the platform. Each call counts as one there, however long
+/// it waits.
+class PlatformI
+{
+public:
+  virtual ~PlatformI() = default;
+  /// @param aAfter  version that is known already; empty for any
+  /// @param aWait   longest time to wait for a newer one; zero: ask once
+  virtual std::unique_ptr<HttpClientCallI> WatchFleet(
+    const std::string& aAfter,
+    std::chrono::milliseconds aWait,
+    PlatformDone<PlatformFleet> aDone) = 0;
+  virtual std::unique_ptr<HttpClientCallI> WatchVms(
+    const std::string& aAfter,
+    std::chrono::milliseconds aWait,
+    PlatformDone<PlatformVms> aDone) = 0;
+};
+
+/// @param aClient   must outlive the result
+/// @param aAddress  the platform's "IP:PORT"
+std::unique_ptr<PlatformI>
+MakeHttpPlatform(HttpClientI& aClient, const std::string& aAddress);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_DAEMON_PLATFORM_H
--- /dev/null
+++ b/src/daemon_posting_exchange.h
@@ -0,0 +1,20 @@
+#ifndef SHALLOTFORD_SRC_DAEMON_POSTING_EXCHANGE_H
+#define SHALLOTFORD_SRC_DAEMON_POSTING_EXCHANGE_H
+
+/// Lets one task answer a request that came on another task's socket.
+
+#include "shallotford/net.h"
+
+namespace shallotford {
+
+/// Returns an exchange whose calls are posted to aOwner, the loop that aInner
+/// belongs to. Only whole answers are supported: Begin(), Write() and End()
+/// collect one. OnClosed() callbacks run on aUser's loop.
+std::shared_ptr<HttpExchangeI>
+MakePostingExchange(LoopI& aOwner,
+                    LoopI& aUser,
+                    std::shared_ptr<HttpExchangeI> aInner);
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_DAEMON_POSTING_EXCHANGE_H
--- /dev/null
+++ b/src/daemon_run.cpp
@@ -0,0 +1,174 @@
+/// Starts and stops the daemon's tasks.
+
+#include "daemon_run.h"
+
+#include "config.h"
+#include "daemon_control.h"
+#include "daemon_worker.h"
+
+#include <csignal>
+#include <cstdio>
+#include <thread>
+
+namespace shallotford {
+
+namespace {
+
+/// Signals that the signal task takes; every other thread blocks them.
+sigset_t
+HandledSignals()
+{
+  sigset_t signals;
+  sigemptyset(&signals);
+  sigaddset(&signals, SIGTERM);
+  sigaddset(&signals, SIGINT);
+  sigaddset(&signals, SIGHUP);
+  return signals;
+}
+
+/// Ends the signal task. No signal of this number has another use here.
+constexpr int kStopSignal = SIGUSR2;
+
+/// Waits for signals and turns them into calls on the control loop.
+class SignalTask
+{
+public:
+  SignalTask(LoopI& aControlLoop, LoopI& aWorkerLoop, ControlTask& aControl)
+    : m_controlLoop(aControlLoop)
+    , m_workerLoop(aWorkerLoop)
+    , m_control(aControl)
+    , m_thread([this] { Run(); })
+  {
+  }
+
+  ~SignalTask()
+  {
+    pthread_kill(m_thread.native_handle(), kStopSignal);
+    m_thread.join();
+  }
+
+  SignalTask(const SignalTask&) = delete;
+  SignalTask& operator=(const SignalTask&) = delete;
+
+private:
+  void Run()
+  {
+    sigset_t signals = HandledSignals();
+    sigaddset(&signals, kStopSignal);
+    for (;;) {
+      int signal = 0;
+      sigwait(&signals, &signal);
+      if (signal == kStopSignal) {
+        return;
+      }
+      if (signal == SIGHUP) {
+        Reload();
+        continue;
+      }
+      m_controlLoop.Post([this] { m_control.Drain("signal"); });
+    }
+  }
+
+  void Reload()
+  {
+    m_controlLoop.Post([this] { m_controlLoop.ReloadCertificates(); });
+    m_workerLoop.Post([this] { m_workerLoop.ReloadCertificates(); });
+  }
+
+  LoopI& m_controlLoop;
+  LoopI& m_workerLoop;
+  ControlTask& m_control;
+  std::thread m_thread;
+};
+
+void
+BlockSignals()
+{
+  sigset_t signals = HandledSignals();
+  sigaddset(&signals, kStopSignal);
+  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
+}
+
+VmIncarnation
+BootIncarnation(const Settings& aSettings)
+{
+  return { .m_address = aSettings.m_peerAddress,
+           .m_incarnation = MakeSystemRandom()->Next() };
+}
+
+std::uint64_t
+BootOrder()
+{
+  auto sinceEpoch = std::chrono::system_clock::now().time_since_epoch();
+  return static_cast<std::uint64_t>(
+    std::chrono::duration_cast<std::chrono::seconds>(sinceEpoch).count());
+}
+
+} // namespace
+
+void
+RunDaemon(const Settings& aSettings)
+{
+  BlockSignals();
+  auto log = MakeLog(aSettings.m_logLevel);
+  VmIncarnation vm = BootIncarnation(aSettings);
+
+  auto workerLoop = MakeLoop({ .m_name = "worker" });
+  auto workerEngine = MakeHttpEngine(workerLoop->Client());
+  auto workerRandom = MakeSystemRandom();
+  auto clock = MakeSystemClock();
+  Worker worker(
+    { .m_settings = aSettings, .m_vm = vm, .m_ticketKey = MakeTicketKey() },
+    *workerLoop,
+    *workerEngine,
+    *log,
+    *workerRandom,
+    *clock);
+
+  auto controlLoop = MakeLoop({ .m_name = "control" });
+  auto controlEngine = MakeHttpEngine(controlLoop->Client());
+  auto controlRandom = MakeSystemRandom();
+  auto platform =
+    MakeHttpPlatform(controlLoop->Client(), aSettings.m_platformAddress);
+  HttpPeer peer(*controlLoop, worker.PeerTls());
+  ControlTask control(
+    { .m_settings = aSettings, .m_vm = vm, .m_bootOrder = BootOrder() },
+    *controlLoop,
+    *controlEngine,
+    *platform,
+    peer,
+    *log,
+    *controlRandom);
+
+  Mailbox<ControlMessage> toWorker(*workerLoop,
+                                   [&worker](ControlMessage aMessage) {
+                                     worker.OnMessage(std::move(aMessage));
+                                   });
+  Mailbox<WorkerMessage> toControl(*controlLoop,
+                                   [&control](WorkerMessage aMessage) {
+                                     control.OnMessage(std::move(aMessage));
+                                   });
+  worker.SetControlSink([&toControl](WorkerMessage aMessage) {
+    toControl.Send(std::move(aMessage));
+  });
+  control.SetOnDrained([&workerLoop, &controlLoop] {
+    workerLoop->Stop();
+    controlLoop->Stop();
+  });
+
+  worker.Start();
+  control.Start([&toWorker](ControlMessage aMessage) {
+    toWorker.Send(std::move(aMessage));
+  });
+  log->Write(LogEvent("started")
+               .Add("vm", ToString(vm))
+               .Add("callers", aSettings.m_callerAddress)
+               .Add("version", SHALLOTFORD_VERSION));
+  SignalTask signals(*controlLoop, *workerLoop, control);
+  std::thread workerThread([&workerLoop] { workerLoop->Run(); });
+  controlLoop->Run();
+  workerThread.join();
+  log->Write(LogEvent("stopped").Add("vm", ToString(vm)));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/daemon_worker.h
@@ -0,0 +1,229 @@
+#ifndef SHALLOTFORD_SRC_DAEMON_WORKER_H
+#define SHALLOTFORD_SRC_DAEMON_WORKER_H
+
+/// The worker task: it owns the callers' socket, the calls to upstreams and
+/// every decision about requests. All of it runs on one loop.
+
+#include "daemon_callers.h"
+#include "daemon_flow.h"
+#include "daemon_messages.h"
+#include "daemon_metrics.h"
+#include "daemon_plain.h"
+
+#include <deque>
+#include <map>
+#include <set>
+
+namespace shallotford {
+
+struct WorkerOptions
+{
+  Settings m_settings;
+  VmIncarnation m_vm;
+  std::string m_placer{ "joint" };
+  TicketKey m_ticketKey{};
+};
+
+/// State that the filters of one worker share. Plain parts, each with one job.
+struct WorkerState
+{
+  WorkerState(const WorkerOptions& aOptions,
+              LoopI& aLoop,
+              EngineI& aEngine,
+              LogI& aLog,
+              RandomI& aRandom,
+              const ClockI& aClock);
+
+  WorkerOptions m_options;
+  LoopI& m_loop;
+  EngineI& m_engine;
+  LogI& m_log;
+  RandomI& m_random;
+  const ClockI& m_clock; ///< of wall time; decisions use the loop's
+
+  FleetPtr m_fleet;               ///< in force; null until the first one
+  std::vector<std::string> m_vms; ///< peer addresses on the VM list
+  std::vector<TicketSuccession> m_successions;
+
+  CallerDirectory m_callers;
+  CallerLimits m_limits;
+  AdmissionQueue m_queue;
+  EngineTable m_table;
+  PlainTable m_plain;
+  std::unique_ptr<PlacerI> m_placer;
+  RetryPolicy m_retries;
+  Ledger m_ledger;
+  TicketOffice m_tickets;
+  PoisonTracker m_poison;
+  CancelQueue m_cancels;
+  GoodputMeter m_goodput;
+  Metrics m_metrics;
+};
+
+/// Runs flows: applies ledger events and carries out the ledger's actions.
+class Worker : public HttpHandlerI
+{
+public:
+  /// All references must outlive the worker.
+  Worker(const WorkerOptions& aOptions,
+         LoopI& aLoop,
+         EngineI& aEngine,
+         LogI& aLog,
+         RandomI& aRandom,
+         const ClockI& aClock);
+  ~Worker() override;
+
+  /// Opens the callers' port and starts the periodic work.
+  void Start();
+  std::uint16_t CallerPort() const;
+  /// Messages of the control task. @param aReply may be empty
+  void OnMessage(ControlMessage aMessage);
+  /// Where messages to the control task go.
+  void SetControlSink(std::function<void(WorkerMessage)> aSink);
+
+  void OnRequest(std::shared_ptr<HttpExchangeI> aExchange,
+                 HttpRequest aRequest) override;
+
+  // For the filters.
+  WorkerState& State() { return m_state; }
+  TimePoint Now() const { return m_state.m_loop.Now(); }
+  /// Applies a ledger event of a flow and carries out what follows.
+  void Apply(const FlowPtr& aFlow, LedgerEvent aEvent);
+  /// Opens the ledger entry of a flow that passed the first filters.
+  void Open(const FlowPtr& aFlow, RequestSpec aSpec);
+  void Next(const FlowPtr& aFlow);
+  /// Ends the flow's current attempt on this side: closes its calls and timers
+  /// and settles its work in the engine table.
+  void DropAttempt(Flow& aFlow);
+  /// Lets waiting requests go on in fair order.
+  void Dispatch();
+  /// Puts a flow back into the queue if capacity may come up in time.
+  /// @returns false if the refusal is final
+  bool WaitForCapacity(const FlowPtr& aFlow, const PlacementRefusal& aRefusal);
+  /// An engine broke a connection: asks it at once whether it lives, since a
+  /// crash concerns every request on it, and then applies aFailure.
+  void CheckEngine(const std::string& aEngine,
+                   const FlowPtr& aFlow,
+                   ledger_event::AttemptFailed aFailure);
+  /// Keeps call handles alive until the loop's next turn: a handle must not be
+  /// destroyed inside its own callback.
+  void Discard(std::vector<CallHandle> aCalls);
+  void Discard(CallHandle aCall);
+  /// Whether a service has a live upstream for every part of its work.
+  bool IsServiceUp(const std::string& aService) const;
+  /// Certificates for calls to other VMs.
+  TlsFiles PeerTls() const;
+  /// An upstream said by itself whether it is leaving.
+  void ReportLeaving(const std::string& aUpstream, bool aLeaving);
+  /// Sends a plain flow's answer and ends it.
+  void Deliver(const FlowPtr& aFlow,
+               int aStatus,
+               const HttpHeaders& aHeaders,
+               std::string_view aBody);
+  /// Keeps a flow that waits for the answer of the same ticket's running call.
+  void WaitForTicket(const FlowPtr& aFlow, const TicketRef& aTicket);
+  /// Answers the flows that waited for aTicket.
+  void ReleaseTicketWaiters(const TicketRef& aTicket);
+  /// Refuses a flow with aError; none of it ran here.
+  void Refuse(const FlowPtr& aFlow, const Error& aError);
+
+private:
+  void Route(const FlowPtr& aFlow);
+  void Perform(LedgerActions aActions);
+  void PerformOne(ledger_action::StartAttempt& aAction);
+  void PerformOne(ledger_action::DeliverToken& aAction);
+  void PerformOne(ledger_action::CancelHoldings& aAction);
+  void PerformOne(ledger_action::EndRequest& aAction);
+  void BeginAttempt(const FlowPtr& aFlow);
+  void Finish(const FlowPtr& aFlow, const ledger_action::EndRequest& aEnd);
+  void Tick();
+  void PumpCancels();
+  void PollEngines();
+  void PollEngine(const std::string& aEngine);
+  /// A question whether an engine lives, and the failures that wait for it.
+  struct EngineCheck
+  {
+    CallHandle m_call;
+    std::vector<std::pair<FlowPtr, ledger_event::AttemptFailed>> m_failures;
+  };
+  void OnEngineChecked(const std::string& aEngine,
+                       const EngineResult<std::vector<EngineHolding>>& aResult);
+  void OnEngineDown(const std::string& aEngine);
+  void OnEngineCrashed(const std::string& aEngine);
+  void OnLoadReport(const std::string& aEngine,
+                    const EngineResult<LoadReport>& aResult);
+  void PollCacheEvents(const std::string& aEngine);
+  void AttachStream(const FlowPtr& aFlow);
+  void WriteToken(Flow& aFlow, const ledger_action::DeliverToken& aToken);
+  void WriteEnd(Flow& aFlow, const ledger_action::EndRequest& aEnd);
+  void CountEnd(const Flow& aFlow, const ledger_action::EndRequest& aEnd);
+  void RespondError(Flow& aFlow, const Error& aError);
+  void TakeEngines(const FleetText& aFleet);
+  void TakeCacheEvents(const std::string& aEngine,
+                       std::uint64_t aCursor,
+                       const EngineCacheEvents& aEvents);
+  bool LostStreams(const std::string& aEngine,
+                   const EngineResult<std::vector<EngineHolding>>& aResult);
+  void EndConvicted(const std::string& aFingerprint);
+  void SendCancel(const CancelCall& aCancel);
+  void Enqueue(const FlowPtr& aFlow);
+  void ExpireQueue();
+  void RefuseQueued(const FlowPtr& aFlow, const PlacementRefusal& aRefusal);
+  void BeginStream(Flow& aFlow, std::string& aOut);
+  void HoldBack(Flow& aFlow);
+  void WriteAnswerEnd(Flow& aFlow, const ledger_action::EndRequest& aEnd);
+  void SettleTicket(Flow& aFlow, const ledger_action::EndRequest& aEnd);
+  void IssueTicket(const FlowPtr& aFlow);
+  /// @throws Error (NotReady, ShuttingDown) if requests are not served now
+  void CheckServing() const;
+  void AnswerHealth(const FlowPtr& aFlow);
+  WorkerSnapshot TakeSnapshot(const std::optional<RequestId>& aRequest) const;
+  EngineSnapshot Describe(const EngineFacts& aEngine) const;
+  void UpdateGauges();
+  /// Sends this worker's figures to the control task, periodically.
+  void Report();
+  void Receive(FleetInForce& aMessage);
+  void Receive(MembershipView& aMessage);
+  void Receive(PeerNews& aMessage);
+  void Receive(ForwardedCall& aMessage);
+  void Receive(SnapshotQuery& aMessage);
+  void Receive(OwnershipQuery& aMessage);
+  void Receive(DrainCommand& aMessage);
+  void Receive(TicketHandOver& aMessage);
+  void Receive(TicketSuccessions& aMessage);
+  void Receive(UpstreamLeaving& aMessage);
+  void Receive(PlatformReady& aMessage);
+  void CheckDrained();
+
+  WorkerState m_state;
+  Pipeline m_modelPipeline;
+  Pipeline m_plainPipeline;
+  std::unique_ptr<HttpServerI> m_server;
+  std::map<RequestId, FlowPtr> m_flows;
+  std::map<std::uint64_t, FlowPtr> m_waiting; ///< by admission queue id
+  std::map<TicketRef, std::vector<FlowPtr>> m_ticketWaiters;
+  std::deque<LedgerAction> m_actions;
+  bool m_performing{ false };
+  bool m_dispatching{ false };
+  bool m_blocked{ false }; ///< the next waiting request found no capacity
+  bool m_cancelsDue{ false };
+  bool m_ready{ false };
+  bool m_drained{ false };
+  std::vector<std::string> m_engines; ///< addresses of the text in force
+  std::size_t m_nextPoll{ 0 };
+  std::map<std::string, CallHandle> m_polls; ///< load reports under way
+  std::map<std::string, CallHandle> m_eventPolls;
+  std::map<std::string, std::uint64_t> m_cacheCursor;
+  std::map<std::string, std::uint32_t> m_failedPolls;
+  std::map<std::string, EngineCheck> m_checks;
+  std::set<std::string> m_leaving; ///< upstreams that said so themselves
+  std::uint64_t m_nextWaiting{ 1 };
+  std::optional<TimePoint> m_drainingSince;
+  std::uint64_t m_nextCancel{ 0 };
+  std::map<std::uint64_t, CallHandle> m_cancelCalls;
+  std::function<void(WorkerMessage)> m_control;
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_DAEMON_WORKER_H
--- /dev/null
+++ b/src/main_daemon.cpp
@@ -0,0 +1,97 @@
+/// shallotfordd: the daemon on every entry VM.
+
+#include "daemon_run.h"
+
+#include <docopt/docopt.h>
+#include <fstream>
+#include <iostream>
+#include <sstream>
+
+namespace {
+
+constexpr const char* kUsage =
+  R"(shallotfordd - routes requests to separate prefill and decode pools.
+
+Usage:
+  shallotfordd --config FILE [--check]
+  shallotfordd --help
+  shallotfordd --version
+
+Options:
+  --config FILE  Settings of this VM, in JSON (docs/CONFIG.md).
+  --check        Check the settings and exit.
+  -h --help      Show this text.
+  --version      Show the version.
+
+SIGTERM begins a planned stop: the VM turns unready, lets every request in
+flight finish and exits with 0. SIGHUP re-reads the certificates.
+
+Exit codes: 0 stopped as planned, 1 failed, 2 wrong command line or settings.
+)";
+
+constexpr int kExitFailed = 1;
+constexpr int kExitUsage = 2;
+
+std::string
+ReadFile(const std::string& aName)
+{
+  std::ifstream file(aName);
+  if (!file) {
+    throw shallotford::Error(shallotford::ErrorKind::InvalidConfig,
+                             aName + ": cannot be read",
+                             "Name a settings file that exists.");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void
+Report(const shallotford::Error& aError)
+{
+  std::cerr << aError.what() << "\n  remedy: " << aError.Remedy() << '\n';
+}
+
+} // namespace
+
+int
+main(int aCount, char** aValues)
+{
+  std::map<std::string, docopt::value> arguments;
+  try {
+    arguments = docopt::docopt_parse(
+      kUsage, { aValues + 1, aValues + aCount }, true, true);
+  } catch (const docopt::DocoptExitHelp&) {
+    std::cout << kUsage;
+    return 0;
+  } catch (const docopt::DocoptExitVersion&) {
+    std::cout << "shallotfordd " << SHALLOTFORD_VERSION << '\n';
+    return 0;
+  } catch (const std::exception&) {
+    std::cerr << kUsage;
+    return kExitUsage;
+  }
+  shallotford::Settings settings;
+  try {
+    std::string name = arguments["--config"].asString();
+    settings = shallotford::ParseSettings(ReadFile(name), name);
+  } catch (const shallotford::Error& error) {
+    Report(error);
+    return kExitUsage;
+  }
+  if (arguments["--check"].asBool()) {
+    std::cout << "settings are valid\n";
+    return 0;
+  }
+  try {
+    shallotford::RunDaemon(settings);
+  } catch (const shallotford::Error& error) {
+    Report(error);
+    return error.Kind() == shallotford::ErrorKind::InvalidConfig ? kExitUsage
+                                                                 : kExitFailed;
+  } catch (const std::exception& exception) {
+    std::cerr << "shallotfordd: " << exception.what() << '\n';
+    return kExitFailed;
+  }
+  return 0;
+}
--- a/tools/standin_engine.cpp
+++ b/tools/standin_engine.cpp
@@ -44,6 +44,7 @@
   data["done"] = true;
   data["finish_reason"] = aHolding.m_finishReason;
   data["output_tokens"] = aHolding.m_next - aHolding.m_start;
+  data["end"] = aHolding.m_next;
   aExchange.Write("id: " + std::to_string(aHolding.m_next) +
                   "\ndata: " + WriteJson(data) + "\n\n");
   aExchange.End();
