Ask VMs before their silence counts against their streams

Cause: the sweeper took a VM that was never asked for one that had not answered, and swept streams of live VMs; a stream cancelled at its engine was read as a broken connection and counted as a crash. Headers that the net library does not list, such as x-leaving, were never seen.

Change: silence counts from the oldest unanswered question, VMs that hold streams are asked once a second, the event "cancelled" is a lost stream, and the two missing headers are listed.

--- a/src/config.h
+++ b/src/config.h
@@ -19,10 +19,23 @@
 /// Headers outside libwebsockets' own table that are read from requests and
 /// answers, in lower case.
 constexpr std::string_view kCustomHeaders[] = {
-  "idempotency-key",     "last-event-id",  "x-request-id",  "x-version",
-  "openai-organization", "openai-project", "traceparent",   "tracestate",
-  "x-api-key",           "x-region",       "x-deadline-ms", "x-forwarded-by",
-  "x-replayed",          "x-run",          "x-remedy",
+  "idempotency-key",
+  "last-event-id",
+  "x-request-id",
+  "x-version",
+  "openai-organization",
+  "openai-project",
+  "traceparent",
+  "tracestate",
+  "x-api-key",
+  "x-region",
+  "x-deadline-ms",
+  "x-forwarded-by",
+  "x-replayed",
+  "x-run",
+  "x-remedy",
+  "x-leaving",
+  "x-caller",
 };
 /// Header storage of one request, above any ServerOptions::m_maxHeaders, so
 /// that requests with too large headers can be answered.
@@ -78,6 +91,7 @@
 constexpr std::chrono::milliseconds kPlatformTick = 100ms;
 constexpr std::chrono::milliseconds kGossipTick = 100ms;
 constexpr std::chrono::milliseconds kSweepTick = 500ms;
+constexpr std::chrono::milliseconds kSweepPing = 1'000ms;
 constexpr std::chrono::milliseconds kOrderTick = 500ms;
 constexpr std::chrono::milliseconds kBeat = 200ms;
 constexpr std::chrono::milliseconds kLeavingRumorLifetime = 60'000ms;
--- a/src/daemon_control.h
+++ b/src/daemon_control.h
@@ -146,8 +146,13 @@
   /// What direct questions showed of one VM.
   struct Contact
   {
+    explicit Contact(VmIncarnation aVm)
+      : m_vm(std::move(aVm))
+    {
+    }
     VmIncarnation m_vm;
-    TimePoint m_answeredAt;
+    TimePoint m_askedAt{};
+    std::optional<TimePoint> m_unansweredSince; ///< the oldest such question
   };
 
   void Tick();
@@ -155,6 +160,8 @@
   void Sweep(const std::string& aEngine);
   void OnList(const std::string& aEngine,
               const EngineResult<std::vector<EngineHolding>>& aResult);
+  void Ping(const Contact& aContact);
+  void NoteAsked(const std::string& aAddress);
   void Ask(const std::string& aEngine, const SweepQuestion& aQuestion);
   void OnAnswer(const std::string& aEngine, const SweepAnswer& aAnswer);
   void CancelStream(const std::string& aEngine, const AttemptId& aStream);
--- a/src/daemon_control_sweep.cpp
+++ b/src/daemon_control_sweep.cpp
@@ -136,7 +136,6 @@
 std::vector<SweepMember>
 SweepTask::Members(const std::vector<HeldStream>& aStreams)
 {
-  TimePoint now = m_state.Now();
   const VmIncarnation& self = m_state.m_options.m_vm;
   std::vector<SweepMember> members{ { .m_vm = self, .m_silentFor = {} } };
   std::set<std::string> seen{ self.m_address };
@@ -145,21 +144,49 @@
     if (!seen.insert(vm.m_address).second) {
       continue;
     }
-    auto [contact, fresh] =
-      m_contacts.try_emplace(vm.m_address, Contact{ vm, now });
+    Contact& contact = m_contacts.try_emplace(vm.m_address, vm).first->second;
     std::uint64_t known = m_state.m_membership.IncarnationOf(vm.m_address);
     if (known != 0) {
-      contact->second.m_vm = { vm.m_address, known };
+      contact.m_vm = { vm.m_address, known };
     }
-    members.push_back({ .m_vm = contact->second.m_vm,
-                        .m_silentFor = now - contact->second.m_answeredAt });
+    Ping(contact);
+    Duration silent{ 0 };
+    if (contact.m_unansweredSince) {
+      silent = m_state.Now() - *contact.m_unansweredSince;
+    }
+    members.push_back({ .m_vm = contact.m_vm, .m_silentFor = silent });
   }
   return members;
 }
 
+/// Asks a VM for nothing, to hear whether it answers at all.
+void
+SweepTask::Ping(const Contact& aContact)
+{
+  bool due = m_state.Now() - aContact.m_askedAt >= kSweepPing;
+  if (due && m_state.m_membership.IsListed(aContact.m_vm.m_address)) {
+    Ask("", { .m_address = aContact.m_vm.m_address });
+  }
+}
+
+void
+SweepTask::NoteAsked(const std::string& aAddress)
+{
+  auto contact = m_contacts.find(aAddress);
+  if (contact == m_contacts.end()) {
+    return;
+  }
+  contact->second.m_askedAt = m_state.Now();
+  if (!contact->second.m_unansweredSince) {
+    contact->second.m_unansweredSince = m_state.Now();
+  }
+}
+
+/// @param aEngine  whose streams are asked for; empty for a ping
 void
 SweepTask::Ask(const std::string& aEngine, const SweepQuestion& aQuestion)
 {
+  NoteAsked(aQuestion.m_address);
   Json::Value params(Json::objectValue);
   params["streams"] = ToJsonList(aQuestion.m_streams);
   std::uint64_t round = aQuestion.m_round;
@@ -193,8 +220,14 @@
 void
 SweepTask::OnAnswer(const std::string& aEngine, const SweepAnswer& aAnswer)
 {
-  m_contacts[aAnswer.m_vm.m_address] = { aAnswer.m_vm, m_state.Now() };
-  m_sweeps[aEngine].m_sweeper->OnAnswer(aAnswer);
+  auto contact = m_contacts.find(aAnswer.m_vm.m_address);
+  if (contact != m_contacts.end()) {
+    contact->second.m_vm = aAnswer.m_vm;
+    contact->second.m_unansweredSince.reset();
+  }
+  if (!aEngine.empty()) {
+    m_sweeps[aEngine].m_sweeper->OnAnswer(aAnswer);
+  }
 }
 
 void
@@ -205,13 +238,13 @@
   query.m_streams = ReadStreams(aParams["streams"]);
   LoopI& loop = m_state.m_loop;
   std::string name = ToString(m_state.m_options.m_vm);
-  query.m_reply =
-    [&loop, name, reply = std::move(aReply)](std::vector<AttemptId> aOwned) {
-      Json::Value result(Json::objectValue);
-      result["vm"] = name;
-      result["owned"] = ToJsonList(aOwned);
-      loop.Post([reply, result] { reply(result); });
-    };
+  query.m_reply = [&loop, name, reply = std::move(aReply)](
+                    const std::vector<AttemptId>& aOwned) {
+    Json::Value result(Json::objectValue);
+    result["vm"] = name;
+    result["owned"] = ToJsonList(aOwned);
+    loop.Post([reply, result] { reply(result); });
+  };
   m_state.m_toWorker(std::move(query));
 }
 
--- a/src/daemon_token_stream.cpp
+++ b/src/daemon_token_stream.cpp
@@ -79,6 +79,11 @@
       m_sink->OnSuperseded();
       return;
     }
+    if (aEvent.m_event == "cancelled") {
+      Fail({ .m_fault = EngineFault::Gone,
+             .m_reason = "the stream was cancelled at the engine" });
+      return;
+    }
     Json::Value data = ParseJson(aEvent.m_data);
     if (data["done"].asBool()) {
       m_ended = true;
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -106,7 +106,7 @@
       owned.push_back(stream);
     }
   }
-  aMessage.m_reply(std::move(owned));
+  aMessage.m_reply(owned);
 }
 
 void
--- a/tests/fake_engine.h
+++ b/tests/fake_engine.h
@@ -72,7 +72,7 @@
     Note(aEngine,
          "decode " + ToString(aCall.m_stream) + " from " +
            std::to_string(aCall.m_start));
-    return Stream(aEngine, aCall.m_start, std::move(aSink));
+    return Stream(aEngine, aCall.m_start, aSink);
   }
 
   CallHandle Attach(const std::string& aEngine,
@@ -82,7 +82,7 @@
   {
     Note(aEngine,
          "attach " + ToString(aStream) + " from " + std::to_string(aFrom));
-    return Stream(aEngine, aFrom, std::move(aSink));
+    return Stream(aEngine, aFrom, aSink);
   }
 
   CallHandle Cancel(const std::string& aEngine,
@@ -178,10 +178,10 @@
 
   CallHandle Stream(const std::string& aEngine,
                     std::uint64_t aFrom,
-                    std::shared_ptr<TokenSinkI> aSink)
+                    const std::shared_ptr<TokenSinkI>& aSink)
   {
     auto alive = std::make_shared<bool>(true);
-    Step(aEngine, aFrom, std::move(aSink), alive);
+    Step(aEngine, aFrom, aSink, alive);
     return std::make_unique<Handle>(alive);
   }
 
