Answer forwarded JSON-RPC calls later than the dispatcher can

Cause: two calls between peers are answered by the worker task, and the dispatcher of the rpc library answers at once.

Change: the rpc library reads a request's envelope and writes a reply's, so that a handler can answer later; the daemon uses it for "owns" and "take_tickets".

Conclusion: dispatch by the library, answers by message.

--- a/include/shallotford/rpc.h
+++ b/include/shallotford/rpc.h
@@ -86,6 +86,24 @@
 Json::Value
 ParseRpcReply(const std::string& aBody, Json::Int64 aId);
 
+/// A request, read as far as dispatching needs. All members are empty if the
+/// text is no request.
+struct RpcCall
+{
+  std::string m_method;
+  Json::Value m_params;
+  Json::Value m_id;
+};
+
+/// Reads a request that is answered later than Handle() can; never throws.
+RpcCall
+ParseRpcCall(const std::string& aBody);
+/// Returns the text of the reply to request aId.
+std::string
+RpcResultBody(const Json::Value& aId, const Json::Value& aResult);
+std::string
+RpcErrorBody(const Json::Value& aId, int aCode, const std::string& aMessage);
+
 } // namespace shallotford
 
 #endif // SHALLOTFORD_RPC_H
--- a/src/daemon_handler_operator.cpp
+++ b/src/daemon_handler_operator.cpp
@@ -63,7 +63,7 @@
         try {
           return method(aParams);
         } catch (const Error& error) {
-          throw RpcError(kRpcServerError,
+          throw RpcError(kRpcApplicationError,
                          std::string(error.what()) + " " + error.Remedy());
         }
       });
--- a/src/daemon_handler_peer.cpp
+++ b/src/daemon_handler_peer.cpp
@@ -62,7 +62,7 @@
     try {
       return aFunction();
     } catch (const Error& error) {
-      throw RpcError(kRpcServerError, error.what());
+      throw RpcError(kRpcApplicationError, error.what());
     }
   }
 
@@ -91,8 +91,9 @@
                        RespondRpc(*aExchange, RpcResultBody(id, aResult));
                      });
     } catch (const std::exception& exception) {
-      RespondRpc(*aExchange,
-                 RpcErrorBody(aCall.m_id, kRpcServerError, exception.what()));
+      RespondRpc(
+        *aExchange,
+        RpcErrorBody(aCall.m_id, kRpcApplicationError, exception.what()));
     }
   }
 
--- a/src/daemon_peer.cpp
+++ b/src/daemon_peer.cpp
@@ -24,7 +24,8 @@
                  .m_address = aPeer,
                  .m_path = "/rpc",
                  .m_headers = { { "content-type", "application/json" } },
-                 .m_body = RpcRequestBody(aMethod, aParams, number),
+                 .m_body = RpcRequestBody(
+                   aMethod, aParams, static_cast<Json::Int64>(number)),
                  .m_headersTimeout = kPeerTimeout,
                  .m_tls = m_tls };
   m_calls[number] = m_loop.Client().FetchWhole(
@@ -48,12 +49,14 @@
                        aResult.m_failure->m_reason });
     return;
   }
-  RpcReply reply = ParseRpcReply(aResult.m_reply->m_body);
-  if (!reply.m_ok) {
-    aDone(PeerFailure{ CallProgress::Answered, reply.m_error });
-    return;
+  PeerResult result;
+  try {
+    result =
+      ParseRpcReply(aResult.m_reply->m_body, static_cast<Json::Int64>(aNumber));
+  } catch (const RpcError& error) {
+    result = PeerFailure{ CallProgress::Answered, error.what() };
   }
-  aDone(std::move(reply.m_result));
+  aDone(std::move(result));
 }
 
 } // namespace shallotford
