--- a/src/ctl_call.cpp
+++ b/src/ctl_call.cpp
@@ -15,7 +15,8 @@
 AddressRemedy()
 {
   return "Name the address that \"operators.listen\" gives in the daemon's "
-         "settings, and check that the daemon runs.";
+         "settings, and check that the daemon runs; if the settings have "
+         "\"peers.tls\", give --cert, --key and --authority too.";
 }
 
 VmAnswer
--- a/tests/ctl_test.cpp
+++ b/tests/ctl_test.cpp
@@ -7,6 +7,7 @@
 #include "ctl_command.h"
 #include "ctl_plan.h"
 #include "ctl_table.h"
+#include "net_certificates.h"
 #include "net_fixture.h"
 #include "shallotford/ctl.h"
 
@@ -86,10 +87,13 @@
 class FakeOperators
 {
 public:
-  FakeOperators()
-    : m_server(m_loop, [this](const auto& aExchange, const auto& aRequest) {
-      Answer(*aExchange, aRequest);
-    })
+  explicit FakeOperators(const ServerOptions& aOptions = {})
+    : m_server(
+        m_loop,
+        [this](const auto& aExchange, const auto& aRequest) {
+          Answer(*aExchange, aRequest);
+        },
+        aOptions)
   {
   }
 
@@ -323,6 +327,36 @@
   BOOST_TEST(Contains(result.m_err, "operators.listen"));
 }
 
+BOOST_AUTO_TEST_CASE(MutualTlsNeedsCertificatesOfTheAuthority)
+{
+  TestAuthority authority("fleet");
+  TestAuthority stranger("stranger");
+  TlsFiles ours = authority.Issue("operator", "127.0.0.1");
+  TlsFiles theirs = stranger.Issue("operator", "127.0.0.1");
+  ServerOptions options;
+  options.m_tls = authority.Issue("vm", "127.0.0.1");
+  options.m_tls.m_peerAuthority = authority.File();
+  FakeOperators vm(options);
+  vm.Set("status", kStatus);
+  auto status = [&](const TlsFiles& aFiles) {
+    return Run({ "status",
+                 "--vm",
+                 vm.Address(),
+                 "--cert",
+                 aFiles.m_certificate,
+                 "--key",
+                 aFiles.m_key,
+                 "--authority",
+                 authority.File() });
+  };
+  BOOST_TEST((status(ours).m_exit == CtlExit::Ok));
+  BOOST_TEST((status(theirs).m_exit == CtlExit::Failed));
+  RunResult plain = Run({ "status", "--vm", vm.Address() });
+  BOOST_TEST((plain.m_exit == CtlExit::Failed));
+  BOOST_TEST(Contains(plain.m_err, "give --cert, --key and --authority"));
+  BOOST_TEST(vm.m_calls == 1);
+}
+
 BOOST_AUTO_TEST_CASE(AnswersThatAreNoRpcFail)
 {
   for (const char* body : { "",
