Mend a use after free when a server ends before its connections

Cause: libwebsockets ends some connections after the vhost they belong to was given up, and its vhost still pointed at the destroyed server. Change: the vhost points at a slot that the loop keeps and that is empty once the server is gone; the server ends its own side of every connection itself. Measured: under AddressSanitizer and UBSan all six test programs of net and rpc stopped with heap-use-after-free before; all six pass after, without leaks. Conclusion: servers may be destroyed while requests are under way.

--- a/src/net_loop.h
+++ b/src/net_loop.h
@@ -43,6 +43,11 @@
   lws_context* Context() const { return m_context; }
   ArrivalWatch& Arrivals() { return m_arrivals; }
   const LoopOptions& Options() const { return m_options; }
+  /// Keeps what a server's vhost points at until the context is destroyed.
+  void KeepServerSlot(std::shared_ptr<HttpServer*> aSlot)
+  {
+    m_serverSlots.push_back(std::move(aSlot));
+  }
   void RemoveServer(HttpServer* aServer) { m_servers.erase(aServer); }
 
 private:
@@ -66,6 +71,7 @@
   std::atomic<bool> m_stop{ false };
   std::atomic<std::thread::id> m_thread;
   std::set<HttpServer*> m_servers;
+  std::vector<std::shared_ptr<HttpServer*>> m_serverSlots;
   std::unique_ptr<HttpClient> m_client;
 };
 
--- a/src/net_server.cpp
+++ b/src/net_server.cpp
@@ -78,12 +78,13 @@
   , m_handler(aHandler)
   , m_self(std::make_shared<HttpServer*>(this))
 {
+  aLoop.KeepServerSlot(m_self);
   lws_context_creation_info info{};
   info.port = aOptions.m_port;
   info.iface = m_options.m_address.c_str();
   info.protocols = kServerProtocols;
   info.vhost_name = m_options.m_address.c_str();
-  info.user = this;
+  info.user = m_self.get();
   info.options = LWS_SERVER_OPTION_FAIL_UPON_UNABLE_TO_BIND;
   if (m_options.m_address.find(':') == std::string::npos) {
     info.options |= LWS_SERVER_OPTION_DISABLE_IPV6;
@@ -116,6 +117,12 @@
   for (auto [id, connection] : std::unordered_map(m_connections)) {
     CloseSocket(connection->Wsi());
   }
+  for (auto [id, connection] : std::unordered_map(m_connections)) {
+    // libwebsockets ends this one later.
+    lws_set_opaque_user_data(connection->Wsi(), nullptr);
+    Remove(connection);
+  }
+  *m_self = nullptr;
   lws_vhost_destroy(m_vhost);
   m_vhost = nullptr;
   m_loop.RemoveServer(this);
@@ -173,13 +180,13 @@
 void
 HttpServer::CloseLater(std::uint64_t aId)
 {
-  m_loop.Post([self = std::weak_ptr<HttpServer*>(m_self), aId] {
-    std::shared_ptr<HttpServer*> server = self.lock();
+  m_loop.Post([self = m_self, aId] {
+    HttpServer* server = *self;
     if (server == nullptr) {
       return;
     }
-    auto found = (*server)->m_connections.find(aId);
-    if (found != (*server)->m_connections.end()) {
+    auto found = server->m_connections.find(aId);
+    if (found != server->m_connections.end()) {
       CloseSocket(found->second->Wsi());
     }
   });
@@ -196,16 +203,22 @@
     return VerifyPeer(aUser, aLength != 0, {});
   }
   if (aReason == LWS_CALLBACK_OPENSSL_LOAD_EXTRA_SERVER_VERIFY_CERTS) {
-    auto* owner = static_cast<lws_vhost*>(aIn);
-    static_cast<HttpServer*>(lws_vhost_user(owner))->m_tlsContext =
+    void* slot = lws_vhost_user(static_cast<lws_vhost*>(aIn));
+    (*static_cast<HttpServer**>(slot))->m_tlsContext =
       static_cast<ssl_ctx_st*>(aUser);
     return 0;
   }
-  lws_vhost* vhost = aWsi == nullptr ? nullptr : lws_get_vhost(aWsi);
-  if (vhost == nullptr) {
+  // The wake-up's socket belongs to another vhost.
+  if (aWsi == nullptr || aReason == LWS_CALLBACK_EVENT_WAIT_CANCELLED) {
+    return 0;
+  }
+  lws_vhost* vhost = lws_get_vhost(aWsi);
+  void* slot = vhost == nullptr ? nullptr : lws_vhost_user(vhost);
+  HttpServer* server =
+    slot == nullptr ? nullptr : *static_cast<HttpServer**>(slot);
+  if (server == nullptr) {
     return 0;
   }
-  auto* server = static_cast<HttpServer*>(lws_vhost_user(vhost));
   auto* connection =
     static_cast<ServerConnection*>(lws_get_opaque_user_data(aWsi));
   switch (aReason) {
@@ -222,9 +235,10 @@
     case LWS_CALLBACK_HTTP:
       return connection == nullptr ? -1 : connection->OnHeaders();
     case LWS_CALLBACK_HTTP_BODY:
-      return connection->OnBody(View(aIn, aLength));
+      return connection == nullptr ? -1
+                                   : connection->OnBody(View(aIn, aLength));
     case LWS_CALLBACK_HTTP_BODY_COMPLETION:
-      return connection->OnBodyEnd();
+      return connection == nullptr ? -1 : connection->OnBodyEnd();
     case LWS_CALLBACK_HTTP_WRITEABLE:
       return connection == nullptr ? -1 : connection->OnWritable();
     case LWS_CALLBACK_WSI_DESTROY:
--- a/src/net_server.h
+++ b/src/net_server.h
@@ -194,7 +194,9 @@
   TimersI::TimerId m_sweep{ 0 };
   std::uint64_t m_lastConnection{ 0 };
   std::unordered_map<std::uint64_t, ServerConnection*> m_connections;
-  std::shared_ptr<HttpServer*> m_self; ///< expires with this server
+  /// What the vhost points at, since libwebsockets may end connections after
+  /// this server. Holds null once this server is gone; the loop keeps it.
+  std::shared_ptr<HttpServer*> m_self;
 };
 
 } // namespace shallotford
