--- a/src/control_gossip.h
+++ b/src/control_gossip.h
@@ -7,6 +7,11 @@
 
 namespace shallotford {
 
+/// Stands for an age that is unknown or too old to pass on.
+constexpr char kNoAge = '.';
+/// Characters of an entry in the list of ages: four of the key, one age.
+constexpr std::size_t kAgeEntryChars = 5;
+
 Json::Value
 ToJson(const FleetAverages::Sample& aSample);
 /// Skips entries that are no figures.
