Tell the ledger when an attempt's decode engine moves

Cause: after a refused claim the daemon applied Placed a second time for the same attempt. The ledger drops it as stale, so MembersAt(), CancelHoldings and explain went on naming the engine that had refused, and the end of the attempt cancelled at that one and not at the engine that had the claim.

Change: ledger_event::Moved names the new decode engine of a placed attempt. The ledger cancels what the old one may hold, unless it is the prefill engine too, whose holdings are cancelled at the attempt's end. Moves of adopted streams are dropped and counted. The daemon uses it in place of the second Placed and of its own cancel. The naive twin and the generated event orders know it; a case of its own fixes what belongs to which engine.

--- a/include/shallotford/ledger/requests.h
+++ b/include/shallotford/ledger/requests.h
@@ -67,6 +67,15 @@
   std::string m_prefill{};  ///< prefill engine; empty for plain services
   std::string m_upstream{}; ///< decode engine or plain server
 };
+/// Another decode engine takes the place of the one chosen by Placed, which
+/// refused the import or did not answer. Apply it before the first byte is sent
+/// to the new one. What the old one may hold is cancelled, unless it is the
+/// prefill engine too: that is cancelled at the end of the attempt.
+struct Moved
+{
+  std::uint32_t m_attempt{};
+  std::string m_upstream{}; ///< the new decode engine
+};
 /// No placement now. Refuses the request, unless part of it ran already: then
 /// it is tried again with backoff until its deadline.
 struct NotPlaced
@@ -148,6 +157,7 @@
 
 using LedgerEvent = std::variant<ledger_event::Admitted,
                                  ledger_event::Placed,
+                                 ledger_event::Moved,
                                  ledger_event::NotPlaced,
                                  ledger_event::Adopted,
                                  ledger_event::MemoryReserved,
--- a/src/daemon_claim.cpp
+++ b/src/daemon_claim.cpp
@@ -94,17 +94,11 @@
       aWorker.Now(), engine, ParseRefusalReason(aError.m_reason));
   }
   attempt.m_excluded.push_back(engine);
-  bool holdsNothing = aError.m_fault == EngineFault::Refused ||
-                      aError.m_fault == EngineFault::NotSent;
-  if (!holdsNothing) {
-    state.m_cancels.Add(engine, attempt.m_id, aWorker.Now());
-  }
   if (MoveDecode(aWorker, aFlow)) {
     aWorker.Apply(
       aFlow,
-      ledger_event::Placed{ .m_attempt = attempt.m_id.m_attempt,
-                            .m_prefill = attempt.m_placement.m_prefillEngine,
-                            .m_upstream = attempt.m_placement.m_decodeEngine });
+      ledger_event::Moved{ .m_attempt = attempt.m_id.m_attempt,
+                           .m_upstream = attempt.m_placement.m_decodeEngine });
     attempt.m_claiming = true;
     SendClaim(aWorker, aFlow, std::move(aGranted));
     return;
--- a/src/ledger_state.h
+++ b/src/ledger_state.h
@@ -97,6 +97,7 @@
 
   void On(const ledger_event::Admitted& aEvent);
   void On(ledger_event::Placed& aEvent);
+  void On(ledger_event::Moved& aEvent);
   void On(const ledger_event::NotPlaced& aEvent);
   void On(ledger_event::Adopted& aEvent);
   void On(const ledger_event::MemoryReserved& aEvent);
@@ -122,6 +123,8 @@
   /// Ends the current attempt. @param aRelease  cancel what engines hold
   void CloseAttempt(const std::string& aEnd, bool aRelease);
   void Release(const LedgerAttempt& aAttempt);
+  /// Cancels what the attempt's decode engine holds of its stream.
+  void ReleaseUpstream(const LedgerAttempt& aAttempt);
   void BreakAttempt(FailureCause aCause, const std::string& aDetail);
   void RetryOrEnd(const ledger_event::AttemptFailed& aFailure);
   /// Ends the request as refused or failed, by what may have run.
--- a/src/ledger_step.cpp
+++ b/src/ledger_step.cpp
@@ -143,6 +143,26 @@
   }
 }
 
+void
+LedgerStep::On(ledger_event::Moved& aEvent)
+{
+  LedgerAttempt* attempt = Expect(aEvent.m_attempt, true);
+  if (attempt == nullptr) {
+    return;
+  }
+  if (attempt->m_adopted) {
+    ++m_state.m_sums.m_staleEvents;
+    return;
+  }
+  if (attempt->m_upstream == aEvent.m_upstream) {
+    return;
+  }
+  if (m_entry.m_spec.m_model) {
+    ReleaseUpstream(*attempt);
+  }
+  attempt->m_upstream = std::move(aEvent.m_upstream);
+}
+
 void
 LedgerStep::On(const ledger_event::NotPlaced& aEvent)
 {
@@ -384,12 +404,18 @@
   if (!m_entry.m_spec.m_model) {
     return;
   }
-  AttemptId own{ m_entry.m_id, aAttempt.m_number };
-  AttemptId stream = aAttempt.m_adopted.value_or(own);
   if (!aAttempt.m_prefill.empty()) {
-    m_actions.emplace_back(
-      ledger_action::CancelHoldings{ aAttempt.m_prefill, stream });
+    m_actions.emplace_back(ledger_action::CancelHoldings{
+      aAttempt.m_prefill, { m_entry.m_id, aAttempt.m_number } });
   }
+  ReleaseUpstream(aAttempt);
+}
+
+void
+LedgerStep::ReleaseUpstream(const LedgerAttempt& aAttempt)
+{
+  AttemptId own{ m_entry.m_id, aAttempt.m_number };
+  AttemptId stream = aAttempt.m_adopted.value_or(own);
   if (!aAttempt.m_upstream.empty() &&
       aAttempt.m_upstream != aAttempt.m_prefill) {
     m_actions.emplace_back(
--- a/tests/ledger_naive.h
+++ b/tests/ledger_naive.h
@@ -188,18 +188,34 @@
     m_out.push_back(Describe(ledger_action::StartAttempt{
       { m_id, m_started }, aDelay, excluded, whole ? Next() : 0, text }));
   }
+  /// Returns where the current attempt was placed, adopted or moved last.
+  std::string Upstream() const
+  {
+    std::string upstream;
+    for (const Note& note : m_notes) {
+      bool places = note.m_what == "placed" || note.m_what == "adopted" ||
+                    note.m_what == "moved";
+      if (places && note.m_attempt == m_started) {
+        upstream = note.m_upstream;
+      }
+    }
+    return upstream;
+  }
   void Cancel()
   {
     std::vector<std::string> engines;
     AttemptId stream{ m_id, m_started };
     for (const Note& note : m_notes) {
-      bool places = note.m_what == "placed" || note.m_what == "adopted" ||
-                    note.m_what == "prefill";
-      if (places && note.m_attempt == m_started && m_spec.m_model &&
-          std::count(engines.begin(), engines.end(), note.m_upstream) == 0) {
+      if (note.m_what == "prefill" && note.m_attempt == m_started) {
         engines.push_back(note.m_upstream);
       }
     }
+    if (std::count(engines.begin(), engines.end(), Upstream()) == 0) {
+      engines.push_back(Upstream());
+    }
+    if (!m_spec.m_model) {
+      engines.clear();
+    }
     if (Has("adopted")) {
       stream = { { kDeadVm, 9 }, 1 };
     }
@@ -264,6 +280,27 @@
       m_notes.push_back({ "placed", m_started, aEvent.m_upstream });
     }
   }
+  void On(const Moved& aEvent, TimePoint /*aNow*/)
+  {
+    if (!Expects(aEvent.m_attempt, true)) {
+      return;
+    }
+    if (Has("adopted")) {
+      ++m_stale;
+      return;
+    }
+    std::string old = Upstream();
+    bool prefills =
+      std::any_of(m_notes.begin(), m_notes.end(), [&](const Note& aNote) {
+        return aNote.m_what == "prefill" && aNote.m_attempt == m_started &&
+               aNote.m_upstream == old;
+      });
+    if (m_spec.m_model && old != aEvent.m_upstream && !prefills) {
+      m_out.push_back(
+        Describe(ledger_action::CancelHoldings{ old, { m_id, m_started } }));
+    }
+    m_notes.push_back({ "moved", m_started, aEvent.m_upstream });
+  }
   void On(const NotPlaced& aEvent, TimePoint aNow)
   {
     if (!Expects(aEvent.m_attempt, false)) {
@@ -363,21 +400,15 @@
   }
   void Break(TimePoint aNow)
   {
-    std::string upstream;
-    for (const Note& note : m_notes) {
-      bool places = note.m_what == "placed" || note.m_what == "adopted";
-      upstream = places ? note.m_upstream : upstream;
-    }
-    Fail({ m_started, upstream, FailureCause::Malformed }, aNow);
+    Fail({ m_started, Upstream(), FailureCause::Malformed }, aNow);
   }
   void Lost(const std::string& aUpstream, TimePoint aNow)
   {
-    bool hit = false;
+    bool hit = IsPlaced() && Upstream() == aUpstream;
     for (const Note& note : m_notes) {
-      bool places = note.m_what == "placed" || note.m_what == "adopted";
       bool prefills = note.m_what == "prefill" && !Has("decoding");
-      hit |= note.m_attempt == m_started && note.m_upstream == aUpstream &&
-             (places || prefills);
+      hit |=
+        note.m_attempt == m_started && note.m_upstream == aUpstream && prefills;
     }
     if (!m_ended && hit) {
       Fail({ m_started, aUpstream, FailureCause::Lost }, aNow);
--- a/tests/ledger_requests_test.cpp
+++ b/tests/ledger_requests_test.cpp
@@ -50,6 +50,8 @@
     return Placed{ attempt, model ? one : "", two };
   }
   switch (Take(aChoice, 20)) {
+    case 15:
+      return Moved{ attempt, two };
     case 0:
       return Admitted{};
     case 1:
@@ -327,6 +329,29 @@
   BOOST_TEST(!fixture.m_ledger.Owns({ id, 2 }));
 }
 
+BOOST_AUTO_TEST_CASE(moved_attempt_belongs_to_its_new_decode_engine)
+{
+  Fixture fixture;
+  RequestId id = fixture.OpenDraft();
+  fixture.Do(id, Placed{ 1, "p1", "d1" });
+  LedgerActions actions = fixture.Do(id, Moved{ 1, "d2" });
+  BOOST_REQUIRE(actions.size() == 1u);
+  BOOST_TEST(Describe(actions[0]) == "cancel d1 " + ToString(id) + "~1");
+  fixture.Do(id, Sent{ 1, "p1" });
+  fixture.Do(id, PrefillDone{ 1 });
+  BOOST_TEST(fixture.m_ledger.MembersAt("d1").empty());
+  BOOST_TEST(fixture.m_ledger.MembersAt("d2").size() == 1u);
+  BOOST_TEST(
+    fixture.m_ledger.Explain(id, fixture.m_now)->m_attempts[0].m_upstream ==
+    "d2");
+  BOOST_TEST(fixture.m_ledger.UpstreamLost("d1", fixture.m_now).empty());
+  BOOST_TEST(fixture.Do(id, Moved{ 2, "d3" }).empty());
+  actions = fixture.m_ledger.UpstreamLost("d2", fixture.m_now);
+  const auto& start = Last<ledger_action::StartAttempt>(actions);
+  BOOST_TEST((start.m_excluded == std::vector<std::string>{ "d2" }));
+  BOOST_TEST(fixture.m_ledger.Sums().m_retries == 0u);
+}
+
 BOOST_AUTO_TEST_CASE(vm_that_slept_ends_overdue_requests_once)
 {
   Fixture fixture;
