--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -201,7 +201,8 @@
   std::optional<HttpFailure> m_failure; ///< set otherwise
 };
 
-/// What sends requests. The interface that tests replace.
+/// What sends requests, each on a connection of its own, so that none waits
+/// behind another. The interface that tests replace.
 class HttpClientI
 {
 public:
@@ -233,8 +234,6 @@
 {
   std::string m_name{ "task" };
   std::size_t m_maxSockets{ 8192 };
-  /// Idle upstream connections kept open for reuse.
-  std::size_t m_maxIdleConnections{ 256 };
 };
 
 /// One task's event loop.
@@ -290,7 +289,7 @@
 /// One server-sent event.
 struct ServerSentEvent
 {
-  std::string m_id;
+  std::string m_id; ///< of this event alone; not carried over
   std::string m_event;
   std::string m_data;
 };
