--- a/src/placement_cost.cpp
+++ b/src/placement_cost.cpp
@@ -154,6 +154,8 @@
     drained += facts.m_tokensPerSecond * seconds;
     age += seconds / double(aCandidates.size());
   }
+  // Reports that stop coming must not make every engine look full.
+  age = std::min(age, Seconds(kMostReportAge));
   const double sent = aTable.OthersTokensPerSecond(aNow, aModel) * aShare *
                       age * kStaleReportFactor;
   const double added =
