Pace broken streams that are prefilled again

Cause: after a region is lost its streams are all prefilled again at once, and no new request met its target for seconds. Change: PaceResume lets a broken stream take at most half of the time to first token that a new request may, and spreads the last resort over 20 s.

--- a/bench/policy_simulation_flow.h
+++ b/bench/policy_simulation_flow.h
@@ -109,6 +109,7 @@
   Vm& vm = *m_vms[aRequest.m_vm];
   ++aRequest.m_attempt;
   aRequest.m_placed = true;
+  aRequest.m_brokenAt.reset();
   aRequest.m_prefillOpen = true;
   ++vm.m_prefills;
   aRequest.m_start = aRequest.m_tokens;
@@ -387,11 +388,26 @@
     End(aRequest, Outcome::Failed);
     return;
   }
+  if (begun && m_options.m_policy.m_admission) {
+    aRequest.m_brokenAt = m_queue.Now();
+    Resume(aRequest);
+    return;
+  }
   bool mayWait = false;
   if (!TryPlace(aRequest, begun, mayWait))
     End(aRequest, Outcome::Failed);
 }
 
+/// Places a broken stream again once a prefill engine has room.
+inline void
+Simulation::Resume(Active& aRequest)
+{
+  bool mayWait = false;
+  if (TryPlace(aRequest, false, mayWait))
+    return;
+  Later(aRequest, kResumeRetry, [this](Active& aActive) { Resume(aActive); });
+}
+
 /// Cancels whatever this attempt holds at engines.
 inline void
 Simulation::Release(Active& aRequest)
--- a/tests/placement_test.cpp
+++ b/tests/placement_test.cpp
@@ -121,4 +121,20 @@
   BOOST_CHECK(placement.m_claimDelay < placement.m_queue + placement.m_prefill);
 }
 
+BOOST_AUTO_TEST_CASE(broken_stream_waits_for_room_but_not_for_ever)
+{
+  for (const char* engine : { "p0", "p1" })
+    m_table.OnLoadReport(m_now, engine, Report(EngineRole::Prefill, 20'000));
+  PlacementRequest request = Request(2'000);
+  const auto placer = MakePlacer("joint");
+  const auto placed = [&](Duration aBroken) {
+    PaceResume(m_now, m_now - aBroken, 7, request);
+    return std::holds_alternative<Placement>(
+      placer->Place(m_now, request, m_table, *m_random));
+  };
+  MustPlace(request); // a new one is still in time
+  BOOST_TEST(!placed(1s));
+  BOOST_TEST(placed(60s));
+}
+
 BOOST_AUTO_TEST_SUITE_END()
