Use prefix hints alone, and the examples' weights

Cause: the rendezvous bonus had never reached the cost, so that it made no difference; the bench's weights were not those of examples/, and a weight on goodput above one shrank the band of near-equal pairs.

--- a/bench/policy_bench.cpp
+++ b/bench/policy_bench.cpp
@@ -22,9 +22,10 @@
   std::string m_name;
   PlacementWeights m_weights;
 };
+/// The weights of the fleet texts in examples/.
 const std::vector<User> kUsers{
-  { "noces-liaison", { 1.0, 0.5, 0.5 } },
-  { "ridersamverkan", { 1.0, 2.0, 2.0 } },
+  { "noces-liaison", { 4.0, 1.0, 1.0 } },
+  { "ridersamverkan", { 1.0, 4.0, 4.0 } },
 };
 
 /// Runs simulations on a few threads; results keep the order of the options.
@@ -84,8 +85,9 @@
       .m_claim = ClaimPolicy::ClaimFirst },
     { .m_name = "two choices", .m_placer = "joint_two_choices" },
     { .m_name = "no affinity", .m_placer = "joint_no_affinity" },
-    { .m_name = "hints only", .m_placer = "joint_hints_only" },
+    { .m_name = "hints and hash", .m_placer = "joint_hints_and_hash" },
     { .m_name = "hash only", .m_placer = "joint_hash_only" },
+    { .m_name = "reports only", .m_placer = "joint_reports_only" },
     { .m_name = "strict best", .m_placer = "joint_strict_best" },
     { .m_name = "never refuse", .m_placer = "joint_never_refuse" },
   };
--- a/src/config.h
+++ b/src/config.h
@@ -139,6 +139,7 @@
 constexpr double kDecodeStepGrowth = 0.05;   // per further request
 constexpr double kTypicalOutputTokens = 200; // left of a running request
 constexpr double kSafeSpareRequests = 3;     // spare places without risk
+constexpr double kLeastGoodputShare = 0.01;  // of the weights' sum
 constexpr double kSlowdownPenalty = 0.02;    // seconds
 constexpr double kFirstStepShare = 1.5;      // steps before the first token
 constexpr std::chrono::milliseconds kMostReportAge = 500ms;
--- a/src/placement_cost.cpp
+++ b/src/placement_cost.cpp
@@ -191,11 +191,16 @@
     link ? double(cost.m_crossRegionBytes) / 1e9 * link->m_cost : 0;
   const double slowdown =
     aDecode.m_step / Seconds(aRequest.m_model->m_decodeStep) - 1.0;
+  // Weights are relative: the cost stays in seconds of time to first token.
+  const double sum =
+    weights.m_goodput + weights.m_wastedPrefill + weights.m_crossRegionBytes;
+  const double unit = std::max(weights.m_goodput, kLeastGoodputShare * sum);
   cost.m_total =
-    weights.m_goodput * (cost.m_firstToken + slowdown * kSlowdownPenalty) +
-    weights.m_wastedPrefill * aDecode.m_risk * kWastePenalty *
+    weights.m_goodput / unit *
+      (cost.m_firstToken + slowdown * kSlowdownPenalty - aPrefill.m_bonus) +
+    weights.m_wastedPrefill / unit * aDecode.m_risk * kWastePenalty *
       (aPrefill.m_prefill + kWasteFloor) +
-    weights.m_crossRegionBytes * billed * kCrossRegionPenalty;
+    weights.m_crossRegionBytes / unit * billed * kCrossRegionPenalty;
   return cost;
 }
 
--- a/src/placement_cost.h
+++ b/src/placement_cost.h
@@ -16,6 +16,7 @@
   double m_queueTokens{}; ///< without what other VMs may have sent since
   double m_queue{};       ///< seconds
   double m_prefill{};     ///< seconds
+  double m_bonus{};       ///< seconds, for the engine that all VMs hash to
   double m_tie{};         ///< random; the least wins among equals
   double Time() const { return m_queue + m_prefill; }
 };
--- a/src/placement_joint.cpp
+++ b/src/placement_joint.cpp
@@ -168,6 +168,8 @@
           tokens = std::max(tokens, prefix.m_tokens);
       candidates.push_back(
         WeighPrefill(aNow, aRequest, aTable, engine, tokens));
+      if (engine == hashed)
+        candidates.back().m_bonus = kRendezvousBonus;
     }
     if (m_options.m_expectOthers && !candidates.empty()) {
       const std::size_t pool = aTable.Pool(service, EngineRole::Prefill).size();
@@ -181,17 +183,16 @@
     KeepBestPerRegion(
       candidates,
       [&](const PrefillCandidate& aOne, const PrefillCandidate& aTwo) {
-        return std::make_pair(RankOf(aOne, hashed), aOne.m_tie) <
-               std::make_pair(RankOf(aTwo, hashed), aTwo.m_tie);
+        return std::make_pair(RankOf(aOne), aOne.m_tie) <
+               std::make_pair(RankOf(aTwo), aTwo.m_tie);
       });
     return candidates;
   }
 
-  static long RankOf(const PrefillCandidate& aCandidate, std::uint32_t aHashed)
+  static long RankOf(const PrefillCandidate& aCandidate)
   {
-    const double bonus =
-      aCandidate.m_engine == aHashed ? kRendezvousBonus : 0.0;
-    return std::lround((aCandidate.Time() - bonus) / kNearEqualCost);
+    return std::lround((aCandidate.Time() - aCandidate.m_bonus) /
+                       kNearEqualCost);
   }
 
   /// The engine that every VM prefers for a session's first prefix.
--- a/src/placement_placers.cpp
+++ b/src/placement_placers.cpp
@@ -25,13 +25,13 @@
     { "joint_two_choices",
       [] { return MakeJointPlacer({ .m_twoChoices = true }); } },
     { "joint_no_affinity",
+      [] { return MakeJointPlacer({ .m_affinity = false }); } },
+    { "joint_hints_and_hash",
+      [] { return MakeJointPlacer({ .m_rendezvous = true }); } },
+    { "joint_hash_only",
       [] {
-        return MakeJointPlacer({ .m_affinity = false, .m_rendezvous = false });
+        return MakeJointPlacer({ .m_affinity = false, .m_rendezvous = true });
       } },
-    { "joint_hints_only",
-      [] { return MakeJointPlacer({ .m_rendezvous = false }); } },
-    { "joint_hash_only",
-      [] { return MakeJointPlacer({ .m_affinity = false }); } },
     { "joint_strict_best",
       [] { return MakeJointPlacer({ .m_spreadNearEqual = false }); } },
     { "joint_reports_only",
--- a/src/placement_placers.h
+++ b/src/placement_placers.h
@@ -11,7 +11,7 @@
 struct JointOptions
 {
   bool m_affinity{ true };        ///< use hints of cached prefixes
-  bool m_rendezvous{ true };      ///< send new prefixes to hashed engines
+  bool m_rendezvous{ false };     ///< favour the engine a prefix hashes to
   bool m_twoChoices{ false };     ///< weigh two random engines of each role
   bool m_spreadNearEqual{ true }; ///< choose at random among near-equal pairs
   bool m_expectOthers{ true };    ///< add the likely work of other VMs
--- a/src/placement_work.cpp
+++ b/src/placement_work.cpp
@@ -124,9 +124,13 @@
     ++aFacts.m_endedDecodes;
     aFacts.m_endedPieces += aWork.m_pieces;
   }
-  if (aWork.m_claimedAt)
-    m_endedOf[aWork.m_decodeEngine].push_back(
-      { *aWork.m_claimedAt, aNow, aWork.m_pieces });
+  if (!aWork.m_claimedAt)
+    return;
+  std::deque<EndedWork>& ended = m_endedOf[aWork.m_decodeEngine];
+  // An engine that doesn't report any more must not make this grow.
+  while (!ended.empty() && ended.front().m_endedAt + kEndedWorkMemory < aNow)
+    ended.pop_front();
+  ended.push_back({ *aWork.m_claimedAt, aNow, aWork.m_pieces });
 }
 
 void
