--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -1,11 +1,12 @@
 """Starts a small fleet of daemons and stand-ins on loopback.
 
 Used by the demo and the benches. Every process is started and ended by its own
-id; ports come from the kernel.
+id.
 """
 
 import json
 import os
+import random
 import signal
 import socket
 import subprocess
@@ -18,11 +19,25 @@
 STOP_TIMEOUT_S = 30
 
 
+# Below the range that the kernel gives to outgoing connections, so that a port
+# stays free while its daemon is down.
+PORTS = range(20000, 32000)
+TAKEN = set()
+
+
 def free_port():
-    """Returns a port that was free a moment ago."""
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+    """Returns a port that the kernel let us bind a moment ago."""
+    while True:
+        port = random.choice(PORTS)
+        if port in TAKEN:
+            continue
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+            except OSError:
+                continue
+        TAKEN.add(port)
+        return port
 
 
 def fetch(address, path, body=None, method=None, headers=None, timeout=10):
--- a/src/config.h
+++ b/src/config.h
@@ -85,7 +85,6 @@
 constexpr std::size_t kMaxVerifiedKeys = 4'096;
 constexpr std::size_t kCancelsAtOnce = 64;
 constexpr std::size_t kMaxListedRequests = 200;
-constexpr std::size_t kPoisonDigestBytes = 512;
 constexpr std::chrono::milliseconds kPeerTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kPlatformAnswerTime = 5'000ms;
 constexpr std::chrono::milliseconds kPlatformTick = 100ms;
--- a/src/daemon_claim.cpp
+++ b/src/daemon_claim.cpp
@@ -163,7 +163,7 @@
   request.m_deadline = aFlow.m_receivedAt + aFlow.m_service->m_deadline;
   request.m_homeRegion = state.m_options.m_settings.m_region;
   request.m_excluded = attempt.m_excluded;
-  request.m_mustRun = attempt.m_position > 0;
+  request.m_mustRun = attempt.m_id.m_attempt > 1;
   if (state.m_poison.StatusOf(aFlow.m_fingerprint, now) ==
       PoisonStatus::Suspect) {
     request.m_allowed = [&state, now, fingerprint = aFlow.m_fingerprint](
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -172,7 +172,7 @@
 {
   m_control(WorkerReport{ .m_demand = m_state.m_limits.Demand(Now()),
                           .m_poisonDigest =
-                            m_state.m_poison.Digest(kPoisonDigestBytes, Now()),
+                            m_state.m_poison.Digest(kMaxDigestBytes, Now()),
                           .m_live = m_state.m_ledger.Live() });
   m_state.m_loop.RunAfter(kReportPeriod, [this] { Report(); });
 }
