Ask a service's coordinator about suspects before anything is retried

Cause: each VM judged crashes by its own batch and by gossip alone. A crashed batch was retried before another VM's verdict could be known, two VMs could grant one engine to two suspects, and a conviction travelled by gossip only.

Change: SuspectDesk (daemon_suspects) calls the method "suspect" of the VM that SuspectCoordinator() names among the live ones, or serves itself. The worker asks before a suspect's run at the prefill and at the decode engine, tells the end of each granted run, and reports a crash: first the call, then the merge of the reply's digest, then the failures of the attempts, which wait for it, as do those that a failed load poll would bring. A coordinator that convicts sends its digest to all listed VMs at once, and a VM that learns of a conviction ends its live requests of that fingerprint. Without an answer in kSuspectTimeout, or if the call fails, this VM's own view decides. Requests that are no suspects ask nobody. An attempt keeps the engine of its grant, so that a run is ended where it was granted, also when the attempt fails, and never by another request with the same fingerprint.

A grant whose reply comes after the fallback refused stays noted at the coordinator until its lifetime ends.

--- a/src/config.h
+++ b/src/config.h
@@ -85,6 +85,9 @@
 constexpr std::size_t kMaxVerifiedKeys = 4'096;
 constexpr std::size_t kCancelsAtOnce = 64;
 constexpr std::size_t kMaxListedRequests = 200;
+/// Of a coordinator's reply, which is no gossip.
+constexpr std::size_t kSuspectDigestBytes = 65'536;
+constexpr std::chrono::milliseconds kSuspectTimeout = 500ms;
 constexpr std::chrono::milliseconds kPeerTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kPlatformAnswerTime = 5'000ms;
 constexpr std::chrono::milliseconds kPlatformTick = 100ms;
--- a/src/daemon_filter_place.cpp
+++ b/src/daemon_filter_place.cpp
@@ -28,13 +28,21 @@
       Refuse(aFlow, *refusal);
       return;
     }
-    FlowAttempt& attempt = aFlow->m_attempt;
-    attempt.m_placement = std::get<Placement>(result);
-    if (!GrantSuspect(aFlow)) {
+    aFlow->m_attempt.m_placement = std::get<Placement>(result);
+    if (state.m_poison.StatusOf(aFlow->m_fingerprint, m_worker.Now()) ==
+        PoisonStatus::Clear) {
+      GoOn(aFlow, request);
       return;
     }
-    attempt.m_work =
-      state.m_table.OnPlaced(m_worker.Now(), request, attempt.m_placement);
+    GrantSuspect(aFlow);
+  }
+
+private:
+  void GoOn(const FlowPtr& aFlow, const PlacementRequest& aRequest)
+  {
+    FlowAttempt& attempt = aFlow->m_attempt;
+    attempt.m_work = m_worker.State().m_table.OnPlaced(
+      m_worker.Now(), aRequest, attempt.m_placement);
     m_worker.Apply(
       aFlow,
       ledger_event::Placed{ .m_attempt = attempt.m_id.m_attempt,
@@ -43,7 +51,6 @@
     m_worker.Next(aFlow);
   }
 
-private:
   void Refuse(const FlowPtr& aFlow, const PlacementRefusal& aRefusal)
   {
     if (m_worker.WaitForCapacity(aFlow, aRefusal)) {
@@ -61,22 +68,42 @@
                                .m_error = error });
   }
 
-  /// A suspect runs only where no other suspect does.
-  bool GrantSuspect(const FlowPtr& aFlow)
+  void RefuseSuspect(const FlowPtr& aFlow)
   {
-    WorkerState& state = m_worker.State();
-    const Placement& placement = aFlow->m_attempt.m_placement;
-    bool granted = state.m_poison.Grant(
-      aFlow->m_fingerprint, placement.m_prefillEngine, m_worker.Now());
-    if (granted) {
-      return true;
+    PoisonStatus status =
+      m_worker.State().m_poison.StatusOf(aFlow->m_fingerprint, m_worker.Now());
+    if (status == PoisonStatus::Convicted) {
+      m_worker.EndConvicted();
+      return;
     }
     Refuse(aFlow,
            { .m_kind = ErrorKind::Overloaded,
              .m_reason = "the request is suspected of crashing an engine and "
                          "waits for an engine of its own",
              .m_retryAfter = kSuspectRetryAfter });
-    return false;
+  }
+
+  /// A suspect runs only where no other suspect does, as its service's
+  /// coordinator says.
+  void GrantSuspect(const FlowPtr& aFlow)
+  {
+    std::string engine = aFlow->m_attempt.m_placement.m_prefillEngine;
+    std::uint32_t number = aFlow->m_attempt.m_id.m_attempt;
+    SuspectDesk& suspects = m_worker.State().m_suspects;
+    auto done = [this, aFlow, engine, number](bool aGranted) {
+      bool current = IsCurrent(*aFlow, number);
+      if (aGranted && !current) {
+        m_worker.State().m_suspects.RunEnded(
+          aFlow->m_service->m_name, aFlow->m_fingerprint, engine, false);
+      } else if (aGranted) {
+        aFlow->m_attempt.m_suspectAt = engine;
+        GoOn(aFlow, MakePlacementRequest(m_worker, *aFlow));
+      } else if (current) {
+        RefuseSuspect(aFlow);
+      }
+    };
+    suspects.Grant(
+      aFlow->m_service->m_name, aFlow->m_fingerprint, engine, std::move(done));
   }
 
   Worker& m_worker;
--- a/src/daemon_filter_stream.cpp
+++ b/src/daemon_filter_stream.cpp
@@ -83,13 +83,24 @@
   std::string_view Name() const override { return "stream"; }
 
   void Start(const FlowPtr& aFlow) override
+  {
+    PoisonStatus status =
+      m_worker.State().m_poison.StatusOf(aFlow->m_fingerprint, m_worker.Now());
+    bool clear =
+      status == PoisonStatus::Clear && aFlow->m_attempt.m_suspectAt.empty();
+    if (clear) {
+      Decode(aFlow);
+      return;
+    }
+    MoveSuspect(aFlow);
+  }
+
+private:
+  void Decode(const FlowPtr& aFlow)
   {
     FlowAttempt& attempt = aFlow->m_attempt;
     std::string engine = attempt.m_placement.m_decodeEngine;
     WorkerState& state = m_worker.State();
-    if (!MoveSuspect(aFlow)) {
-      return;
-    }
     SetEventPrefix(*aFlow, engine, attempt.m_id);
     state.m_table.OnStep(m_worker.Now(), *attempt.m_work, WorkStep::Decoding);
     DecodeCall call{ .m_stream = attempt.m_id,
@@ -105,7 +116,6 @@
       state.m_engine.Decode(engine, call, std::move(sink)));
   }
 
-private:
   static std::uint32_t TokensLeft(const Flow& aFlow)
   {
     auto done = static_cast<std::uint32_t>(aFlow.m_attempt.m_position);
@@ -114,22 +124,32 @@
 
   /// A suspect is granted one engine at a time: first the prefill engine, now
   /// the decode engine.
-  bool MoveSuspect(const FlowPtr& aFlow)
+  void MoveSuspect(const FlowPtr& aFlow)
   {
-    PoisonTracker& poison = m_worker.State().m_poison;
-    const Placement& placement = aFlow->m_attempt.m_placement;
-    TimePoint now = m_worker.Now();
-    poison.OnRunEnded(
-      aFlow->m_fingerprint, placement.m_prefillEngine, false, now);
-    if (poison.Grant(aFlow->m_fingerprint, placement.m_decodeEngine, now)) {
-      return true;
-    }
-    FailAttempt(m_worker,
-                aFlow,
-                placement.m_decodeEngine,
-                { .m_fault = EngineFault::Refused,
-                  .m_reason = "another suspect runs there" });
-    return false;
+    std::string engine = aFlow->m_attempt.m_placement.m_decodeEngine;
+    std::string from = std::exchange(aFlow->m_attempt.m_suspectAt, {});
+    std::uint32_t number = aFlow->m_attempt.m_id.m_attempt;
+    auto done = [this, aFlow, engine, number](bool aGranted) {
+      bool current = IsCurrent(*aFlow, number);
+      if (aGranted && !current) {
+        m_worker.State().m_suspects.RunEnded(
+          aFlow->m_service->m_name, aFlow->m_fingerprint, engine, false);
+      } else if (aGranted) {
+        aFlow->m_attempt.m_suspectAt = engine;
+        Decode(aFlow);
+      } else if (current) {
+        FailAttempt(m_worker,
+                    aFlow,
+                    engine,
+                    { .m_fault = EngineFault::Refused,
+                      .m_reason = "another suspect runs there" });
+      }
+    };
+    m_worker.State().m_suspects.Move(aFlow->m_service->m_name,
+                                     aFlow->m_fingerprint,
+                                     from,
+                                     engine,
+                                     std::move(done));
   }
 
   Worker& m_worker;
--- a/src/daemon_handler_peer.cpp
+++ b/src/daemon_handler_peer.cpp
@@ -79,9 +79,30 @@
       TakeTickets(aExchange, call);
       return;
     }
+    if (call.m_method == "suspect") {
+      AskWorker(aExchange, call);
+      return;
+    }
     RespondRpc(*aExchange, m_rpc.Handle(aBody));
   }
 
+  /// Passes a call about suspects on to the worker.
+  void AskWorker(const std::shared_ptr<HttpExchangeI>& aExchange,
+                 const RpcCall& aCall)
+  {
+    LoopI& loop = m_state.m_loop;
+    auto reply =
+      [&loop, aExchange, id = aCall.m_id](std::optional<Json::Value> aResult) {
+        loop.Post([aExchange, id, result = std::move(aResult)] {
+          std::string body =
+            result ? RpcResultBody(id, *result)
+                   : RpcErrorBody(id, kRpcApplicationError, "malformed call");
+          RespondRpc(*aExchange, body);
+        });
+      };
+    m_state.m_toWorker(SuspectQuery{ aCall.m_params, std::move(reply) });
+  }
+
   void Owns(const std::shared_ptr<HttpExchangeI>& aExchange,
             const RpcCall& aCall)
   {
--- a/src/daemon_messages.h
+++ b/src/daemon_messages.h
@@ -105,6 +105,14 @@
   std::function<void(const std::vector<AttemptId>&)> m_reply;
 };
 
+/// Another VM's call to this VM as the coordinator of suspects.
+struct SuspectQuery
+{
+  Json::Value m_call;
+  /// Called on the worker's loop, with nothing if the call is malformed.
+  std::function<void(std::optional<Json::Value>)> m_reply;
+};
+
 /// Begin a planned stop.
 struct DrainCommand
 {};
@@ -132,6 +140,7 @@
                                     PlatformReady,
                                     SnapshotQuery,
                                     OwnershipQuery,
+                                    SuspectQuery,
                                     DrainCommand,
                                     TicketHandOver,
                                     TicketSuccessions>;
--- a/src/daemon_worker.cpp
+++ b/src/daemon_worker.cpp
@@ -25,6 +25,15 @@
                         aSettings.m_callerTls.m_peerAuthority } };
 }
 
+TlsFiles
+PeerTlsOf(const Settings& aSettings)
+{
+  const TlsSettings& tls = aSettings.m_peerTls;
+  return { .m_certificate = tls.m_certificate,
+           .m_key = tls.m_key,
+           .m_peerAuthority = tls.m_peerAuthority };
+}
+
 } // namespace
 
 WorkerState::WorkerState(const WorkerOptions& aOptions,
@@ -47,6 +56,11 @@
               aOptions.m_ticketKey,
               aLoop.Now())
   , m_poison(PoisonOptions{})
+  , m_suspects(m_poison,
+               aLoop,
+               aLog,
+               aOptions.m_vm.m_address,
+               PeerTlsOf(aOptions.m_settings))
   , m_cancels(CancelOptions{})
 {
 }
@@ -90,10 +104,7 @@
 TlsFiles
 Worker::PeerTls() const
 {
-  const TlsSettings& tls = m_state.m_options.m_settings.m_peerTls;
-  return { .m_certificate = tls.m_certificate,
-           .m_key = tls.m_key,
-           .m_peerAuthority = tls.m_peerAuthority };
+  return PeerTlsOf(m_state.m_options.m_settings);
 }
 
 // ---------------------------------------------------------------- routing
@@ -396,6 +407,10 @@
   for (TimersI::TimerId timer : attempt.m_timers) {
     m_state.m_loop.CancelTimer(timer);
   }
+  if (!attempt.m_suspectAt.empty()) {
+    m_state.m_suspects.RunEnded(
+      aFlow.m_service->m_name, aFlow.m_fingerprint, attempt.m_suspectAt, false);
+  }
   if (attempt.m_work) {
     m_state.m_table.OnEnded(Now(), *attempt.m_work);
   }
--- a/src/daemon_worker.h
+++ b/src/daemon_worker.h
@@ -9,6 +9,7 @@
 #include "daemon_messages.h"
 #include "daemon_metrics.h"
 #include "daemon_plain.h"
+#include "daemon_suspects.h"
 
 #include <deque>
 #include <map>
@@ -55,6 +56,7 @@
   Ledger m_ledger;
   TicketOffice m_tickets;
   PoisonTracker m_poison;
+  SuspectDesk m_suspects;
   CancelQueue m_cancels;
   GoodputMeter m_goodput;
   Metrics m_metrics;
@@ -124,6 +126,8 @@
   void WaitForTicket(const FlowPtr& aFlow, const TicketRef& aTicket);
   /// Answers the flows that waited for aTicket.
   void ReleaseTicketWaiters(const TicketRef& aTicket);
+  /// Ends the live requests whose fingerprints are convicted.
+  void EndConvicted();
   /// Refuses a flow with aError; none of it ran here.
   void Refuse(const FlowPtr& aFlow, const Error& aError);
 
@@ -149,7 +153,18 @@
   void OnEngineChecked(const std::string& aEngine,
                        const EngineResult<std::vector<EngineHolding>>& aResult);
   void OnEngineDown(const std::string& aEngine);
-  void OnEngineCrashed(const std::string& aEngine);
+  using Failures = std::vector<std::pair<FlowPtr, ledger_event::AttemptFailed>>;
+  /// Asks the coordinator about a crash; the attempts fail when it answered.
+  void OnEngineCrashed(const std::string& aEngine,
+                       Failures aFailures,
+                       bool aGone);
+  void OnCrashVerdict(const std::string& aEngine,
+                      const CrashVerdict& aVerdict,
+                      bool aGone);
+  void FailAttempts(const std::string& aEngine,
+                    const Failures& aFailures,
+                    bool aGone);
+  std::vector<std::string> BatchAt(const std::string& aEngine) const;
   void OnLoadReport(const std::string& aEngine,
                     const EngineResult<LoadReport>& aResult);
   void PollCacheEvents(const std::string& aEngine);
@@ -164,7 +179,6 @@
                        const EngineCacheEvents& aEvents);
   bool LostStreams(const std::string& aEngine,
                    const EngineResult<std::vector<EngineHolding>>& aResult);
-  void EndConvicted(const std::string& aFingerprint);
   void SendCancel(const CancelCall& aCancel);
   void Enqueue(const FlowPtr& aFlow);
   void ExpireQueue();
@@ -188,6 +202,7 @@
   void Receive(ForwardedCall& aMessage);
   void Receive(SnapshotQuery& aMessage);
   void Receive(OwnershipQuery& aMessage);
+  void Receive(SuspectQuery& aMessage);
   void Receive(DrainCommand& aMessage);
   void Receive(TicketHandOver& aMessage);
   void Receive(TicketSuccessions& aMessage);
@@ -216,6 +231,7 @@
   std::map<std::string, std::uint64_t> m_cacheCursor;
   std::map<std::string, std::uint32_t> m_failedPolls;
   std::map<std::string, EngineCheck> m_checks;
+  std::map<std::string, Failures> m_crashes; ///< by engine, without a verdict
   std::set<std::string> m_leaving; ///< upstreams that said so themselves
   std::uint64_t m_nextWaiting{ 1 };
   std::optional<TimePoint> m_drainingSince;
--- a/src/daemon_worker_engines.cpp
+++ b/src/daemon_worker_engines.cpp
@@ -22,6 +22,20 @@
   return addresses;
 }
 
+/// Returns the name of the service that aEngine works for, or "".
+std::string
+ServiceOf(const FleetText& aFleet, const std::string& aEngine)
+{
+  for (const ServiceEntry& service : aFleet.m_services) {
+    for (const EngineEntry& engine : service.m_engines) {
+      if (engine.m_address == aEngine) {
+        return service.m_name;
+      }
+    }
+  }
+  return "";
+}
+
 } // namespace
 
 // ----------------------------------------------------------- load reports
@@ -146,6 +160,11 @@
                     const FlowPtr& aFlow,
                     ledger_event::AttemptFailed aFailure)
 {
+  auto crash = m_crashes.find(aEngine);
+  if (crash != m_crashes.end()) {
+    crash->second.emplace_back(aFlow, std::move(aFailure));
+    return;
+  }
   EngineCheck& check = m_checks[aEngine];
   check.m_failures.emplace_back(aFlow, std::move(aFailure));
   if (check.m_call) {
@@ -169,16 +188,26 @@
   const auto* error = std::get_if<EngineError>(&aResult);
   bool processGone = error != nullptr && error->m_fault == EngineFault::NotSent;
   bool restarted = error == nullptr && LostStreams(aEngine, aResult);
+  bool gone = error != nullptr;
   if (processGone || restarted) {
-    OnEngineCrashed(aEngine);
+    OnEngineCrashed(aEngine, std::move(check.m_failures), gone);
+    return;
   }
-  if (error != nullptr) {
+  FailAttempts(aEngine, check.m_failures, gone);
+}
+
+void
+Worker::FailAttempts(const std::string& aEngine,
+                     const Failures& aFailures,
+                     bool aGone)
+{
+  if (aGone) {
     OnEngineDown(aEngine);
   }
   // What UpstreamLost() has failed already is dropped by the ledger.
-  for (auto& [flow, failure] : check.m_failures) {
+  for (const auto& [flow, failure] : aFailures) {
     if (flow->m_open) {
-      Apply(flow, std::move(failure));
+      Apply(flow, failure);
     }
   }
 }
@@ -205,8 +234,8 @@
   return false;
 }
 
-void
-Worker::OnEngineCrashed(const std::string& aEngine)
+std::vector<std::string>
+Worker::BatchAt(const std::string& aEngine) const
 {
   std::vector<std::string> batch;
   for (const BatchMember& member : m_state.m_ledger.MembersAt(aEngine)) {
@@ -221,12 +250,36 @@
   }
   std::sort(batch.begin(), batch.end());
   batch.erase(std::unique(batch.begin(), batch.end()), batch.end());
+  return batch;
+}
+
+void
+Worker::OnEngineCrashed(const std::string& aEngine,
+                        Failures aFailures,
+                        bool aGone)
+{
+  std::vector<std::string> batch = BatchAt(aEngine);
   m_state.m_metrics.Count("engine_crashes_total", "");
   m_state.m_log.Write(LogEvent("engine_crashed", LogLevel::Warning)
                         .Add("engine", aEngine)
                         .Add("batch", static_cast<std::int64_t>(batch.size())));
-  CrashVerdict verdict = m_state.m_poison.OnCrash(aEngine, batch, Now());
-  for (const std::string& convicted : verdict.m_convicted) {
+  if (aGone) {
+    m_state.m_table.OnHealth(Now(), aEngine, false);
+  }
+  m_crashes[aEngine] = std::move(aFailures);
+  auto done = [this, aEngine, aGone](const CrashVerdict& aVerdict) {
+    OnCrashVerdict(aEngine, aVerdict, aGone);
+  };
+  m_state.m_suspects.ReportCrash(
+    ServiceOf(*m_state.m_fleet, aEngine), aEngine, batch, std::move(done));
+}
+
+void
+Worker::OnCrashVerdict(const std::string& aEngine,
+                       const CrashVerdict& aVerdict,
+                       bool aGone)
+{
+  for (const std::string& convicted : aVerdict.m_convicted) {
     m_state.m_log.Write(LogEvent("request_quarantined", LogLevel::Warning)
                           .Add("fingerprint", convicted)
                           .Add("engine", aEngine));
@@ -234,18 +287,22 @@
                          .m_subject = convicted,
                          .m_cause = "crashed engine " + aEngine +
                                     " while it was the only suspect there" });
-    EndConvicted(convicted);
   }
+  // Another VM's report of the same crash may have convicted one of them.
+  EndConvicted();
   m_state.m_cancels.OnUpstreamGone(aEngine);
+  Failures failures = std::move(m_crashes[aEngine]);
+  m_crashes.erase(aEngine);
+  FailAttempts(aEngine, failures, aGone);
 }
 
-/// Ends the live requests of a fingerprint that was just convicted.
 void
-Worker::EndConvicted(const std::string& aFingerprint)
+Worker::EndConvicted()
 {
   std::vector<FlowPtr> guilty;
   for (const auto& [id, flow] : m_flows) {
-    if (flow->m_fingerprint == aFingerprint) {
+    if (m_state.m_poison.StatusOf(flow->m_fingerprint, Now()) ==
+        PoisonStatus::Convicted) {
       guilty.push_back(flow);
     }
   }
@@ -266,7 +323,9 @@
   m_state.m_log.Write(
     LogEvent("engine_down", LogLevel::Warning).Add("engine", aEngine));
   m_state.m_table.OnHealth(Now(), aEngine, false);
-  Perform(m_state.m_ledger.UpstreamLost(aEngine, Now()));
+  if (m_crashes.count(aEngine) == 0) {
+    Perform(m_state.m_ledger.UpstreamLost(aEngine, Now()));
+  }
 }
 
 bool
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -37,6 +37,7 @@
 Worker::Receive(MembershipView& aMessage)
 {
   m_state.m_vms = aMessage.m_listed;
+  m_state.m_suspects.SetVms(aMessage.m_listed, aMessage.m_live);
   std::size_t live = std::max<std::size_t>(aMessage.m_live.size(), 1);
   m_state.m_table.SetVmCount(static_cast<std::uint32_t>(live));
   m_state.m_limits.SetVms(Now(), aMessage.m_live);
@@ -52,6 +53,7 @@
   }
   try {
     m_state.m_poison.Merge(aMessage.m_poisonDigest, now);
+    EndConvicted();
   } catch (const Error& error) {
     m_state.m_log.Write(LogEvent("digest_refused", LogLevel::Warning)
                           .Add("vm", aMessage.m_vm)
@@ -109,6 +111,20 @@
   aMessage.m_reply(owned);
 }
 
+void
+Worker::Receive(SuspectQuery& aMessage)
+{
+  std::optional<Json::Value> reply;
+  try {
+    reply = m_state.m_suspects.Serve(aMessage.m_call);
+    EndConvicted();
+  } catch (const Error& error) {
+    m_state.m_log.Write(LogEvent("suspect_call_refused", LogLevel::Warning)
+                          .Add("reason", error.what()));
+  }
+  aMessage.m_reply(std::move(reply));
+}
+
 void
 Worker::Receive(TicketHandOver& aMessage)
 {
--- a/src/daemon_worker_reply.cpp
+++ b/src/daemon_worker_reply.cpp
@@ -151,10 +151,10 @@
     WriteEnd(flow, aEnd);
   }
   bool complete = aEnd.m_outcome == Outcome::Answered;
-  const Placement& placement = flow.m_attempt.m_placement;
-  for (const std::string& engine :
-       { placement.m_prefillEngine, placement.m_decodeEngine }) {
-    m_state.m_poison.OnRunEnded(flow.m_fingerprint, engine, complete, Now());
+  std::string suspectAt = std::exchange(flow.m_attempt.m_suspectAt, {});
+  if (!suspectAt.empty()) {
+    m_state.m_suspects.RunEnded(
+      flow.m_service->m_name, flow.m_fingerprint, suspectAt, complete);
   }
   CountEnd(flow, aEnd);
   m_state.m_queue.Remove(flow.m_queued.m_id);
--- a/tests/fake_loop.h
+++ b/tests/fake_loop.h
@@ -10,6 +10,7 @@
 #include <deque>
 #include <functional>
 #include <map>
+#include <set>
 #include <string>
 #include <vector>
 
@@ -57,6 +58,9 @@
     auto alive = std::make_shared<bool>(true);
     m_transcript.Add("upstream " + aCall.m_address + " <- " + aCall.m_method +
                      " " + aCall.m_path);
+    if (m_silent.count(aCall.m_address) != 0) {
+      return std::make_unique<FakeCall>(alive);
+    }
     m_timers.RunAfter(std::chrono::milliseconds{ 1 },
                       [this, alive, aCall, aHandler] {
                         if (*alive) {
@@ -67,6 +71,7 @@
   }
 
   PlainAnswer m_answer;
+  std::set<std::string> m_silent; ///< addresses that never answer
 
 private:
   struct FakeCall : HttpClientCallI
