Wire lists, loads and settled services into the control task

Cause: the control library can pass the VM list between VMs, read engines within a budget and follow the measured load, but the daemon used none of it: every VM polled the whole list, all engines counted as urgent while a service was unsettled, loads were taken as zero, and owners of dependent services waited for ever for a flag that only another VM had.

Change: "vm_list" between peers; a text that a peer passed on is not fetched again; a newly leaving upstream and a settled service are spread as rumors; the worker's report carries each pool's load in engines and the requests running at each.

--- a/src/daemon_control.cpp
+++ b/src/daemon_control.cpp
@@ -54,6 +54,21 @@
                 .Add("revision", static_cast<std::int64_t>(Revision())));
 }
 
+void
+ControlState::SpreadLeaving(const std::string& aUpstream,
+                            bool aLeaving,
+                            WallTime aSeen)
+{
+  auto version = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aSeen.time_since_epoch());
+  m_membership.Spread(kRumorLeaving,
+                      aUpstream,
+                      static_cast<std::uint64_t>(version.count()),
+                      aLeaving ? "leaving" : "back",
+                      kLeavingRumorLifetime,
+                      Now());
+}
+
 ControlTask::ControlTask(const ControlOptions& aOptions,
                          LoopI& aLoop,
                          EngineI& aEngine,
@@ -130,6 +145,7 @@
 ControlTask::Receive(WorkerReport& aMessage)
 {
   m_gossip.OnReport(aMessage);
+  m_orders.SetLoads(std::move(aMessage.m_loads), std::move(aMessage.m_running));
 }
 
 void
--- a/src/daemon_control.h
+++ b/src/daemon_control.h
@@ -43,6 +43,10 @@
              const std::string& aChange,
              const std::string& aCause);
   std::uint64_t Revision() const;
+  /// Tells all VMs whether an upstream is leaving.
+  void SpreadLeaving(const std::string& aUpstream,
+                     bool aLeaving,
+                     WallTime aSeen);
 
   ControlOptions m_options;
   LoopI& m_loop;
@@ -75,6 +79,10 @@
   void OnOffer(const RevisionOffer& aOffer);
   /// Result of the peers' call "fleet_text".
   Json::Value OnFleetText(const Json::Value& aParams) const;
+  /// Result of the peers' call "vm_list".
+  Json::Value OnVmList(const Json::Value& aParams) const;
+  /// Fetches a VM list that a peer has and that is newer than ours.
+  void FetchList(const std::string& aPeer, std::uint64_t aHave);
   /// Tells the worker whether this VM may serve, when that changed.
   void CheckReady();
 
@@ -87,6 +95,8 @@
                 PlatformAnswer aAnswer);
   void OnFleet(const PlatformFleet& aFleet);
   void OnVms(const std::vector<PlatformVm>& aVms);
+  void TellLeaving(const std::set<std::string>& aLeaving);
+  void SetOthers();
   void Fetch(const std::string& aPeer, const RevisionName& aHave);
   void Settle(const AcceptOutcome& aOutcome, const std::string& aSource);
 
@@ -181,8 +191,10 @@
   void Start();
   /// Reads engines as far as known, for operators.
   const Readbacks& Known() const { return m_readbacks; }
-  /// Load of a service as the worker and gossip see it.
-  void SetLoad(const std::string& aService, const ServiceLoad& aLoad);
+  /// Loads of services, and requests running at engines, as the worker's load
+  /// reports show them.
+  void SetLoads(std::map<std::string, ServiceLoad> aLoads,
+                std::map<std::string, std::uint32_t> aRunning);
 
 private:
   void Tick();
@@ -192,6 +204,8 @@
   void Step(const ServiceEntry& aService);
   void Send(const std::string& aService, const Order& aOrder);
   bool DependenciesSettled(const ServiceEntry& aService) const;
+  bool IsSettled(const std::string& aService) const;
+  void TellSettled(const std::string& aService);
 
   ControlState& m_state;
   ReadbackSchedule m_schedule;
@@ -200,6 +214,8 @@
   std::map<std::string, Reconciler> m_reconcilers; ///< of owned services
   std::map<std::string, bool> m_settled;
   std::map<std::string, ServiceLoad> m_loads;
+  std::map<std::string, std::uint32_t> m_running;
+  std::map<std::string, TimePoint> m_toldSettled; ///< last spread, by service
   std::map<std::string, CallHandle> m_reads;
   std::map<std::string, CallHandle> m_orders;
 };
--- a/src/daemon_control_config.cpp
+++ b/src/daemon_control_config.cpp
@@ -3,8 +3,25 @@
 #include "config.h"
 #include "daemon_control.h"
 
+#include <charconv>
+
 namespace shallotford {
 
+namespace {
+
+/// Returns the number of a list's version, or 0 if it is none: such a list is
+/// not passed on between VMs.
+std::uint64_t
+VersionNumber(const std::string& aVersion)
+{
+  std::uint64_t number = 0;
+  const char* end = aVersion.data() + aVersion.size();
+  auto [stop, error] = std::from_chars(aVersion.data(), end, number);
+  return error == std::errc{} && stop == end ? number : 0;
+}
+
+} // namespace
+
 ConfigSync::ConfigSync(ControlState& aState, RandomI& aRandom)
   : m_state(aState)
   , m_fleetSchedule(PlatformSchedule::Options{}, aRandom)
@@ -69,7 +86,10 @@
              fleet->m_text ? PlatformAnswer::News : PlatformAnswer::NoNews);
     OnFleet(*fleet);
   };
-  m_fleetCall = m_state.m_platform.WatchFleet(m_fleetVersion, aWait, done);
+  // A text that a peer passed on need not be fetched again.
+  const std::string& known = m_state.m_keeper.PlatformVersion();
+  m_fleetCall = m_state.m_platform.WatchFleet(
+    known.empty() ? m_fleetVersion : known, aWait, done);
 }
 
 void
@@ -113,32 +133,86 @@
 ConfigSync::OnVms(const std::vector<PlatformVm>& aVms)
 {
   std::vector<ListedVm> entries;
-  std::vector<std::string> others;
   std::set<std::string> leaving;
   for (const PlatformVm& vm : aVms) {
     if (vm.m_kind == PlatformVmKind::Entry) {
       entries.push_back(
         { .m_address = vm.m_address, .m_leaving = vm.m_leaving });
-      if (vm.m_address != m_state.m_options.m_vm.m_address) {
-        others.push_back(vm.m_address);
-      }
-      continue;
-    }
-    if (vm.m_leaving) {
+    } else if (vm.m_leaving) {
       leaving.insert(vm.m_address);
     }
   }
-  m_state.m_membership.SetListed(entries, m_state.Now());
+  m_state.m_membership.SetListed(
+    entries, m_state.Now(), VersionNumber(m_vmsVersion));
+  SetOthers();
+  TellLeaving(leaving);
+  CheckReady();
+}
+
+void
+ConfigSync::SetOthers()
+{
+  std::vector<std::string> others;
+  for (const MemberView& member : m_state.m_membership.Members(m_state.Now())) {
+    if (member.m_address != m_state.m_options.m_vm.m_address) {
+      others.push_back(member.m_address);
+    }
+  }
   m_state.m_gate.SetListed(others);
-  std::set<std::string> before = m_state.m_leaving.All();
-  m_state.m_leaving.SetListed(leaving);
-  std::set<std::string> after = m_state.m_leaving.All();
-  before.insert(after.begin(), after.end());
-  for (const std::string& upstream : before) {
-    m_state.m_toWorker(
-      UpstreamLeaving{ upstream, m_state.m_leaving.IsLeaving(upstream) });
+}
+
+/// Tells the worker, and the VMs that keep no watch, what the list says of
+/// upstreams.
+void
+ConfigSync::TellLeaving(const std::set<std::string>& aLeaving)
+{
+  LeavingUpstreams& known = m_state.m_leaving;
+  std::set<std::string> before = known.All();
+  known.SetListed(aLeaving);
+  std::set<std::string> changed = known.All();
+  changed.insert(before.begin(), before.end());
+  WallTime now = std::chrono::system_clock::now();
+  for (const std::string& upstream : changed) {
+    bool leaving = known.IsLeaving(upstream);
+    if (leaving && !before.contains(upstream)) {
+      m_state.SpreadLeaving(upstream, true, now);
+    }
+    m_state.m_toWorker(UpstreamLeaving{ upstream, leaving });
   }
-  CheckReady();
+}
+
+Json::Value
+ConfigSync::OnVmList(const Json::Value& aParams) const
+{
+  return m_state.m_membership.ListFor(aParams["have"].asUInt64());
+}
+
+void
+ConfigSync::FetchList(const std::string& aPeer, std::uint64_t aHave)
+{
+  Json::Value params(Json::objectValue);
+  params["have"] = static_cast<Json::UInt64>(aHave);
+  auto done = [this, aPeer, aHave](const PeerResult& aResult) {
+    const auto* value = std::get_if<Json::Value>(&aResult);
+    if (value == nullptr) {
+      return;
+    }
+    try {
+      bool fits = m_state.m_membership.AcceptList(*value, m_state.Now());
+      if (!fits && aHave != 0) {
+        FetchList(aPeer, 0);
+        return;
+      }
+    } catch (const Error& error) {
+      m_state.m_log.Write(LogEvent("vm_list_refused", LogLevel::Warning)
+                            .Add("vm", aPeer)
+                            .Add("reason", error.what()));
+      return;
+    }
+    SetOthers();
+    CheckReady();
+  };
+  m_state.m_peer.Call(aPeer, "vm_list", params, std::move(done));
 }
 
 void
--- a/src/daemon_control_gossip.cpp
+++ b/src/daemon_control_gossip.cpp
@@ -78,6 +78,9 @@
   for (const RevisionOffer& offer : membership.TakeOffers()) {
     m_config.OnOffer(offer);
   }
+  if (auto peer = membership.TakeListOffer()) {
+    m_config.FetchList(*peer, membership.ListVersion());
+  }
   for (const MembershipEvent& event : membership.TakeEvents(now)) {
     m_state.Audit(AuditKind::Membership,
                   event.m_vm,
@@ -155,14 +158,7 @@
   if (!m_state.m_leaving.OnAnswer(aSeen.m_address, aSeen.m_leaving, now)) {
     return;
   }
-  auto version = std::chrono::duration_cast<std::chrono::milliseconds>(
-    now.time_since_epoch());
-  m_state.m_membership.Spread(kRumorLeaving,
-                              aSeen.m_address,
-                              static_cast<std::uint64_t>(version.count()),
-                              aSeen.m_leaving ? "leaving" : "back",
-                              kLeavingRumorLifetime,
-                              m_state.Now());
+  m_state.SpreadLeaving(aSeen.m_address, aSeen.m_leaving, now);
   m_state.Audit(AuditKind::Membership,
                 aSeen.m_address,
                 aSeen.m_leaving ? "upstream leaving" : "upstream back",
--- a/src/daemon_control_orders.cpp
+++ b/src/daemon_control_orders.cpp
@@ -38,9 +38,11 @@
 }
 
 void
-OrderTask::SetLoad(const std::string& aService, const ServiceLoad& aLoad)
+OrderTask::SetLoads(std::map<std::string, ServiceLoad> aLoads,
+                    std::map<std::string, std::uint32_t> aRunning)
 {
-  m_loads[aService] = aLoad;
+  m_loads = std::move(aLoads);
+  m_running = std::move(aRunning);
 }
 
 void
@@ -60,6 +62,7 @@
       ServiceOwner(service.m_name, live) == m_state.m_options.m_vm.m_address;
     if (!owned) {
       m_reconcilers.erase(service.m_name);
+      m_settled.erase(service.m_name);
       continue;
     }
     m_reconcilers.try_emplace(service.m_name, now);
@@ -100,13 +103,41 @@
   return std::all_of(
     aService.m_dependsOn.begin(),
     aService.m_dependsOn.end(),
-    [this](const std::string& aName) {
-      const ServiceEntry* service =
-        m_state.m_keeper.Current()->FindService(aName);
-      bool model = service != nullptr && service->m_kind == ServiceKind::Model;
-      auto settled = m_settled.find(aName);
-      return !model || (settled != m_settled.end() && settled->second);
-    });
+    [this](const std::string& aName) { return IsSettled(aName); });
+}
+
+/// Returns whether a service's engines are at their goals in the revision in
+/// force, by this VM's own reading or by its owner's word.
+bool
+OrderTask::IsSettled(const std::string& aService) const
+{
+  const ServiceEntry* service =
+    m_state.m_keeper.Current()->FindService(aService);
+  if (service == nullptr || service->m_kind != ServiceKind::Model) {
+    return true;
+  }
+  auto own = m_settled.find(aService);
+  if (own != m_settled.end()) {
+    return own->second;
+  }
+  const Rumor* told =
+    m_state.m_membership.Rumors().Find(kRumorSettled, aService);
+  return told != nullptr && told->m_version == m_state.Revision() &&
+         m_state.Now() < told->m_expiry;
+}
+
+/// Tells the owners of dependent services, again before the word expires.
+void
+OrderTask::TellSettled(const std::string& aService)
+{
+  TimePoint now = m_state.Now();
+  auto told = m_toldSettled.find(aService);
+  if (told != m_toldSettled.end() && now - told->second < kSettledRepeat) {
+    return;
+  }
+  m_toldSettled[aService] = now;
+  m_state.m_membership.Spread(
+    kRumorSettled, aService, m_state.Revision(), "", kSettledLifetime, now);
 }
 
 void
@@ -118,21 +149,23 @@
   input.m_service = aService.m_name;
   input.m_load = m_loads[aService.m_name];
   input.m_dependenciesSettled = DependenciesSettled(aService);
+  std::vector<std::string> engines;
   for (const EngineEntry& engine : aService.m_engines) {
+    engines.push_back(engine.m_address);
     auto known = m_readbacks.find(engine.m_address);
     if (known != m_readbacks.end()) {
+      known->second.m_running = m_running[engine.m_address];
       input.m_readbacks.insert(*known);
     }
+    m_urgent.erase(engine.m_address);
   }
+  input.m_allRead = m_schedule.AllAsked(engines);
   auto reconciler = m_reconcilers.find(aService.m_name);
   ReconcileResult result = reconciler->second.Step(now, input);
   m_settled[aService.m_name] = result.m_settled;
-  for (const EngineEntry& engine : aService.m_engines) {
-    if (result.m_settled) {
-      m_urgent.erase(engine.m_address);
-    } else {
-      m_urgent.insert(engine.m_address);
-    }
+  m_urgent.insert(result.m_toRead.begin(), result.m_toRead.end());
+  if (result.m_settled) {
+    TellSettled(aService.m_name);
   }
   for (const Order& order : result.m_orders) {
     Send(aService.m_name, order);
--- a/src/daemon_handler_peer.cpp
+++ b/src/daemon_handler_peer.cpp
@@ -29,6 +29,9 @@
     m_rpc.AddMethod("gossip", [&aGossip](const Json::Value& aParams) {
       return AsRpc([&] { return aGossip.OnCall(aParams); });
     });
+    m_rpc.AddMethod("vm_list", [&aConfig](const Json::Value& aParams) {
+      return AsRpc([&] { return aConfig.OnVmList(aParams); });
+    });
     m_rpc.AddMethod("fleet_text", [&aConfig](const Json::Value& aParams) {
       return AsRpc([&] { return aConfig.OnFleetText(aParams); });
     });
--- a/src/daemon_messages.h
+++ b/src/daemon_messages.h
@@ -4,12 +4,14 @@
 /// Messages between the worker task and the control task. Each is plain data
 /// that the receiver owns.
 
+#include "shallotford/control.h"
 #include "shallotford/fleet.h"
 #include "shallotford/ledger.h"
 #include "shallotford/net.h"
 #include "shallotford/placement.h"
 
 #include <functional>
+#include <map>
 #include <memory>
 #include <optional>
 #include <string>
@@ -160,6 +162,8 @@
   std::vector<CallerDemand> m_demand;
   std::string m_poisonDigest;
   std::size_t m_live{ 0 };
+  std::map<std::string, ServiceLoad> m_loads;     ///< by service
+  std::map<std::string, std::uint32_t> m_running; ///< by engine
 };
 
 /// Every request in flight has ended after a DrainCommand.
--- a/src/daemon_worker.h
+++ b/src/daemon_worker.h
@@ -196,6 +196,7 @@
   void UpdateGauges();
   /// Sends this worker's figures to the control task, periodically.
   void Report();
+  void AddLoads(WorkerReport& aReport) const;
   void Receive(FleetInForce& aMessage);
   void Receive(MembershipView& aMessage);
   void Receive(PeerNews& aMessage);
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -183,13 +183,46 @@
 
 // -------------------------------------------------------------- snapshots
 
+/// Adds what each model service's pools have to do, in whole engines.
+void
+Worker::AddLoads(WorkerReport& aReport) const
+{
+  if (!m_state.m_fleet) {
+    return;
+  }
+  const EngineTable& table = m_state.m_table;
+  TimePoint now = Now();
+  for (const ServiceEntry& service : m_state.m_fleet->m_services) {
+    const ModelEntry* model = m_state.m_fleet->FindModel(service.m_model);
+    if (service.m_kind != ServiceKind::Model || model == nullptr) {
+      continue;
+    }
+    ServiceLoad& load = aReport.m_loads[service.m_name];
+    double rate = model->m_prefillTokensPerSecond;
+    for (std::uint32_t engine :
+         table.Pool(service.m_name, EngineRole::Prefill)) {
+      double busy = table.QueueTokens(now, engine) / rate;
+      load.m_prefill += std::min(busy, 1.0);
+    }
+    for (std::uint32_t engine :
+         table.Pool(service.m_name, EngineRole::Decode)) {
+      const EngineFacts& facts = table.Engines()[engine];
+      double running = table.Running(now, engine);
+      load.m_decode += running / std::max(1u, facts.m_batchLimit);
+      aReport.m_running[facts.m_address] = static_cast<std::uint32_t>(running);
+    }
+  }
+}
+
 void
 Worker::Report()
 {
-  m_control(WorkerReport{ .m_demand = m_state.m_limits.Demand(Now()),
-                          .m_poisonDigest =
-                            m_state.m_poison.Digest(kMaxDigestBytes, Now()),
-                          .m_live = m_state.m_ledger.Live() });
+  WorkerReport report;
+  report.m_demand = m_state.m_limits.Demand(Now());
+  report.m_poisonDigest = m_state.m_poison.Digest(kMaxDigestBytes, Now());
+  report.m_live = m_state.m_ledger.Live();
+  AddLoads(report);
+  m_control(std::move(report));
   m_state.m_loop.RunAfter(kReportPeriod, [this] { Report(); });
 }
 
