Start the transfer when its claim is granted, not on a poll

Cause: a prefill that ended before its claim was granted looked again every 2 ms, and a claim due at once went through a timer. The bench's own requests also filled the engine's memory, since they freed nothing.

Change: the transfer waits for the claim by a callback; a claim without delay is sent at once; the bench frees what it held, as the daemon does. Placement's refusals say whether waiting can help, and a claim's refusal reaches its work. An engine counts as restarted only if all streams of this VM are gone from it. Errors carry x-request-id once there is one.

--- a/bench/relay_bench.cpp
+++ b/bench/relay_bench.cpp
@@ -17,6 +17,7 @@
 
 constexpr int kWarmUp = 200;
 constexpr int kRequests = 2'000;
+constexpr std::size_t kFreeingKept = 64;
 constexpr int kStreams = 40;
 constexpr std::uint32_t kStreamTokens = 4'000;
 /// Bounds of the design: time added at the median and at the 99th percentile,
@@ -150,6 +151,15 @@
       m_loop.Post([this] { Next(); });
       return;
     }
+    // The daemon frees what its requests held in the same way.
+    for (const std::string& engine : { m_prefill, m_decode }) {
+      m_freeing.push_back(m_engine->Cancel(
+        engine, ToString(m_stream), [](const EngineResult<std::monostate>&) {
+        }));
+    }
+    if (m_freeing.size() > kFreeingKept) {
+      m_freeing.erase(m_freeing.begin(), m_freeing.begin() + kFreeingKept / 2);
+    }
     Done(m_direct, true);
   }
 
@@ -247,6 +257,7 @@
   std::string m_import;
   std::string m_export;
   std::vector<CallHandle> m_calls;
+  std::vector<CallHandle> m_freeing; ///< cancels, kept until long answered
   std::vector<double> m_direct;
   std::vector<double> m_through;
   TimePoint m_started{};
--- a/src/config.h
+++ b/src/config.h
@@ -67,7 +67,6 @@
 constexpr std::chrono::milliseconds kPrefillTimeout = 30'000ms;
 constexpr std::chrono::milliseconds kPullTimeout = 2'000ms;
 constexpr std::chrono::milliseconds kEngineCheckTimeout = 500ms;
-constexpr std::chrono::milliseconds kClaimPoll = 2ms;
 constexpr std::chrono::milliseconds kWorkerTick = 20ms;
 constexpr std::chrono::milliseconds kReportPeriod = 500ms;
 constexpr std::chrono::milliseconds kDrainGrace = 1'000ms;
@@ -97,6 +96,8 @@
 constexpr std::chrono::milliseconds kOrderTick = 500ms;
 constexpr std::chrono::milliseconds kBeat = 200ms;
 constexpr std::chrono::milliseconds kLeavingRumorLifetime = 60'000ms;
+constexpr std::chrono::milliseconds kSettledLifetime = 60'000ms;
+constexpr std::chrono::milliseconds kSettledRepeat = 20'000ms;
 constexpr std::chrono::milliseconds kSuccessionLifetime = 600'000ms;
 constexpr std::size_t kSweepsPerTick = 4;
 /// Engine states read per second while nothing changes.
--- a/src/daemon_claim.cpp
+++ b/src/daemon_claim.cpp
@@ -5,6 +5,8 @@
 #include "config.h"
 #include "daemon_worker.h"
 
+#include <utility>
+
 namespace shallotford {
 
 namespace {
@@ -90,8 +92,8 @@
   state.m_metrics.Count("claims_refused_total",
                         "reason=\"" + aError.m_reason + "\"");
   if (aError.m_fault == EngineFault::Refused) {
-    state.m_table.OnRefused(
-      aWorker.Now(), engine, ParseRefusalReason(aError.m_reason));
+    state.m_table.OnClaimRefused(
+      aWorker.Now(), *attempt.m_work, ParseRefusalReason(aError.m_reason));
   }
   attempt.m_excluded.push_back(engine);
   if (MoveDecode(aWorker, aFlow)) {
@@ -130,9 +132,13 @@
     current.m_import = std::get<std::string>(aResult);
     aWorker.State().m_table.OnClaimed(aWorker.Now(), *current.m_work);
     aWorker.Apply(aFlow, ledger_event::MemoryReserved{ number });
+    auto waiting = std::exchange(current.m_onClaimed, {});
     if (granted) {
       granted();
     }
+    if (waiting) {
+      waiting();
+    }
   };
   attempt.m_calls.push_back(aWorker.State().m_engine.Claim(
     attempt.m_placement.m_decodeEngine, call, std::move(done)));
--- a/src/daemon_filter_place.cpp
+++ b/src/daemon_filter_place.cpp
@@ -137,6 +137,10 @@
 private:
   void ScheduleClaim(const FlowPtr& aFlow, Duration aDelay)
   {
+    if (aDelay <= Duration::zero()) {
+      ClaimMemory(m_worker, aFlow, {});
+      return;
+    }
     std::uint32_t number = aFlow->m_attempt.m_id.m_attempt;
     std::weak_ptr<Flow> weak = aFlow;
     auto claim = [this, weak, number] {
--- a/src/daemon_filter_prefill.cpp
+++ b/src/daemon_filter_prefill.cpp
@@ -89,29 +89,18 @@
       return;
     }
     if (attempt.m_claiming) {
-      WaitForClaim(aFlow);
+      std::weak_ptr<Flow> weak = aFlow;
+      attempt.m_onClaimed = [this, weak] {
+        if (FlowPtr flow = weak.lock()) {
+          Pull(flow);
+        }
+      };
       return;
     }
     ClaimMemory(m_worker, aFlow, [this, aFlow] { Pull(aFlow); });
   }
 
 private:
-  /// Looks again until the claim that is under way is granted. A claim that
-  /// fails ends the attempt, and with it this timer.
-  void WaitForClaim(const FlowPtr& aFlow)
-  {
-    std::uint32_t number = aFlow->m_attempt.m_id.m_attempt;
-    std::weak_ptr<Flow> weak = aFlow;
-    auto look = [this, weak, number] {
-      FlowPtr flow = weak.lock();
-      if (flow && IsCurrent(*flow, number)) {
-        Start(flow);
-      }
-    };
-    aFlow->m_attempt.m_timers.push_back(
-      m_worker.State().m_loop.RunAfter(kClaimPoll, look));
-  }
-
   void Pull(const FlowPtr& aFlow)
   {
     FlowAttempt& attempt = aFlow->m_attempt;
--- a/src/daemon_flow.h
+++ b/src/daemon_flow.h
@@ -8,6 +8,7 @@
 #include "shallotford/ledger.h"
 #include "shallotford/placement.h"
 
+#include <functional>
 #include <memory>
 #include <optional>
 #include <string>
@@ -29,6 +30,7 @@
   std::string m_export;                ///< empty until the prefill is done
   std::uint32_t m_computedTokens{ 0 }; ///< prefill work of this attempt
   bool m_claiming{ false };
+  std::function<void()> m_onClaimed; ///< waits for a claim under way
   bool m_transferred{ false };
   std::string m_plainServer;        ///< with a call under way; else empty
   std::uint32_t m_decodeMoves{ 0 }; ///< decode engines tried after the first
--- a/src/daemon_worker.cpp
+++ b/src/daemon_worker.cpp
@@ -228,6 +228,9 @@
 Worker::RespondError(Flow& aFlow, const Error& aError)
 {
   HttpHeaders headers{ { "content-type", "application/json" } };
+  if (!aFlow.m_id.m_vm.m_address.empty()) {
+    headers.push_back({ "x-request-id", ToString(aFlow.m_id) });
+  }
   if (aError.RetryAfter().count() > 0) {
     auto seconds =
       std::chrono::ceil<std::chrono::seconds>(aError.RetryAfter()).count();
@@ -496,8 +499,7 @@
 Worker::WaitForCapacity(const FlowPtr& aFlow, const PlacementRefusal& aRefusal)
 {
   bool first = aFlow->m_attempt.m_id.m_attempt <= 1;
-  bool mayCome = aRefusal.m_kind == ErrorKind::Overloaded &&
-                 Now() + aRefusal.m_retryAfter < aFlow->m_queued.m_giveUpAt;
+  bool mayCome = aRefusal.m_mayWait && Now() < aFlow->m_queued.m_giveUpAt;
   if (!first || !mayCome) {
     return false;
   }
--- a/src/daemon_worker_engines.cpp
+++ b/src/daemon_worker_engines.cpp
@@ -213,7 +213,8 @@
 }
 
 /// Returns whether the engine holds none of the streams that it decoded for
-/// this VM a moment ago: it was restarted.
+/// this VM a moment ago: it was restarted. One lost stream alone may have been
+/// cancelled there.
 bool
 Worker::LostStreams(const std::string& aEngine,
                     const EngineResult<std::vector<EngineHolding>>& aResult)
@@ -223,15 +224,20 @@
   for (const EngineHolding& holding : holdings) {
     held.insert(holding.m_stream);
   }
+  std::size_t lost = 0;
   for (const auto& [id, flow] : m_flows) {
     const FlowAttempt& attempt = flow->m_attempt;
     bool here = flow->m_model != nullptr && attempt.m_transferred &&
                 attempt.m_placement.m_decodeEngine == aEngine;
-    if (here && held.count(ToString(attempt.m_id)) == 0) {
-      return true;
+    if (!here) {
+      continue;
     }
+    if (held.count(ToString(attempt.m_id)) != 0) {
+      return false;
+    }
+    ++lost;
   }
-  return false;
+  return lost > 0;
 }
 
 std::vector<std::string>
