--- a/scripts/fleet.py
+++ b/scripts/fleet.py
@@ -7,6 +7,7 @@
 import json
 import os
 import random
+import shutil
 import signal
 import socket
 import subprocess
@@ -311,7 +312,10 @@
         return entries + ([self.platform] if self.platform else [])
 
     def stop(self):
-        """Ends all by id; daemons by a planned stop. Returns their codes."""
+        """Ends all by id; daemons by a planned stop. Returns their codes.
+
+        The folder with the logs is removed, unless SHALLOTFORD_KEEP is set.
+        """
         codes = []
         for entry in self.daemons:
             if "process" in entry:
@@ -331,4 +335,6 @@
             if process is not None and process.alive():
                 process.signal(signal.SIGCONT)
                 process.kill()
+        if "SHALLOTFORD_KEEP" not in os.environ:
+            shutil.rmtree(self.folder, ignore_errors=True)
         return codes
--- a/src/fleet_check.cpp
+++ b/src/fleet_check.cpp
@@ -31,6 +31,15 @@
   return aText.find_first_not_of("0123456789abcdefABCDEF") == std::string::npos;
 }
 
+/// Whether aName may stand in paths and in resume tokens as it is.
+bool
+IsPlainName(const std::string& aName)
+{
+  return aName.find_first_not_of("abcdefghijklmnopqrstuvwxyz"
+                                 "ABCDEFGHIJKLMNOPQRSTUVWXYZ"
+                                 "0123456789._-") == std::string::npos;
+}
+
 /// Finds names that occur twice.
 class UniqueNames
 {
@@ -201,6 +210,12 @@
       const ServiceEntry& service = m_fleet.m_services[i];
       std::string path = Item("services", i);
       names.Add(service.m_name, path + ".name");
+      if (!IsPlainName(service.m_name)) {
+        m_document.AddProblem(path + ".name",
+                              "service " + Quote(service.m_name) +
+                                " has characters that paths can't hold",
+                              "Use ASCII letters, digits, '.', '_' and '-'.");
+      }
       if (service.m_kind == ServiceKind::Model) {
         served.Add(service.m_model, path + ".model");
         CheckModelService(service, path);
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -69,6 +69,7 @@
     47,
     "services[1].servers[0].address",
     "Write IP:PORT" },
+  { "fleet-service-name.json", 43, "services[1].name", "ASCII letters" },
   { "fleet-service-twice.json", 43, "services[1].name", "once" },
   { "fleet-region-unknown.json",
     28,
