Ask a dying engine again before its batch is retried

Cause: the question whether an engine lives could meet the process while it died: the connection broke, which counted as an engine that is cut off, and the batch was retried at once without suspicion.

Change: an unclear answer is asked again every 20 ms, five times at most. A suspect that finds every engine taken by another suspect is refused as overloaded with a time to come back, no longer as "no usable engine". The load generator sends a draft again after a refusal that says not run, also if an earlier connection broke.

--- a/src/daemon_filter_place.cpp
+++ b/src/daemon_filter_place.cpp
@@ -25,7 +25,14 @@
     PlacementResult result = state.m_placer->Place(
       m_worker.Now(), request, state.m_table, state.m_random);
     if (auto* refusal = std::get_if<PlacementRefusal>(&result)) {
-      Refuse(aFlow, *refusal);
+      // No engine is usable for a suspect while each has another one.
+      bool suspect = request.m_allowed != nullptr &&
+                     refusal->m_kind == ErrorKind::NoUpstream;
+      if (suspect) {
+        RefuseSuspect(aFlow);
+      } else {
+        Refuse(aFlow, *refusal);
+      }
       return;
     }
     aFlow->m_attempt.m_placement = std::get<Placement>(result);
--- a/src/daemon_worker.h
+++ b/src/daemon_worker.h
@@ -148,8 +148,13 @@
   struct EngineCheck
   {
     CallHandle m_call;
+    bool m_running{ false };
+    std::uint32_t m_tries{ 0 };
     std::vector<std::pair<FlowPtr, ledger_event::AttemptFailed>> m_failures;
   };
+  void AskEngine(const std::string& aEngine);
+  bool AskEngineAgain(const std::string& aEngine,
+                      const EngineResult<std::vector<EngineHolding>>& aResult);
   void OnEngineChecked(const std::string& aEngine,
                        const EngineResult<std::vector<EngineHolding>>& aResult);
   void OnEngineDown(const std::string& aEngine);
--- a/src/daemon_worker_engines.cpp
+++ b/src/daemon_worker_engines.cpp
@@ -167,20 +167,47 @@
   }
   EngineCheck& check = m_checks[aEngine];
   check.m_failures.emplace_back(aFlow, std::move(aFailure));
-  if (check.m_call) {
-    return;
+  if (!check.m_running) {
+    check.m_running = true;
+    AskEngine(aEngine);
   }
-  check.m_call = m_state.m_engine.List(
+}
+
+void
+Worker::AskEngine(const std::string& aEngine)
+{
+  m_checks[aEngine].m_call = m_state.m_engine.List(
     aEngine,
     [this, aEngine](const EngineResult<std::vector<EngineHolding>>& aResult) {
       OnEngineChecked(aEngine, aResult);
     });
 }
 
+/// Asks again if the question met a process that was just dying: only a refused
+/// connection or a list shows whether it crashed.
+bool
+Worker::AskEngineAgain(const std::string& aEngine,
+                       const EngineResult<std::vector<EngineHolding>>& aResult)
+{
+  EngineCheck& check = m_checks[aEngine];
+  const auto* error = std::get_if<EngineError>(&aResult);
+  bool unclear = error != nullptr && error->m_fault == EngineFault::Broken;
+  if (!unclear || ++check.m_tries >= kEngineCheckTries) {
+    return false;
+  }
+  Discard(std::move(check.m_call));
+  m_state.m_loop.RunAfter(kEngineCheckPause,
+                          [this, aEngine] { AskEngine(aEngine); });
+  return true;
+}
+
 void
 Worker::OnEngineChecked(const std::string& aEngine,
                         const EngineResult<std::vector<EngineHolding>>& aResult)
 {
+  if (AskEngineAgain(aEngine, aResult)) {
+    return;
+  }
   auto found = m_checks.find(aEngine);
   EngineCheck check = std::move(found->second);
   m_checks.erase(found);
--- a/tests/fake_engine.h
+++ b/tests/fake_engine.h
@@ -22,6 +22,8 @@
 
   /// Engines that accept no connection.
   std::set<std::string> m_down;
+  /// Lists of an engine that break before the next one is answered.
+  std::map<std::string, int> m_breakLists;
   /// Decode engines that refuse their next claim, with this reason.
   std::map<std::string, std::string> m_refuseClaim;
   /// Tokens after which an engine's process dies; once.
@@ -96,6 +98,14 @@
   CallHandle List(const std::string& aEngine,
                   EngineDone<std::vector<EngineHolding>> aDone) override
   {
+    auto breaks = m_breakLists.find(aEngine);
+    if (breaks != m_breakLists.end() && breaks->second > 0) {
+      --breaks->second;
+      m_timers.RunAfter(1ms, [aDone] {
+        aDone(EngineError{ EngineFault::Broken, "connection closed" });
+      });
+      return std::make_unique<Handle>(std::make_shared<bool>(true));
+    }
     return Later<std::vector<EngineHolding>>(
       aEngine, 1ms, aDone, std::vector<EngineHolding>{});
   }
--- a/tests/suspects_test.cpp
+++ b/tests/suspects_test.cpp
@@ -173,6 +173,21 @@
   BOOST_TEST(fixture.Logged("cause=quarantined"));
 }
 
+BOOST_AUTO_TEST_CASE(question_to_a_dying_engine_is_asked_again)
+{
+  // The first questions meet the process while it dies: taken for an engine
+  // that is merely cut off, its batch would be retried without suspicion.
+  Fixture fixture;
+  fixture.m_engine.m_breakLists = { { "10.0.0.2:80", 2 },
+                                    { "10.0.0.3:80", 2 } };
+  fixture.CrashOne();
+  fixture.m_loop.RunFor(10s);
+  BOOST_TEST(fixture.Logged("event=engine_crashed"));
+  BOOST_REQUIRE(!fixture.m_calls.empty());
+  BOOST_TEST(fixture.m_calls.front() == "crash");
+  BOOST_TEST(fixture.m_prefillsAtCrash == 1u);
+}
+
 BOOST_AUTO_TEST_CASE(suspect_asks_before_it_runs_and_is_cleared_after)
 {
   Fixture fixture;
--- a/tools/standin_load_call.cpp
+++ b/tools/standin_load_call.cpp
@@ -326,7 +326,10 @@
   bool notRun =
     error["run"].asString() == "no" || (run != nullptr && *run == "no");
   std::string code = error["code"].asString();
-  if (!notRun || m_mayHaveRun) {
+  // An earlier submission that broke may have run; that matters only to calls
+  // that may not be repeated.
+  bool repeatable = m_plan.m_kind != CallKind::NonRepeatable;
+  if (!notRun || (m_mayHaveRun && !repeatable)) {
     Finish(CallOutcome::Failed, code);
     return;
   }
