--- a/include/shallotford/base.h
+++ b/include/shallotford/base.h
@@ -155,6 +155,10 @@
 AttemptId
 ParseAttemptId(std::string_view aText);
 
+/// Returns aNumber in hexadecimal, without leading zeros.
+std::string
+Hex(std::uint64_t aNumber);
+
 /// Returns a 64-bit XXH3 hash, the same on every VM and in every version.
 std::uint64_t
 StableHash(std::string_view aText, std::uint64_t aSeed = 0);
--- a/src/base_id.cpp
+++ b/src/base_id.cpp
@@ -36,16 +36,6 @@
   return number;
 }
 
-std::string
-Hex(std::uint64_t aNumber)
-{
-  std::array<char, 16> digits{};
-  auto [end, error] =
-    std::to_chars(digits.data(), digits.data() + digits.size(), aNumber, 16);
-  static_cast<void>(error);
-  return { digits.data(), end };
-}
-
 std::string
 PaddedHex(std::uint64_t aNumber)
 {
@@ -68,6 +58,16 @@
 
 } // namespace
 
+std::string
+Hex(std::uint64_t aNumber)
+{
+  std::array<char, 16> digits{};
+  auto [end, error] =
+    std::to_chars(digits.data(), digits.data() + digits.size(), aNumber, 16);
+  static_cast<void>(error);
+  return { digits.data(), end };
+}
+
 std::string
 ToString(const VmIncarnation& aVm)
 {
--- a/src/control_gossip.cpp
+++ b/src/control_gossip.cpp
@@ -19,16 +19,6 @@
 /// Figures travel as whole tenths.
 constexpr double kFigureScale = 10;
 
-std::string
-Hex(std::uint64_t aNumber)
-{
-  std::array<char, 16> digits{};
-  auto [end, error] =
-    std::to_chars(digits.data(), digits.data() + digits.size(), aNumber, 16);
-  static_cast<void>(error);
-  return { digits.data(), end };
-}
-
 } // namespace
 
 char
--- a/src/ledger_ticket_handover.cpp
+++ b/src/ledger_ticket_handover.cpp
@@ -21,15 +21,6 @@
               "Run the same version of the daemon on both VMs.");
 }
 
-std::string
-Hex(std::uint64_t aNumber)
-{
-  std::array<char, 16> digits{};
-  auto result = std::to_chars(
-    digits.data(), digits.data() + digits.size(), aNumber, kHexBase);
-  return { digits.data(), result.ptr };
-}
-
 std::uint64_t
 FromHex(const std::string& aText)
 {
--- a/src/rpc_message.cpp
+++ b/src/rpc_message.cpp
@@ -1,4 +1,4 @@
-/// Requests and replies of JSON-RPC 2.0, for the calling side.
+/// Texts of JSON-RPC 2.0 requests and replies.
 
 #include "shallotford/rpc.h"
 
@@ -31,6 +31,23 @@
   throw RpcError(kRpcParseError, "the reply is not JSON: " + problems);
 }
 
+std::string
+Write(const Json::Value& aValue)
+{
+  Json::StreamWriterBuilder builder;
+  builder["indentation"] = "";
+  return Json::writeString(builder, aValue);
+}
+
+Json::Value
+Envelope(const Json::Value& aId)
+{
+  Json::Value body(Json::objectValue);
+  body["jsonrpc"] = "2.0";
+  body["id"] = aId;
+  return body;
+}
+
 [[noreturn]] void
 ThrowInvalid(const std::string& aWhat)
 {
@@ -72,16 +89,48 @@
                const Json::Value& aParams,
                Json::Int64 aId)
 {
-  Json::Value request(Json::objectValue);
-  request["jsonrpc"] = "2.0";
+  Json::Value request = Envelope(aId);
   request["method"] = aMethod;
-  request["id"] = aId;
   if (!aParams.isNull()) {
     request["params"] = aParams;
   }
-  Json::StreamWriterBuilder builder;
-  builder["indentation"] = "";
-  return Json::writeString(builder, request);
+  return Write(request);
+}
+
+RpcCall
+ParseRpcCall(const std::string& aBody)
+{
+  RpcCall call;
+  Json::Value body;
+  try {
+    body = ParseStrictly(aBody);
+  } catch (const RpcError&) {
+    return call;
+  }
+  if (!body.isObject() || !body["method"].isString()) {
+    return call;
+  }
+  call.m_method = body["method"].asString();
+  call.m_params = body["params"];
+  call.m_id = body["id"];
+  return call;
+}
+
+std::string
+RpcResultBody(const Json::Value& aId, const Json::Value& aResult)
+{
+  Json::Value body = Envelope(aId);
+  body["result"] = aResult;
+  return Write(body);
+}
+
+std::string
+RpcErrorBody(const Json::Value& aId, int aCode, const std::string& aMessage)
+{
+  Json::Value body = Envelope(aId);
+  body["error"]["code"] = aCode;
+  body["error"]["message"] = aMessage;
+  return Write(body);
 }
 
 Json::Value
