Split callers' limits by the demand that gossip estimates

Cause: the control task told the worker the other VMs' demand under a name that is on no VM list, so the limits dropped it and every VM granted nearly the whole limit. Callers without demand here were left out, too.

Change: CallerLimits takes the sum of all other VMs, which goes before figures of single ones while it is fresh; the control task gives it for every caller of the text in force.

Measured: the new test, a quarter of the demand here: share within 10 % of 0.25; none elsewhere: above 0.9. Not measured: the split over real daemons.

Conclusion: the decision was right and its input never arrived.

--- a/include/shallotford/placement.h
+++ b/include/shallotford/placement.h
@@ -12,6 +12,7 @@
 #include <functional>
 #include <limits>
 #include <map>
+#include <optional>
 #include <unordered_map>
 #include <variant>
 
@@ -356,6 +357,9 @@
   void OnPeerDemand(TimePoint aNow,
                     const std::string& aVm,
                     const std::vector<CallerDemand>& aDemand);
+  /// Demand of all other VMs together, as gossip's averages estimate it; goes
+  /// before the figures of single VMs while it is fresh.
+  void OnOthersDemand(TimePoint aNow, const std::vector<CallerDemand>& aDemand);
   /// Counts the request as demand, and takes its cost if the caller's share
   /// here allows it. Returns zero if taken, else when to come back.
   std::chrono::milliseconds Take(TimePoint aNow,
@@ -382,6 +386,7 @@
     double m_demand{ 0 }; ///< decaying sum of tokens asked for here
     TimePoint m_at{};     ///< of m_level and m_demand
     std::map<std::string, PeerDemand> m_peers;
+    std::optional<PeerDemand> m_others; ///< sum of all other VMs, if told
   };
   double OwnDemand(TimePoint aNow, const Bucket& aBucket) const;
   double PeerDemandOf(TimePoint aNow,
--- a/src/config.h
+++ b/src/config.h
@@ -103,8 +103,6 @@
 constexpr std::size_t kSweepsPerTick = 4;
 /// Engine states read per second while nothing changes.
 constexpr double kStateReadsPerSecond = 2.0;
-/// Stands for the sum of all other VMs in demand figures.
-constexpr const char* kOtherVms = "others";
 /// Load reports asked for per second, over all engines.
 constexpr std::size_t kLoadPollsPerSecond = 16;
 /// Own calls that a server in another region counts as.
--- a/src/daemon_control_gossip.cpp
+++ b/src/daemon_control_gossip.cpp
@@ -3,6 +3,8 @@
 #include "config.h"
 #include "daemon_control.h"
 
+#include <algorithm>
+
 namespace shallotford {
 
 namespace {
@@ -138,17 +140,24 @@
 {
   Membership& membership = m_state.m_membership;
   membership.SetDigest(aReport.m_poisonDigest);
-  PeerNews others;
-  others.m_vm = kOtherVms;
+  FleetPtr fleet = m_state.m_keeper.Current();
+  if (!fleet) {
+    return;
+  }
+  std::map<std::string, double> own;
   for (const CallerDemand& demand : aReport.m_demand) {
-    std::string key = kDemandPrefix + demand.m_caller;
-    membership.Averages().SetOwn(key, demand.m_tokensPerSecond);
-    double rest =
-      membership.Total(key, m_state.Now()) - demand.m_tokensPerSecond;
-    others.m_demand.push_back({ .m_caller = demand.m_caller,
-                                .m_tokensPerSecond = rest > 0 ? rest : 0 });
+    own[demand.m_caller] = demand.m_tokensPerSecond;
+  }
+  PeerNews news;
+  for (const CallerEntry& caller : fleet->m_callers) {
+    std::string key = kDemandPrefix + caller.m_name;
+    double mine = own[caller.m_name];
+    membership.Averages().SetOwn(key, mine);
+    double rest = membership.Total(key, m_state.Now()) - mine;
+    news.m_othersDemand.push_back(
+      { .m_caller = caller.m_name, .m_tokensPerSecond = std::max(rest, 0.0) });
   }
-  m_state.m_toWorker(std::move(others));
+  m_state.m_toWorker(std::move(news));
 }
 
 void
--- a/src/daemon_messages.h
+++ b/src/daemon_messages.h
@@ -38,9 +38,8 @@
 /// What a peer's gossip brought for the worker.
 struct PeerNews
 {
-  std::string m_vm;
-  std::vector<CallerDemand> m_demand;
-  std::string m_poisonDigest; ///< empty if none
+  std::vector<CallerDemand> m_othersDemand; ///< of all other VMs together
+  std::string m_poisonDigest;               ///< empty if none
 };
 
 /// A call whose ticket this VM issued, brought by another VM.
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -47,7 +47,7 @@
 Worker::Receive(PeerNews& aMessage)
 {
   TimePoint now = Now();
-  m_state.m_limits.OnPeerDemand(now, aMessage.m_vm, aMessage.m_demand);
+  m_state.m_limits.OnOthersDemand(now, aMessage.m_othersDemand);
   if (aMessage.m_poisonDigest.empty()) {
     return;
   }
@@ -56,7 +56,6 @@
     EndConvicted();
   } catch (const Error& error) {
     m_state.m_log.Write(LogEvent("digest_refused", LogLevel::Warning)
-                          .Add("vm", aMessage.m_vm)
                           .Add("reason", error.what()));
   }
 }
--- a/src/placement_admission_limits.cpp
+++ b/src/placement_admission_limits.cpp
@@ -82,6 +82,19 @@
   }
 }
 
+void
+CallerLimits::OnOthersDemand(TimePoint aNow,
+                             const std::vector<CallerDemand>& aDemand)
+{
+  for (const CallerDemand& demand : aDemand) {
+    const auto bucket = m_buckets.find(demand.m_caller);
+    if (bucket == m_buckets.end())
+      continue;
+    Refill(aNow, bucket->second);
+    bucket->second.m_others = { demand.m_tokensPerSecond, aNow };
+  }
+}
+
 double
 CallerLimits::OwnDemand(TimePoint aNow, const Bucket& aBucket) const
 {
@@ -115,6 +128,13 @@
   const double vms = double(m_vms.size()) + 1;
   const double floor = aBucket.m_rate * kDemandFloor / vms;
   const double own = OwnDemand(aNow, aBucket);
+  const bool summed =
+    aBucket.m_others && aBucket.m_others->m_at + kPeerDemandLifetime >= aNow;
+  if (summed) {
+    const double all = own + aBucket.m_others->m_tokensPerSecond;
+    const double total = all + floor * vms;
+    return total > 0 ? (own + floor) / total : 1.0 / vms;
+  }
   double known = own;
   for (const auto& [vm, demand] : aBucket.m_peers)
     known += demand.m_tokensPerSecond;
--- a/tests/placement_admission_test.cpp
+++ b/tests/placement_admission_test.cpp
@@ -274,6 +274,26 @@
   }));
 }
 
+BOOST_AUTO_TEST_CASE(sum_of_the_others_splits_like_their_single_figures)
+{
+  CallerLimits limits("a");
+  limits.SetVms(kStart, { "a", "b", "c" });
+  limits.SetCallers(kStart, { Caller("lead-desk", 1, 10'000) });
+  TimePoint now = kStart;
+  for (int i = 0; i < 600; ++i) {
+    now += 100ms;
+    limits.Take(now, "lead-desk", 200);
+  }
+  double own = limits.Demand(now).front().m_tokensPerSecond;
+  BOOST_REQUIRE(own > 1'000);
+  limits.OnOthersDemand(now, { { "lead-desk", 3 * own } });
+  BOOST_TEST(limits.Share(now, "lead-desk") > 0.25 * 0.9);
+  BOOST_TEST(limits.Share(now, "lead-desk") < 0.25 * 1.1);
+  // Without demand elsewhere nearly all of the limit is granted here.
+  limits.OnOthersDemand(now, { { "lead-desk", 0 } });
+  BOOST_TEST(limits.Share(now, "lead-desk") > 0.9);
+}
+
 BOOST_AUTO_TEST_CASE(all_demand_at_one_vm_gets_nearly_the_whole_limit)
 {
   const auto random = MakeSeededRandom(3);
