Answer forwarded calls on the loop that owns the socket

Cause: a ticketed call that another VM forwards comes on the control task's socket, and the worker answered on it from its own thread; the exchange that posts such answers existed and was not used.

Change: the message names the owning loop and the worker answers through the posting exchange.

Conclusion: found by reading, not by a test; a run under a thread sanitizer is to follow.

--- a/src/daemon_handler_peer.cpp
+++ b/src/daemon_handler_peer.cpp
@@ -42,8 +42,9 @@
   {
     if (aRequest.m_path.rfind("/forward/services/", 0) == 0) {
       aRequest.m_path.erase(0, kForwardPrefix.size());
-      m_state.m_toWorker(
-        ForwardedCall{ std::move(aExchange), std::move(aRequest) });
+      m_state.m_toWorker(ForwardedCall{ .m_exchange = std::move(aExchange),
+                                        .m_owner = &m_state.m_loop,
+                                        .m_request = std::move(aRequest) });
       return;
     }
     if (aRequest.m_method != "POST" || aRequest.m_path != "/rpc") {
--- a/src/daemon_messages.h
+++ b/src/daemon_messages.h
@@ -46,6 +46,7 @@
 struct ForwardedCall
 {
   std::shared_ptr<HttpExchangeI> m_exchange;
+  LoopI* m_owner{ nullptr }; ///< loop that m_exchange must be called on
   HttpRequest m_request;
 };
 
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -2,6 +2,7 @@
 
 #include "config.h"
 #include "daemon_filters.h"
+#include "daemon_posting_exchange.h"
 #include "daemon_worker.h"
 
 #include <algorithm>
@@ -64,7 +65,8 @@
 Worker::Receive(ForwardedCall& aMessage)
 {
   auto flow = std::make_shared<Flow>();
-  flow->m_exchange = std::move(aMessage.m_exchange);
+  flow->m_exchange = MakePostingExchange(
+    *aMessage.m_owner, m_state.m_loop, std::move(aMessage.m_exchange));
   flow->m_http = std::move(aMessage.m_request);
   flow->m_receivedAt = Now();
   flow->m_fleet = m_state.m_fleet;
