Remove what nothing uses and name the list of failures once

Cause: a read of the whole change found two constants, two functions, two message members and a comment on a parameter that nothing uses any more, and a type written out beside its alias.

Change: they are gone; EngineCheck uses Failures.

No test, bound or expectation changed.

Conclusion: no behaviour changed.

--- a/src/config.h
+++ b/src/config.h
@@ -111,7 +111,6 @@
 constexpr double kQueueShare = 0.5;
 
 // ledger
-constexpr std::chrono::milliseconds kExportLifetime = 900ms;
 constexpr std::chrono::milliseconds kGoneStreamBound = 5'000ms;
 constexpr std::size_t kMaxResumeTokenBytes = 1'024;
 constexpr std::uint64_t kMaxStreamPosition = 1u << 30;
@@ -227,7 +226,6 @@
 constexpr std::size_t kRumorsPerMessage = 4;
 constexpr std::size_t kAveragesPerMessage = 10;
 constexpr std::uint32_t kRecordSends = 6;
-constexpr std::uint32_t kRumorSends = 8;
 constexpr std::size_t kMaxRumors = 512;
 constexpr std::size_t kMaxRumorIdBytes = 64;
 constexpr std::size_t kMaxRumorBodyBytes = 128;
--- a/src/daemon_flow.cpp
+++ b/src/daemon_flow.cpp
@@ -39,14 +39,4 @@
               "Report this defect.");
 }
 
-std::vector<std::string_view>
-Pipeline::Names() const
-{
-  std::vector<std::string_view> names;
-  for (const auto& filter : m_filters) {
-    names.push_back(filter->Name());
-  }
-  return names;
-}
-
 } // namespace shallotford
--- a/src/daemon_flow.h
+++ b/src/daemon_flow.h
@@ -114,8 +114,6 @@
   void Next(const FlowPtr& aFlow);
   /// Starts the filter named aName, for a further attempt.
   void RestartAt(const FlowPtr& aFlow, std::string_view aName);
-  /// Names of the filters, in order.
-  std::vector<std::string_view> Names() const;
 
 private:
   std::vector<std::unique_ptr<FilterI>> m_filters;
--- a/src/daemon_messages.h
+++ b/src/daemon_messages.h
@@ -78,7 +78,6 @@
 
 struct WorkerSnapshot
 {
-  TimePoint m_at{};
   bool m_ready{ false };
   bool m_draining{ false };
   std::size_t m_live{ 0 };
@@ -161,7 +160,6 @@
 {
   std::vector<CallerDemand> m_demand;
   std::string m_poisonDigest;
-  std::size_t m_live{ 0 };
   std::map<std::string, ServiceLoad> m_loads;     ///< by service
   std::map<std::string, std::uint32_t> m_running; ///< by engine
 };
--- a/src/daemon_worker.cpp
+++ b/src/daemon_worker.cpp
@@ -89,12 +89,6 @@
   PollEngines();
 }
 
-std::uint16_t
-Worker::CallerPort() const
-{
-  return m_server->Port();
-}
-
 void
 Worker::SetControlSink(std::function<void(WorkerMessage)> aSink)
 {
--- a/src/daemon_worker.h
+++ b/src/daemon_worker.h
@@ -77,8 +77,7 @@
 
   /// Opens the callers' port and starts the periodic work.
   void Start();
-  std::uint16_t CallerPort() const;
-  /// Messages of the control task. @param aReply may be empty
+  /// Messages of the control task.
   void OnMessage(ControlMessage aMessage);
   /// Where messages to the control task go.
   void SetControlSink(std::function<void(WorkerMessage)> aSink);
@@ -144,13 +143,14 @@
   void PumpCancels();
   void PollEngines();
   void PollEngine(const std::string& aEngine);
+  using Failures = std::vector<std::pair<FlowPtr, ledger_event::AttemptFailed>>;
   /// A question whether an engine lives, and the failures that wait for it.
   struct EngineCheck
   {
     CallHandle m_call;
     bool m_running{ false };
     std::uint32_t m_tries{ 0 };
-    std::vector<std::pair<FlowPtr, ledger_event::AttemptFailed>> m_failures;
+    Failures m_failures;
   };
   void AskEngine(const std::string& aEngine);
   bool AskEngineAgain(const std::string& aEngine,
@@ -158,7 +158,6 @@
   void OnEngineChecked(const std::string& aEngine,
                        const EngineResult<std::vector<EngineHolding>>& aResult);
   void OnEngineDown(const std::string& aEngine);
-  using Failures = std::vector<std::pair<FlowPtr, ledger_event::AttemptFailed>>;
   /// Asks the coordinator about a crash; the attempts fail when it answered.
   void OnEngineCrashed(const std::string& aEngine,
                        Failures aFailures,
--- a/src/daemon_worker_messages.cpp
+++ b/src/daemon_worker_messages.cpp
@@ -221,7 +221,6 @@
   WorkerReport report;
   report.m_demand = m_state.m_limits.Demand(Now());
   report.m_poisonDigest = m_state.m_poison.Digest(kMaxDigestBytes, Now());
-  report.m_live = m_state.m_ledger.Live();
   AddLoads(report);
   m_control(std::move(report));
   m_state.m_loop.RunAfter(kReportPeriod, [this] { Report(); });
@@ -267,7 +266,6 @@
 {
   TimePoint now = Now();
   WorkerSnapshot snapshot;
-  snapshot.m_at = now;
   snapshot.m_ready = m_ready && m_state.m_fleet && !m_drainingSince;
   snapshot.m_draining = m_drainingSince.has_value();
   snapshot.m_live = m_state.m_ledger.Live();
