--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -22,6 +22,18 @@
   std::string m_peerAuthority;
 };
 
+/// Settings of a daemon that routes by host and path to published upstreams.
+struct RoutingSettings
+{
+  std::vector<std::string> m_seeds; ///< peer addresses to begin with
+  /// Region of each failure domain.
+  std::map<std::string, std::string> m_failureDomains;
+  double m_retryRatio{ 0.2 };   ///< extra sends per request of a service
+  double m_retrySlack{ 10.0 };  ///< further extra sends, over all VMs
+  double m_retryWindow{ 10.0 }; ///< seconds
+  double m_drainTime{ 8.0 };    ///< seconds from the stop signal to the end
+};
+
 /// Settings of one daemon. Addresses are "IP:PORT".
 struct Settings
 {
@@ -39,6 +51,8 @@
   std::size_t m_auditEntries{ 10'000 };
   TlsSettings m_callerTls;
   TlsSettings m_peerTls;
+  std::string m_metricsAddress; ///< "metrics.listen"; empty: operators' only
+  std::optional<RoutingSettings> m_routing; ///< "routing"
 };
 
 /// Reads and checks a settings file's text.
--- a/src/daemon_run.cpp
+++ b/src/daemon_run.cpp
@@ -4,9 +4,9 @@
 
 #include "config.h"
 #include "daemon_control.h"
+#include "daemon_signals.h"
 #include "daemon_worker.h"
 
-#include <csignal>
 #include <cstdio>
 #include <thread>
 
@@ -14,81 +14,6 @@
 
 namespace {
 
-/// Signals that the signal task takes; every other thread blocks them.
-sigset_t
-HandledSignals()
-{
-  sigset_t signals;
-  sigemptyset(&signals);
-  sigaddset(&signals, SIGTERM);
-  sigaddset(&signals, SIGINT);
-  sigaddset(&signals, SIGHUP);
-  return signals;
-}
-
-/// Ends the signal task. No signal of this number has another use here.
-constexpr int kStopSignal = SIGUSR2;
-
-/// Waits for signals and turns them into calls on the control loop.
-class SignalTask
-{
-public:
-  SignalTask(LoopI& aControlLoop, LoopI& aWorkerLoop, ControlTask& aControl)
-    : m_controlLoop(aControlLoop)
-    , m_workerLoop(aWorkerLoop)
-    , m_control(aControl)
-    , m_thread([this] { Run(); })
-  {
-  }
-
-  ~SignalTask()
-  {
-    pthread_kill(m_thread.native_handle(), kStopSignal);
-    m_thread.join();
-  }
-
-  SignalTask(const SignalTask&) = delete;
-  SignalTask& operator=(const SignalTask&) = delete;
-
-private:
-  void Run()
-  {
-    sigset_t signals = HandledSignals();
-    sigaddset(&signals, kStopSignal);
-    for (;;) {
-      int signal = 0;
-      sigwait(&signals, &signal);
-      if (signal == kStopSignal) {
-        return;
-      }
-      if (signal == SIGHUP) {
-        Reload();
-        continue;
-      }
-      m_controlLoop.Post([this] { m_control.Drain("signal"); });
-    }
-  }
-
-  void Reload()
-  {
-    m_controlLoop.Post([this] { m_controlLoop.ReloadCertificates(); });
-    m_workerLoop.Post([this] { m_workerLoop.ReloadCertificates(); });
-  }
-
-  LoopI& m_controlLoop;
-  LoopI& m_workerLoop;
-  ControlTask& m_control;
-  std::thread m_thread;
-};
-
-void
-BlockSignals()
-{
-  sigset_t signals = HandledSignals();
-  sigaddset(&signals, kStopSignal);
-  pthread_sigmask(SIG_BLOCK, &signals, nullptr);
-}
-
 VmIncarnation
 BootIncarnation(const Settings& aSettings)
 {
@@ -164,7 +89,13 @@
                .Add("vm", ToString(vm))
                .Add("callers", aSettings.m_callerAddress)
                .Add("version", SHALLOTFORD_VERSION));
-  SignalTask signals(*controlLoop, *workerLoop, control);
+  SignalTask signals(
+    [&] { controlLoop->Post([&control] { control.Drain("signal"); }); },
+    [&] {
+      for (LoopI* loop : { controlLoop.get(), workerLoop.get() }) {
+        loop->Post([loop] { loop->ReloadCertificates(); });
+      }
+    });
   std::thread workerThread([&workerLoop] { workerLoop->Run(); });
   controlLoop->Run();
   workerThread.join();
--- a/src/fleet_reader.cpp
+++ b/src/fleet_reader.cpp
@@ -327,6 +327,29 @@
   }
 }
 
+void
+ObjectReader::Read(const char* aField, std::map<std::string, std::string>& aOut)
+{
+  const Json::Value* object = Find(aField, Presence::Optional);
+  if (object == nullptr) {
+    return;
+  }
+  if (!object->isObject()) {
+    Problem(aField, "is not an object", "Write {\"NAME\": \"TEXT\"}.");
+    return;
+  }
+  for (const std::string& name : object->getMemberNames()) {
+    const Json::Value& text = (*object)[name];
+    if (!text.isString() || text.asString().empty()) {
+      m_document.AddProblem(PathOf(aField) + "." + name,
+                            "is not a text",
+                            "Write a text in double quotes.");
+      continue;
+    }
+    aOut[name] = text.asString();
+  }
+}
+
 void
 ObjectReader::ReadAddress(const char* aField,
                           std::string& aOut,
--- a/src/fleet_reader.h
+++ b/src/fleet_reader.h
@@ -6,6 +6,7 @@
 
 #include "shallotford/base.h"
 
+#include <map>
 #include <set>
 #include <string>
 #include <vector>
@@ -101,6 +102,8 @@
             Range<std::uint32_t> aRange);
   void Read(const char* aField, std::int32_t& aOut, Range<std::int32_t> aRange);
   void Read(const char* aField, std::vector<std::string>& aOut);
+  /// Reads an object of texts.
+  void Read(const char* aField, std::map<std::string, std::string>& aOut);
   /// Reads an "IP:PORT" string.
   void ReadAddress(const char* aField, std::string& aOut, Presence aPresence);
 
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -56,6 +56,22 @@
   ReadSize(aReader, "audit_entries", aSettings.m_auditEntries, kAuditEntries);
 }
 
+constexpr Range<double> kRatio{ 0.0, 10.0 };
+constexpr Range<double> kSlack{ 0.0, 1e6 };
+constexpr Range<double> kSeconds{ 0.1, 3600.0 };
+
+void
+ReadRouting(ObjectReader& aReader, Settings& aSettings)
+{
+  RoutingSettings& routing = aSettings.m_routing.emplace();
+  aReader.Read("seeds", routing.m_seeds);
+  aReader.Read("failure_domains", routing.m_failureDomains);
+  aReader.Read("retry_ratio", routing.m_retryRatio, kRatio);
+  aReader.Read("retry_slack", routing.m_retrySlack, kSlack);
+  aReader.Read("retry_window_s", routing.m_retryWindow, kSeconds);
+  aReader.Read("drain_s", routing.m_drainTime, kSeconds);
+}
+
 /// Reads {"listen": ADDRESS, "tls": {...}}. A missing object is reported as
 /// its missing address.
 void
@@ -85,10 +101,11 @@
 void
 CheckDistinct(CheckedDocument& aDocument, const Settings& aSettings)
 {
-  const std::array<std::pair<const char*, const std::string*>, 3> kListeners{ {
+  const std::array<std::pair<const char*, const std::string*>, 4> kListeners{ {
     { "callers.listen", &aSettings.m_callerAddress },
     { "peers.listen", &aSettings.m_peerAddress },
     { "operators.listen", &aSettings.m_operatorAddress },
+    { "metrics.listen", &aSettings.m_metricsAddress },
   } };
   for (std::size_t i = 1; i < kListeners.size(); ++i) {
     for (std::size_t j = 0; j < i; ++j) {
@@ -128,6 +145,13 @@
   root.ReadChoice("log_level", settings.m_logLevel, kLogLevels);
   root.ReadObject(
     "limits", [&](ObjectReader& aLimits) { ReadLimits(aLimits, settings); });
+  root.ReadObject("metrics", [&](ObjectReader& aMetrics) {
+    aMetrics.ReadAddress(
+      "listen", settings.m_metricsAddress, Presence::Required);
+  });
+  root.ReadObject("routing", [&](ObjectReader& aRouting) {
+    ReadRouting(aRouting, settings);
+  });
   root.Finish();
   CheckDistinct(document, settings);
   document.ThrowIfProblems();
--- a/src/main_daemon.cpp
+++ b/src/main_daemon.cpp
@@ -1,11 +1,10 @@
 /// shallotfordd: the daemon on every entry VM.
 
 #include "daemon_run.h"
+#include "main_routing.h"
 
 #include <docopt/docopt.h>
-#include <fstream>
 #include <iostream>
-#include <sstream>
 
 namespace {
 
@@ -24,7 +23,8 @@
   --version      Show the version.
 
 SIGTERM begins a planned stop: the VM turns unready, lets every request in
-flight finish and exits with 0. SIGHUP re-reads the certificates.
+flight finish and exits with 0. SIGHUP re-reads the certificates, or the settings
+file where it has "routing".
 
 Exit codes: 0 stopped as planned, 1 failed, 2 wrong command line or settings.
 )";
@@ -32,20 +32,6 @@
 constexpr int kExitFailed = 1;
 constexpr int kExitUsage = 2;
 
-std::string
-ReadFile(const std::string& aName)
-{
-  std::ifstream file(aName);
-  if (!file) {
-    throw shallotford::Error(shallotford::ErrorKind::InvalidConfig,
-                             aName + ": cannot be read",
-                             "Name a settings file that exists.");
-  }
-  std::ostringstream text;
-  text << file.rdbuf();
-  return text.str();
-}
-
 void
 Report(const shallotford::Error& aError)
 {
@@ -74,7 +60,7 @@
   shallotford::Settings settings;
   try {
     std::string name = arguments["--config"].asString();
-    settings = shallotford::ParseSettings(ReadFile(name), name);
+    settings = shallotford::ParseSettings(shallotford::ReadFile(name), name);
   } catch (const shallotford::Error& error) {
     Report(error);
     return kExitUsage;
@@ -84,7 +70,11 @@
     return 0;
   }
   try {
-    shallotford::RunDaemon(settings);
+    if (settings.m_routing) {
+      shallotford::RunRouting(settings, arguments["--config"].asString());
+    } else {
+      shallotford::RunDaemon(settings);
+    }
   } catch (const shallotford::Error& error) {
     Report(error);
     return error.Kind() == shallotford::ErrorKind::InvalidConfig ? kExitUsage
--- /dev/null
+++ b/src/main_routing.cpp
@@ -0,0 +1,147 @@
+/// Wires the routing task to the platform.
+
+#include "main_routing.h"
+
+#include "daemon_signals.h"
+#include "platform.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace shallotford {
+
+namespace {
+
+/// How often the settings file is compared with what is in force.
+constexpr std::chrono::milliseconds kSettingsCheck{ 2'000 };
+/// Sockets of a loop beyond the callers' connections.
+constexpr std::size_t kOtherSockets = 1'024;
+
+std::chrono::milliseconds
+FromSeconds(double aSeconds)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::chrono::duration<double>(aSeconds));
+}
+
+RouterOptions
+OptionsOf(const Settings& aSettings)
+{
+  const RoutingSettings& routing = *aSettings.m_routing;
+  return { .m_callerAddress = aSettings.m_callerAddress,
+           .m_peerAddress = aSettings.m_peerAddress,
+           .m_operatorAddress = aSettings.m_operatorAddress,
+           .m_metricsAddress = aSettings.m_metricsAddress,
+           .m_seeds = routing.m_seeds,
+           .m_location = { .m_failureDomain = aSettings.m_failureDomain,
+                           .m_regions = routing.m_failureDomains },
+           .m_retryBudget = { .m_ratio = routing.m_retryRatio,
+                              .m_slack = routing.m_retrySlack,
+                              .m_window = FromSeconds(routing.m_retryWindow) },
+           .m_maxConnections = aSettings.m_maxConnections,
+           .m_drainTime = FromSeconds(routing.m_drainTime) };
+}
+
+/// Applies the settings file to a running router when its text has changed.
+class SettingsWatch
+{
+public:
+  SettingsWatch(LoopI& aLoop, RouterI& aRouter, LogI& aLog, std::string aFile)
+    : m_loop(aLoop)
+    , m_router(aRouter)
+    , m_log(aLog)
+    , m_file(std::move(aFile))
+    , m_text(ReadFile(m_file))
+  {
+    Arm();
+  }
+  ~SettingsWatch() { m_loop.CancelTimer(m_timer); }
+  SettingsWatch(const SettingsWatch&) = delete;
+  SettingsWatch& operator=(const SettingsWatch&) = delete;
+
+  /// Keeps what is in force if the file is wrong.
+  void Check()
+  {
+    try {
+      std::string text = ReadFile(m_file);
+      if (text == m_text) {
+        return;
+      }
+      m_text = text;
+      Settings settings = ParseSettings(text, m_file);
+      if (settings.m_routing) {
+        m_router.Reload(OptionsOf(settings));
+      }
+    } catch (const Error& error) {
+      m_log.Write(LogEvent("settings_refused", LogLevel::Warning)
+                    .Add("reason", error.what())
+                    .Add("remedy", error.Remedy()));
+    }
+  }
+
+private:
+  void Arm()
+  {
+    m_timer = m_loop.RunAfter(kSettingsCheck, [this] {
+      Check();
+      Arm();
+    });
+  }
+
+  LoopI& m_loop;
+  RouterI& m_router;
+  LogI& m_log;
+  std::string m_file;
+  std::string m_text;
+  TimersI::TimerId m_timer{ 0 };
+};
+
+} // namespace
+
+std::string
+ReadFile(const std::string& aName)
+{
+  std::ifstream file(aName);
+  if (!file) {
+    throw Error(ErrorKind::InvalidConfig,
+                aName + ": cannot be read",
+                "Name a settings file that exists.");
+  }
+  std::ostringstream text;
+  text << file.rdbuf();
+  return text.str();
+}
+
+void
+RunRouting(const Settings& aSettings, const std::string& aFile)
+{
+  BlockSignals();
+  auto log = MakeLog(aSettings.m_logLevel);
+  auto random = MakeSystemRandom();
+  auto loop =
+    MakeLoop({ .m_name = "router",
+               .m_maxSockets = aSettings.m_maxConnections + kOtherSockets });
+  auto source = platform::MakeStoreSource(
+    *loop, *log, *random, { .m_address = aSettings.m_platformAddress });
+  auto decoder = platform::MakeDecoder();
+  auto dialect = platform::MakeDialect();
+  auto router =
+    MakeRouter(OptionsOf(aSettings),
+               { *loop, *source, *decoder, *dialect, *log, *random });
+  router->Start();
+  log->Write(LogEvent("started")
+               .Add("vm", aSettings.m_peerAddress)
+               .Add("callers", aSettings.m_callerAddress)
+               .Add("failure_domain", aSettings.m_failureDomain)
+               .Add("version", SHALLOTFORD_VERSION));
+  SettingsWatch watch(*loop, *router, *log, aFile);
+  {
+    SignalTask signals(
+      [&] { loop->Post([&] { router->Drain([&] { loop->Stop(); }); }); },
+      [&] { loop->Post([&] { watch.Check(); }); });
+    loop->Run();
+  }
+  log->Write(LogEvent("stopped").Add("vm", aSettings.m_peerAddress));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_admission.cpp
@@ -0,0 +1,90 @@
+/// Requests that wait for engines' memory.
+
+#include "router_admission.h"
+
+#include "config.h"
+
+namespace shallotford {
+
+std::uint64_t
+Admission::Enter(const std::string& aService,
+                 AdmissionClientI& aClient,
+                 TimePoint aGoodUntil,
+                 TimePoint aGiveUpAt)
+{
+  std::uint64_t number = ++m_last;
+  m_clients[number] = { .m_service = aService, .m_client = &aClient };
+  m_queues[aService].Add(
+    { .m_id = number, .m_goodUntil = aGoodUntil, .m_giveUpAt = aGiveUpAt });
+  Arm();
+  return number;
+}
+
+void
+Admission::Leave(std::uint64_t aNumber)
+{
+  auto found = m_clients.find(aNumber);
+  if (found == m_clients.end()) {
+    return;
+  }
+  m_queues[found->second.m_service].Remove(aNumber);
+  m_clients.erase(found);
+}
+
+void
+Admission::OnFreed(const std::string& aService)
+{
+  Turn(aService);
+}
+
+bool
+Admission::HasTimely(const std::string& aService) const
+{
+  auto found = m_queues.find(aService);
+  return found != m_queues.end() && found->second.HasTimely(m_timers.Now());
+}
+
+void
+Admission::Arm()
+{
+  if (m_armed || m_clients.empty()) {
+    return;
+  }
+  m_armed = true;
+  m_timer = m_timers.RunAfter(kAdmissionPeriod, [this] {
+    m_armed = false;
+    Tick();
+    Arm();
+  });
+}
+
+void
+Admission::Tick()
+{
+  for (auto& [service, queue] : m_queues) {
+    for (std::uint64_t number : queue.TakeHopeless(m_timers.Now())) {
+      AdmissionClientI* client = m_clients.at(number).m_client;
+      m_clients.erase(number);
+      client->OnHopeless();
+    }
+    Turn(service);
+  }
+}
+
+void
+Admission::Turn(const std::string& aService)
+{
+  auto found = m_queues.find(aService);
+  if (found == m_queues.end()) {
+    return;
+  }
+  std::optional<std::uint64_t> next = found->second.Next(m_timers.Now());
+  if (!next) {
+    return;
+  }
+  AdmissionClientI* client = m_clients.at(*next).m_client;
+  Leave(*next);
+  client->OnTurn();
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_admission.h
@@ -0,0 +1,68 @@
+#ifndef SHALLOTFORD_SRC_ROUTER_ADMISSION_H
+#define SHALLOTFORD_SRC_ROUTER_ADMISSION_H
+
+/// Requests that wait for engines' memory, and the moments at which they ask
+/// for it again.
+
+#include "shallotford/net.h"
+#include "shallotford/route.h"
+
+namespace shallotford {
+
+/// A request in the queue.
+class AdmissionClientI
+{
+public:
+  virtual ~AdmissionClientI() = default;
+  /// It is this request's turn. It has left the queue.
+  virtual void OnTurn() = 0;
+  /// It can't be served in time any more. It has left the queue.
+  virtual void OnHopeless() = 0;
+};
+
+/// The queues of all services. Used by one task only.
+class Admission
+{
+public:
+  explicit Admission(TimersI& aTimers)
+    : m_timers(aTimers)
+  {
+  }
+  ~Admission() { m_timers.CancelTimer(m_timer); }
+  Admission(const Admission&) = delete;
+  Admission& operator=(const Admission&) = delete;
+
+  /// @return a number for Leave()
+  std::uint64_t Enter(const std::string& aService,
+                      AdmissionClientI& aClient,
+                      TimePoint aGoodUntil,
+                      TimePoint aGiveUpAt);
+  void Leave(std::uint64_t aNumber);
+  /// Memory of an engine of aService may have become free.
+  void OnFreed(const std::string& aService);
+  /// Returns whether a new request has to wait behind others.
+  bool HasTimely(const std::string& aService) const;
+  std::size_t Size() const { return m_clients.size(); }
+
+private:
+  struct Client
+  {
+    std::string m_service;
+    AdmissionClientI* m_client;
+  };
+
+  void Arm();
+  void Tick();
+  void Turn(const std::string& aService);
+
+  TimersI& m_timers;
+  std::uint64_t m_last{ 0 };
+  std::map<std::string, EngineMemoryQueue> m_queues;
+  std::map<std::uint64_t, Client> m_clients;
+  TimersI::TimerId m_timer{ 0 };
+  bool m_armed{ false };
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_ROUTER_ADMISSION_H
--- /dev/null
+++ b/src/router_caller.cpp
@@ -0,0 +1,488 @@
+/// Callers' connections.
+
+#include "router_caller.h"
+
+#include "config.h"
+
+#include <cstdio>
+
+namespace shallotford {
+
+namespace {
+
+/// Seconds with milliseconds, as callers take them.
+std::string
+RetryAfterText(std::chrono::milliseconds aDelay)
+{
+  std::array<char, 32> text{};
+  std::snprintf(text.data(),
+                text.size(),
+                "%.3f",
+                std::chrono::duration<double>(aDelay).count());
+  return text.data();
+}
+
+} // namespace
+
+/// The answer under way on one connection.
+class CallerExchange : public CallerExchangeI
+{
+public:
+  explicit CallerExchange(CallerConnection* aConnection)
+    : m_connection(aConnection)
+  {
+  }
+  void Respond(int aStatus,
+               const std::string& aReason,
+               HttpHeaders aFields,
+               std::string_view aBody) override;
+  void Begin(int aStatus,
+             const std::string& aReason,
+             HttpHeaders aFields) override;
+  void Write(std::string_view aBytes) override;
+  void End() override;
+  void Abort() override;
+  std::size_t Buffered() const override;
+  void OnDrained(std::function<void()> aCallback) override
+  {
+    m_onDrained = std::move(aCallback);
+  }
+  void OnClosed(std::function<void()> aCallback) override
+  {
+    m_onClosed = std::move(aCallback);
+  }
+
+  /// The connection is gone, or the answer has ended.
+  void Detach(bool aGone)
+  {
+    m_connection = nullptr;
+    m_onDrained = nullptr;
+    auto onClosed = std::exchange(m_onClosed, nullptr);
+    if (aGone && onClosed) {
+      onClosed();
+    }
+  }
+  void Drained()
+  {
+    if (m_onDrained) {
+      m_onDrained();
+    }
+  }
+
+private:
+  CallerConnection* m_connection;
+  std::function<void()> m_onDrained;
+  std::function<void()> m_onClosed;
+};
+
+class CallerConnection
+  : public StreamHandlerI
+  , private MessageSinkI
+{
+public:
+  CallerConnection(CallerListener& aListener, std::unique_ptr<StreamI> aStream)
+    : m_listener(aListener)
+    , m_loop(aListener.m_loop)
+    , m_handler(aListener.m_handler)
+    , m_stream(std::move(aStream))
+    , m_reader(MakeRequestReader(m_handler.Limits().m_maxHead))
+  {
+    m_stream->SetHandler(this);
+    Arm(m_handler.Limits().m_idleTimeout);
+  }
+
+  ~CallerConnection() override
+  {
+    m_loop.CancelTimer(m_timer);
+    ReleaseBody();
+    if (m_exchange != nullptr) {
+      m_exchange->Detach(true);
+    }
+  }
+
+  bool IsIdle() const
+  {
+    return m_exchange == nullptr && !m_reader->IsInside() && !m_closing;
+  }
+
+  /// Sends the end and drops what still comes, so that the caller gets all
+  /// bytes of the answer before the connection goes.
+  void CloseGently()
+  {
+    if (m_closing) {
+      return;
+    }
+    m_closing = true;
+    m_early.clear();
+    m_stream->FinishWriting();
+    m_stream->ResumeReading();
+    Arm(kLingerTime);
+  }
+
+  void OnBytes(std::string_view aBytes) override
+  {
+    if (m_closing) {
+      return;
+    }
+    if (m_exchange != nullptr) {
+      m_early.append(aBytes);
+      if (m_early.size() > kMaxEarlyRequestBytes) {
+        m_stream->PauseReading();
+      }
+      return;
+    }
+    Take(aBytes);
+  }
+
+  void OnPeerFinished() override { Gone(); }
+  void OnBroken(const std::string& /*aReason*/) override { Gone(); }
+  void OnDrained() override
+  {
+    if (m_exchange != nullptr) {
+      m_exchange->Drained();
+    }
+  }
+
+  // The exchange's side.
+
+  void Respond(int aStatus,
+               const std::string& aReason,
+               HttpHeaders aFields,
+               std::string_view aBody)
+  {
+    AddConnectionField(aFields);
+    if (!m_toHead || FindField(aFields, "content-length") == nullptr) {
+      aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
+    }
+    m_stream->Write(WriteAnswerHead(aStatus, aReason, aFields));
+    if (!m_toHead) {
+      m_stream->Write(aBody);
+    }
+    EndAnswer();
+  }
+
+  void Begin(int aStatus, const std::string& aReason, HttpHeaders aFields)
+  {
+    AddConnectionField(aFields);
+    aFields.push_back({ "Transfer-Encoding", "chunked" });
+    m_stream->Write(WriteAnswerHead(aStatus, aReason, aFields));
+  }
+
+  void Write(std::string_view aBytes) { m_stream->Write(WriteChunk(aBytes)); }
+
+  void End()
+  {
+    m_stream->Write(kLastChunk);
+    EndAnswer();
+  }
+
+  void Abort()
+  {
+    DetachExchange();
+    CloseGently();
+  }
+
+  std::size_t Buffered() const { return m_stream->Buffered(); }
+
+private:
+  void OnRequestHead(const RequestHead& aHead) override
+  {
+    CallerLimits limits = m_handler.Limits();
+    if (aHead.m_length > limits.m_maxBody) {
+      ThrowBodyTooLarge(limits.m_maxBody);
+    }
+    m_keepAlive = aHead.m_keepAlive;
+    m_toHead = aHead.m_method == "HEAD";
+    if (aHead.m_expectsContinue && aHead.m_framing != BodyFraming::None) {
+      m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+    }
+    m_request = { .m_head = aHead, .m_body = nullptr };
+    m_maxBody = limits.m_maxBody;
+    Arm(limits.m_headTimeout);
+  }
+
+  void OnBody(std::string_view aBytes) override
+  {
+    if (m_body.size() + aBytes.size() > m_maxBody) {
+      ThrowBodyTooLarge(m_maxBody);
+    }
+    m_listener.m_bufferedBodies += aBytes.size();
+    m_body.append(aBytes);
+    if (m_listener.m_bufferedBodies > kMaxBufferedBodies) {
+      throw Error(ErrorKind::Overloaded,
+                  "too many request bodies are being received",
+                  "Send the request again after the time given.")
+        .WithRetryAfter(kBodiesRetryAfter);
+    }
+  }
+
+  void OnEnd() override { m_whole = true; }
+
+  /// Reads requests until one is whole.
+  void Take(std::string_view aBytes)
+  {
+    bool wasInside = m_reader->IsInside();
+    std::size_t taken = 0;
+    try {
+      taken = m_reader->Feed(aBytes, *this);
+    } catch (const Error& error) {
+      RefuseRequest(error);
+      return;
+    }
+    if (m_whole) {
+      m_early.assign(aBytes.substr(taken));
+      Deliver();
+      return;
+    }
+    bool begins = !wasInside && m_reader->IsInside();
+    if (begins || !m_body.empty()) {
+      Arm(m_handler.Limits().m_headTimeout);
+    }
+  }
+
+  void Deliver()
+  {
+    m_whole = false;
+    m_loop.CancelTimer(m_timer);
+    m_request.m_body = std::make_shared<const std::string>(std::move(m_body));
+    m_listener.m_bufferedBodies -= m_request.m_body->size();
+    m_body.clear();
+    m_exchange = std::make_shared<CallerExchange>(this);
+    // The handler may answer at once, which ends this exchange.
+    CallerExchangePtr exchange = m_exchange;
+    m_handler.OnRequest(std::move(exchange), std::move(m_request));
+  }
+
+  void RefuseRequest(const Error& aError)
+  {
+    m_handler.OnBadRequest(aError);
+    ReleaseBody();
+    m_keepAlive = false;
+    m_exchange = std::make_shared<CallerExchange>(this);
+    std::shared_ptr<CallerExchange> exchange = m_exchange;
+    RespondError(*exchange, aError);
+  }
+
+  void AddConnectionField(HttpHeaders& aFields)
+  {
+    if (m_handler.IsLeaving()) {
+      m_keepAlive = false;
+    }
+    if (!m_keepAlive) {
+      aFields.push_back({ "Connection", "close" });
+    }
+  }
+
+  void DetachExchange()
+  {
+    if (m_exchange != nullptr) {
+      std::exchange(m_exchange, nullptr)->Detach(false);
+    }
+  }
+
+  void EndAnswer()
+  {
+    DetachExchange();
+    if (!m_keepAlive) {
+      CloseGently();
+      return;
+    }
+    Arm(m_handler.Limits().m_idleTimeout);
+    if (m_early.empty()) {
+      m_stream->ResumeReading();
+      return;
+    }
+    // A pipelined request; not read inside the answer's own call.
+    m_loop.Post([this, alive = std::weak_ptr<bool>(m_alive)] {
+      if (!alive.expired()) {
+        TakeEarly();
+      }
+    });
+  }
+
+  void TakeEarly()
+  {
+    if (m_exchange != nullptr || m_closing || m_early.empty()) {
+      return;
+    }
+    std::string early = std::move(m_early);
+    m_early.clear();
+    m_stream->ResumeReading();
+    Take(early);
+  }
+
+  void ReleaseBody()
+  {
+    m_listener.m_bufferedBodies -= m_body.size();
+    m_body.clear();
+  }
+
+  [[noreturn]] static void ThrowBodyTooLarge(std::size_t aLimit)
+  {
+    throw Error(ErrorKind::TooLarge,
+                "the request's body exceeds " + std::to_string(aLimit) +
+                  " bytes",
+                "Send a smaller body.");
+  }
+
+  void Arm(std::chrono::milliseconds aDelay)
+  {
+    m_loop.CancelTimer(m_timer);
+    m_timer = m_loop.RunAfter(aDelay, [this] { OnTimer(); });
+  }
+
+  void OnTimer()
+  {
+    if (m_closing || m_exchange != nullptr) {
+      Gone();
+      return;
+    }
+    if (!m_reader->IsInside()) {
+      CloseGently();
+      return;
+    }
+    RefuseRequest(Error(ErrorKind::RequestTimeout,
+                        "the request did not arrive in time",
+                        "Send the whole request without pauses."));
+  }
+
+  /// The caller has left; the object is destroyed after this event.
+  void Gone()
+  {
+    if (m_exchange != nullptr) {
+      std::exchange(m_exchange, nullptr)->Detach(true);
+    }
+    m_closing = true;
+    m_stream->PauseReading();
+    m_listener.Remove(this);
+  }
+
+  CallerListener& m_listener;
+  LoopI& m_loop;
+  CallerHandlerI& m_handler;
+  std::unique_ptr<StreamI> m_stream;
+  std::unique_ptr<MessageReaderI> m_reader;
+  CallerRequest m_request; ///< being received
+  std::string m_body;      ///< being received
+  std::size_t m_maxBody{ 0 };
+  bool m_whole{ false };
+  bool m_keepAlive{ true };
+  bool m_toHead{ false };
+  bool m_closing{ false };
+  std::string m_early; ///< bytes after the request that is being answered
+  std::shared_ptr<CallerExchange> m_exchange;
+  TimersI::TimerId m_timer{ 0 };
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
+};
+
+void
+CallerExchange::Respond(int aStatus,
+                        const std::string& aReason,
+                        HttpHeaders aFields,
+                        std::string_view aBody)
+{
+  if (m_connection != nullptr) {
+    m_connection->Respond(aStatus, aReason, std::move(aFields), aBody);
+  }
+}
+
+void
+CallerExchange::Begin(int aStatus,
+                      const std::string& aReason,
+                      HttpHeaders aFields)
+{
+  if (m_connection != nullptr) {
+    m_connection->Begin(aStatus, aReason, std::move(aFields));
+  }
+}
+
+void
+CallerExchange::Write(std::string_view aBytes)
+{
+  if (m_connection != nullptr) {
+    m_connection->Write(aBytes);
+  }
+}
+
+void
+CallerExchange::End()
+{
+  if (m_connection != nullptr) {
+    m_connection->End();
+  }
+}
+
+void
+CallerExchange::Abort()
+{
+  if (m_connection != nullptr) {
+    m_connection->Abort();
+  }
+}
+
+std::size_t
+CallerExchange::Buffered() const
+{
+  return m_connection == nullptr ? 0 : m_connection->Buffered();
+}
+
+CallerListener::CallerListener(LoopI& aLoop,
+                               const StreamListenerOptions& aOptions,
+                               CallerHandlerI& aHandler)
+  : m_loop(aLoop)
+  , m_options(aOptions)
+  , m_handler(aHandler)
+  , m_listener(aLoop.Streams().Listen(aOptions,
+                                      [this](std::unique_ptr<StreamI> aStream) {
+                                        OnAccept(std::move(aStream));
+                                      }))
+{
+}
+
+CallerListener::~CallerListener() = default;
+
+void
+CallerListener::OnAccept(std::unique_ptr<StreamI> aStream)
+{
+  if (m_connections.size() >= m_options.m_maxConnections) {
+    return; // destroying the stream closes it
+  }
+  auto connection =
+    std::make_unique<CallerConnection>(*this, std::move(aStream));
+  m_connections.emplace(connection.get(), std::move(connection));
+}
+
+void
+CallerListener::Remove(CallerConnection* aConnection)
+{
+  auto found = m_connections.find(aConnection);
+  if (found == m_connections.end()) {
+    return;
+  }
+  std::shared_ptr<CallerConnection> connection = std::move(found->second);
+  m_connections.erase(found);
+  m_loop.Post([connection] {});
+}
+
+void
+CallerListener::CloseIdle()
+{
+  for (auto& [key, connection] : m_connections) {
+    if (connection->IsIdle()) {
+      connection->CloseGently();
+    }
+  }
+}
+
+void
+RespondError(CallerExchangeI& aExchange, const Error& aError)
+{
+  int status = HttpStatus(aError.Kind());
+  HttpHeaders fields{ { "Content-Type", "application/json" } };
+  if (aError.RetryAfter().count() > 0) {
+    fields.push_back({ "Retry-After", RetryAfterText(aError.RetryAfter()) });
+  }
+  aExchange.Respond(status, ReasonPhrase(status), fields, ErrorBody(aError));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_errands.cpp
@@ -0,0 +1,84 @@
+/// Calls at engines whose answers nobody waits for.
+
+#include "router_errands.h"
+
+#include "config.h"
+
+namespace shallotford {
+
+UpstreamCallOptions
+OptionsFor(const EngineCall& aCall, std::chrono::milliseconds aTimeout)
+{
+  HttpHeaders fields = aCall.m_fields;
+  if (!aCall.m_body.empty()) {
+    fields.push_back({ "Content-Length", std::to_string(aCall.m_body.size()) });
+  }
+  return { .m_head = WriteRequestHead(aCall.m_method, aCall.m_target, fields),
+           .m_body = std::make_shared<const std::string>(aCall.m_body),
+           .m_freshFor = kFreshForRepeatable,
+           .m_headTimeout = aTimeout,
+           .m_bodyTimeout = aTimeout };
+}
+
+class Errands::Errand : public UpstreamCallHandlerI
+{
+public:
+  Errand(Errands& aOwner,
+         const UpstreamEntry& aUpstream,
+         const EngineCall& aCall)
+    : m_owner(aOwner)
+    , m_target(aCall.m_target)
+    , m_call(aOwner.m_pool.Start(aUpstream,
+                                 OptionsFor(aCall, kErrandTimeout),
+                                 *this))
+  {
+  }
+
+  void OnAnswerHead(const AnswerHead&) override {}
+  void OnAnswerBody(std::string_view) override {}
+  void OnAnswerEnd() override { m_owner.Remove(this); }
+  void OnCallFailed(AttemptEnd aEnd, const std::string& aReason) override
+  {
+    m_owner.m_log.Write(LogEvent("engine_call_failed")
+                          .Add("target", m_target)
+                          .Add("end", ToString(aEnd))
+                          .Add("reason", aReason));
+    m_owner.Remove(this);
+  }
+
+private:
+  Errands& m_owner;
+  std::string m_target;
+  std::unique_ptr<UpstreamCallI> m_call;
+};
+
+Errands::Errands(LoopI& aLoop, ConnectionPool& aPool, LogI& aLog)
+  : m_loop(aLoop)
+  , m_pool(aPool)
+  , m_log(aLog)
+{
+}
+
+Errands::~Errands() = default;
+
+void
+Errands::Send(const UpstreamEntry& aUpstream, const EngineCall& aCall)
+{
+  auto errand = std::make_unique<Errand>(*this, aUpstream, aCall);
+  m_errands.emplace(errand.get(), std::move(errand));
+}
+
+void
+Errands::Remove(Errand* aErrand)
+{
+  auto found = m_errands.find(aErrand);
+  if (found == m_errands.end()) {
+    return;
+  }
+  // It is inside its own event.
+  std::shared_ptr<Errand> errand = std::move(found->second);
+  m_errands.erase(found);
+  m_loop.Post([errand] {});
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_events.cpp
@@ -0,0 +1,78 @@
+/// Event boundaries.
+
+#include "router_events.h"
+
+#include "config.h"
+#include "shallotford/base.h"
+
+#include <array>
+
+namespace shallotford {
+
+namespace {
+
+/// Returns the bytes up to the end of the last whole event.
+std::size_t
+EndOfEvents(std::string_view aBytes)
+{
+  constexpr std::array<std::string_view, 3> kEnds = { "\n\n",
+                                                      "\r\n\r\n",
+                                                      "\r\r" };
+  std::size_t end = 0;
+  for (std::string_view mark : kEnds) {
+    std::size_t at = aBytes.rfind(mark);
+    if (at != std::string_view::npos) {
+      end = std::max(end, at + mark.size());
+    }
+  }
+  return end;
+}
+
+} // namespace
+
+std::string
+EventBoundaries::Feed(std::string_view aBytes)
+{
+  m_rest.append(aBytes);
+  std::size_t end = EndOfEvents(m_rest);
+  if (end == 0) {
+    if (m_rest.size() > kMaxEventBytes) {
+      throw Error(ErrorKind::UpstreamFailed,
+                  "an event exceeds " + std::to_string(kMaxEventBytes) +
+                    " bytes",
+                  "Send smaller events.");
+    }
+    return {};
+  }
+  std::string events = m_rest.substr(0, end);
+  m_rest.erase(0, end);
+  ReadIds(events);
+  return events;
+}
+
+std::string
+EventBoundaries::TakeRest()
+{
+  return std::exchange(m_rest, {});
+}
+
+void
+EventBoundaries::ReadIds(std::string_view aEvents)
+{
+  constexpr std::string_view kField = "id:";
+  std::size_t at = aEvents.rfind(kField);
+  while (at != std::string_view::npos) {
+    bool lineBegins =
+      at == 0 || aEvents[at - 1] == '\n' || aEvents[at - 1] == '\r';
+    if (lineBegins) {
+      std::string_view value = aEvents.substr(at + kField.size());
+      value = value.substr(0, value.find_first_of("\r\n"));
+      value.remove_prefix(std::min(value.find_first_not_of(' '), value.size()));
+      m_lastId = value;
+      return;
+    }
+    at = at == 0 ? std::string_view::npos : aEvents.rfind(kField, at - 1);
+  }
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_peers.cpp
@@ -0,0 +1,211 @@
+/// The routing task: other VMs, readiness and metrics.
+
+#include "config.h"
+#include "router_task.h"
+
+namespace shallotford {
+
+namespace {
+
+Json::Value
+ToJson(const DirectoryDelta& aDelta)
+{
+  Json::Value items(Json::arrayValue);
+  for (const DirectoryItem& item : aDelta.m_items) {
+    Json::Value entry(Json::objectValue);
+    entry["key"] = item.m_key;
+    entry["revision"] = static_cast<Json::UInt64>(item.m_revision);
+    if (item.m_removed) {
+      entry["removed"] = true;
+    } else {
+      entry["value"] = EncodeBase64(item.m_value);
+    }
+    items.append(entry);
+  }
+  Json::Value delta(Json::objectValue);
+  delta["up_to"] = static_cast<Json::UInt64>(aDelta.m_upTo);
+  delta["whole"] = aDelta.m_whole;
+  delta["items"] = items;
+  return delta;
+}
+
+DirectoryDelta
+DeltaFromJson(const Json::Value& aValue)
+{
+  DirectoryDelta delta{ .m_whole = aValue["whole"].asBool(),
+                        .m_upTo = aValue["up_to"].asUInt64(),
+                        .m_items = {} };
+  for (const Json::Value& entry : aValue["items"]) {
+    delta.m_items.push_back(
+      { .m_key = entry["key"].asString(),
+        .m_value = DecodeBase64(entry["value"].asString()),
+        .m_revision = entry["revision"].asUInt64(),
+        .m_removed = entry["removed"].asBool() });
+  }
+  return delta;
+}
+
+void
+RespondText(HttpExchangeI& aExchange, int aStatus, const std::string& aText)
+{
+  aExchange.Respond(aStatus, { { "content-type", "text/plain" } }, aText);
+}
+
+} // namespace
+
+std::size_t
+LeastVms(const Location& aLocation)
+{
+  return aLocation.m_regions.size() * kVmsPerDomain;
+}
+
+void
+RouterTask::Gossip()
+{
+  if (m_gossiping) {
+    return;
+  }
+  std::string peer = m_peers.Next(m_random, m_loop.Now());
+  if (peer.empty()) {
+    return;
+  }
+  m_gossiping = true;
+  m_peerCalls.Call(peer,
+                   "directory",
+                   GossipRequest(),
+                   [this, peer](const PeerResult& aResult) {
+                     m_gossiping = false;
+                     OnGossipReply(peer, aResult);
+                   });
+}
+
+Json::Value
+RouterTask::GossipRequest()
+{
+  TimePoint now = m_loop.Now();
+  Json::Value request(Json::objectValue);
+  request["from"] = m_options.m_peerAddress;
+  request["up_to"] = static_cast<Json::UInt64>(m_directory.UpTo());
+  request["version"] = static_cast<Json::UInt64>(
+    m_routes.Text() == nullptr ? 0 : m_routes.Text()->m_version);
+  // Only a VM that the source doesn't answer needs the items from others.
+  request["wants"] =
+    now - m_sourceHeard > kSourceSilence || m_routes.Text() == nullptr;
+  for (const auto& [address, age] : m_peers.Ages(now)) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(address);
+    entry.append(static_cast<Json::Int64>(
+      std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
+    request["peers"].append(entry);
+  }
+  return request;
+}
+
+Json::Value
+RouterTask::OnGossip(const Json::Value& aParams)
+{
+  TimePoint now = m_loop.Now();
+  if (!m_leaving) {
+    m_peers.OnHeard(RpcStringParam(aParams, "from"), now);
+  }
+  LearnPeers(aParams["peers"]);
+  Json::Value reply = GossipRequest();
+  std::uint64_t known = aParams["up_to"].asUInt64();
+  if (aParams["wants"].asBool() && m_directory.UpTo() > known) {
+    reply["delta"] = ToJson(m_directory.Since(known));
+  }
+  return reply;
+}
+
+void
+RouterTask::LearnPeers(const Json::Value& aPeers)
+{
+  for (const Json::Value& entry : aPeers) {
+    if (entry.isArray() && entry.size() == 2 && entry[0].isString() &&
+        entry[1].isInt64()) {
+      m_peers.OnRumor(entry[0].asString(),
+                      std::chrono::milliseconds(entry[1].asInt64()),
+                      m_loop.Now());
+    }
+  }
+}
+
+void
+RouterTask::OnGossipReply(const std::string& aPeer, const PeerResult& aResult)
+{
+  TimePoint now = m_loop.Now();
+  if (const auto* failure = std::get_if<PeerFailure>(&aResult)) {
+    m_peers.OnSilence(aPeer, now);
+    m_metrics.Count("gossip_failures_total", "");
+    m_log.Write(LogEvent("peer_silent", LogLevel::Debug)
+                  .Add("peer", aPeer)
+                  .Add("reason", failure->m_reason));
+    return;
+  }
+  const auto& reply = std::get<Json::Value>(aResult);
+  m_peers.OnHeard(aPeer, now);
+  LearnPeers(reply["peers"]);
+  if (!reply.isMember("delta")) {
+    return;
+  }
+  DirectoryDelta delta = DeltaFromJson(reply["delta"]);
+  m_log.Write(LogEvent("directory_from_peer")
+                .Add("peer", aPeer)
+                .Add("before", static_cast<std::int64_t>(m_directory.UpTo()))
+                .Add("revision", static_cast<std::int64_t>(delta.m_upTo))
+                .Add("source_age", now - m_sourceHeard));
+  Learn(delta, "peer");
+  m_source.SkipTo(m_directory.UpTo());
+}
+
+void
+RouterTask::OnOperator(HttpExchangeI& aExchange, const HttpRequest& aRequest)
+{
+  if (aRequest.m_path == "/readyz") {
+    bool ready = IsReady();
+    RespondText(
+      aExchange, ready ? 200 : 503, ready ? "ready\n" : "not ready\n");
+    return;
+  }
+  if (aRequest.m_path == "/metrics") {
+    SetGauges();
+    RespondText(aExchange, 200, m_metrics.Text());
+    return;
+  }
+  RespondText(aExchange, 404, "there are /readyz and /metrics\n");
+}
+
+bool
+RouterTask::IsReady() const
+{
+  if (m_leaving || m_routes.Text() == nullptr) {
+    return false;
+  }
+  TimePoint now = m_loop.Now();
+  for (const auto& [name, service] : m_routes.Text()->m_services) {
+    if (m_upstreams.IsReachable(name, now)) {
+      return true;
+    }
+  }
+  return false;
+}
+
+void
+RouterTask::SetGauges()
+{
+  auto set = [this](const std::string& aName, double aValue) {
+    m_metrics.Set(aName, "", aValue);
+  };
+  set("upstreams", static_cast<double>(m_upstreams.Size()));
+  set("requests_in_flight", static_cast<double>(m_requests.size()));
+  set("caller_connections", static_cast<double>(m_callers->Count()));
+  set("live_vms", static_cast<double>(m_shared.m_liveVms));
+  set("source_up", m_sourceUp ? 1 : 0);
+  set("directory_revision", static_cast<double>(m_directory.UpTo()));
+  set("upstream_connections_opened",
+      static_cast<double>(m_pool.Counts().m_opened));
+  set("upstream_connections_reused",
+      static_cast<double>(m_pool.Counts().m_reused));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_request.cpp
@@ -0,0 +1,684 @@
+/// One caller's request: its attempts.
+
+#include "router_request.h"
+
+#include "config.h"
+
+namespace shallotford {
+
+namespace {
+
+std::chrono::milliseconds
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
+}
+
+/// Returns the end that a genuine answer with this status means.
+AttemptEnd
+EndOfStatus(int aStatus)
+{
+  constexpr int kFirstFailure = 500;
+  return aStatus >= kFirstFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
+}
+
+} // namespace
+
+RetryBudget&
+RouterShared::BudgetOf(const std::string& aService)
+{
+  return m_budgets.try_emplace(aService, m_budgetOptions, m_startedAt)
+    .first->second;
+}
+
+RoutedRequest::RoutedRequest(RouterShared& aShared,
+                             RoutedRequestOptions aOptions)
+  : m_shared(aShared)
+  , m_exchange(std::move(aOptions.m_exchange))
+  , m_request(std::move(aOptions.m_request))
+  , m_facts(std::move(aOptions.m_facts))
+  , m_routing(std::move(aOptions.m_routing))
+  , m_route(aOptions.m_route)
+  , m_service(ChooseTarget(*m_route, StableHash(m_facts.m_id)))
+  , m_onEnd(std::move(aOptions.m_onEnd))
+  , m_received(aShared.m_loop.Now())
+  , m_deadline(m_received +
+               std::min(m_facts.m_deadline.value_or(m_route->m_timeout),
+                        m_route->m_timeout))
+{
+}
+
+RoutedRequest::~RoutedRequest()
+{
+  m_shared.m_loop.CancelTimer(m_deadlineTimer);
+  m_shared.m_loop.CancelTimer(m_suspicionTimer);
+}
+
+void
+RoutedRequest::Start()
+{
+  m_shared.BudgetOf(m_service).OnRequest(m_received);
+  m_exchange->OnClosed([this] { OnCallerGone(); });
+  m_exchange->OnDrained([this] {
+    if (m_call != nullptr) {
+      m_call->ResumeReading();
+    }
+  });
+  m_deadlineTimer =
+    m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
+  if (ServedByEngines()) {
+    StartAtEngines();
+  } else {
+    StartRun();
+  }
+}
+
+// ----------------------------------------------------------------- facts
+
+std::chrono::milliseconds
+RoutedRequest::TimeLeft() const
+{
+  return std::max(Milliseconds(m_deadline - m_shared.m_loop.Now()), 0ms);
+}
+
+std::chrono::milliseconds
+RoutedRequest::Elapsed() const
+{
+  return Milliseconds(m_shared.m_loop.Now() - m_received);
+}
+
+RequestProgress
+RoutedRequest::Progress() const
+{
+  return { .m_kind = m_route->m_kind,
+           .m_mayRepeat = m_route->MayRepeat(),
+           .m_maxAttempts = m_route->m_maxAttempts,
+           .m_runs = m_runs,
+           .m_refusals = m_refusals,
+           .m_answerBegun = m_answerBegun,
+           .m_canResume = IsStream() && !m_events.LastId().empty(),
+           .m_timeLeft = TimeLeft() };
+}
+
+const RoutedService*
+RoutedRequest::Service() const
+{
+  auto found = m_routing->m_services.find(m_service);
+  return found == m_routing->m_services.end() ? nullptr : &found->second;
+}
+
+bool
+RoutedRequest::ServedByEngines() const
+{
+  const RoutedService* service = Service();
+  return service != nullptr && service->m_engines;
+}
+
+bool
+RoutedRequest::IsStream() const
+{
+  return m_route->m_kind == RouteKind::Stream;
+}
+
+bool
+RoutedRequest::HasAttemptsLeft() const
+{
+  return m_route->MayRepeat() && m_runs + 1 < m_route->m_maxAttempts;
+}
+
+// -------------------------------------------------------------- attempts
+
+UpstreamPtr
+RoutedRequest::Pick(EngineStage aStage, const std::string& aNear)
+{
+  PickRequest request{ .m_service = m_service,
+                       .m_stage = aStage,
+                       .m_near = aNear,
+                       .m_excluded = m_excluded,
+                       .m_salt = StableHash(m_facts.m_id) };
+  request.m_excluded.insert(m_full.begin(), m_full.end());
+  for (;;) {
+    UpstreamPtr upstream =
+      m_shared.m_upstreams.Pick(request, m_shared.m_loop.Now());
+    if (upstream == nullptr || HasRoomFor(*upstream)) {
+      return upstream;
+    }
+    request.m_excluded.insert(upstream->m_entry.m_key);
+  }
+}
+
+bool
+RoutedRequest::HasRoomFor(const Upstream& aUpstream) const
+{
+  const RoutedService* service = Service();
+  if (service == nullptr) {
+    return true;
+  }
+  double share = kConnectionShare * service->m_maxConnections /
+                 static_cast<double>(m_shared.m_liveVms);
+  return aUpstream.m_health.InFlight() < std::max(1.0, share);
+}
+
+bool
+RoutedRequest::TakeRetryBudget()
+{
+  return m_shared.BudgetOf(m_service).Take(m_shared.m_liveVms,
+                                           m_shared.m_loop.Now());
+}
+
+void
+RoutedRequest::StartAtEngines()
+{
+  if (Service()->m_reservationLifetime.count() == 0) {
+    StartPrefill();
+  } else if (m_shared.m_admission.HasTimely(m_service)) {
+    WaitForMemory();
+  } else {
+    OnTurn();
+  }
+}
+
+void
+RoutedRequest::OnTurn()
+{
+  m_waiting = 0;
+  m_reserveTries = 0;
+  m_full.clear();
+  Reserve();
+}
+
+void
+RoutedRequest::Reserve()
+{
+  UpstreamPtr engine =
+    m_reserveTries < kReserveTries ? Pick(EngineStage::Decode, {}) : nullptr;
+  if (engine == nullptr) {
+    WaitForMemory();
+    return;
+  }
+  ++m_reserveTries;
+  Send(engine, Phase::Reserve);
+}
+
+std::uint32_t
+RoutedRequest::TokensToReserve() const
+{
+  std::uint32_t tokens =
+    m_facts.m_promptTokens + std::min(m_facts.m_outputTokens, kGrowthTokens);
+  return m_shared.m_loop.Now() > GoodUntil() ? tokens + kLateTokens : tokens;
+}
+
+TimePoint
+RoutedRequest::GoodUntil() const
+{
+  return m_received + m_route->m_latencyTarget - kFirstEventTime;
+}
+
+void
+RoutedRequest::WaitForMemory()
+{
+  m_full.clear();
+  if (!m_shared.m_upstreams.Serves(m_service)) {
+    Finish(DecideEnd(Progress()));
+    return;
+  }
+  m_waiting = m_shared.m_admission.Enter(
+    m_service,
+    *this,
+    GoodUntil(),
+    m_received + m_route->m_callerPatience - kFirstEventTime);
+}
+
+void
+RoutedRequest::OnHopeless()
+{
+  m_waiting = 0;
+  Finish(DecideEnd(Progress()));
+}
+
+void
+RoutedRequest::ReleaseReservation()
+{
+  if (m_reservation.empty()) {
+    return;
+  }
+  --m_reservedAt->m_reserved;
+  m_shared.m_errands.Send(
+    m_reservedAt->m_entry,
+    m_shared.m_dialect.ReleaseCall(m_reservedAt->m_entry, m_reservation));
+  m_reservation.clear();
+}
+
+void
+RoutedRequest::StartPrefill()
+{
+  std::string near;
+  if (m_reservedAt != nullptr) {
+    near = m_reservedAt->m_entry.m_failureDomain;
+  }
+  UpstreamPtr upstream =
+    m_skipPrefill ? nullptr : Pick(EngineStage::Prefill, near);
+  bool allowed = upstream != nullptr && m_prefillTries < kMaxPrefills &&
+                 (m_prefills == 0 || TakeRetryBudget());
+  if (!allowed) {
+    StartRun(); // the decode engine reads the prompt itself
+    return;
+  }
+  ++m_prefillTries;
+  Send(upstream, Phase::Prefill);
+}
+
+UpstreamPtr
+RoutedRequest::PickForRun()
+{
+  if (!m_reservation.empty()) {
+    const UpstreamEntry& reserved = m_reservedAt->m_entry;
+    if (!reserved.m_draining && !m_excluded.contains(reserved.m_key)) {
+      return m_reservedAt;
+    }
+    ReleaseReservation();
+  }
+  EngineStage stage =
+    ServedByEngines() ? EngineStage::Decode : EngineStage::None;
+  std::string near;
+  if (m_prefillUpstream != nullptr) {
+    near = m_prefillUpstream->m_entry.m_failureDomain;
+  }
+  return Pick(stage, near);
+}
+
+void
+RoutedRequest::StartRun()
+{
+  UpstreamPtr upstream = PickForRun();
+  if (upstream == nullptr || (m_arrivals > 0 && !TakeRetryBudget())) {
+    if (m_failure) {
+      Finish(NextStep::PassOn);
+      return;
+    }
+    Finish(DecideEnd(Progress()));
+    return;
+  }
+  Send(upstream, Phase::Run);
+}
+
+void
+RoutedRequest::Send(const UpstreamPtr& aUpstream, Phase aPhase)
+{
+  m_phase = aPhase;
+  m_upstream = aUpstream;
+  m_held = {};
+  m_verdict = AttemptEnd::Broken;
+  m_streaming = false;
+  m_sentAt = m_shared.m_loop.Now();
+  aUpstream->m_health.OnStart(m_sentAt);
+  m_lastBytesAt = m_sentAt;
+  m_shared.m_loop.CancelTimer(m_suspicionTimer);
+  if (aPhase == Phase::Reserve) {
+    m_call =
+      m_shared.m_pool.Start(aUpstream->m_entry,
+                            OptionsFor(m_shared.m_dialect.ReserveCall(
+                                         aUpstream->m_entry,
+                                         TokensToReserve(),
+                                         Service()->m_reservationLifetime),
+                                       std::min(kReserveTimeout, TimeLeft())),
+                            *this);
+    return;
+  }
+  m_call = m_shared.m_pool.Start(
+    aUpstream->m_entry,
+    { .m_head = HeadFor(*aUpstream, aPhase),
+      .m_body = m_request.m_body,
+      .m_isHead = m_request.m_head.m_method == "HEAD",
+      .m_freshFor = m_route->MayRepeat() || aPhase == Phase::Prefill
+                      ? kFreshForRepeatable
+                      : kFreshForRunOnce,
+      .m_headTimeout = HeadPatience(aPhase),
+      .m_bodyTimeout = BodyPatience() },
+    *this);
+  if (aPhase == Phase::Run) {
+    if (!m_reservation.empty()) {
+      --m_reservedAt->m_reserved;
+      m_reservation.clear();
+    }
+    m_suspicionTimer = m_shared.m_loop.RunAfter(
+      ServedByEngines() ? kFirstEventPatience : kSuspicionTime,
+      [this] { OnSuspicion(); });
+  }
+}
+
+std::string
+RoutedRequest::HeadFor(const Upstream& aUpstream, Phase aPhase) const
+{
+  Dispatch dispatch{ .m_timeLeft = TimeLeft(),
+                     .m_upstreamId = aUpstream.m_entry.m_key.m_id,
+                     .m_prefillOnly = aPhase == Phase::Prefill,
+                     .m_prefillAddress = {},
+                     .m_prefillHandle = {},
+                     .m_reservation = {},
+                     .m_resumeAfter = m_events.LastId() };
+  if (aPhase == Phase::Run && !m_handle.empty()) {
+    dispatch.m_prefillAddress = m_prefillUpstream->m_entry.m_address;
+    dispatch.m_prefillHandle = m_handle;
+  }
+  if (aPhase == Phase::Run && m_reservedAt.get() == &aUpstream) {
+    dispatch.m_reservation = m_reservation;
+  }
+  const RequestHead& head = m_request.m_head;
+  HttpHeaders fields = m_shared.m_dialect.FieldsForUpstream(head, dispatch);
+  if (head.m_framing == BodyFraming::Chunked ||
+      FindField(head.m_fields, "content-length") != nullptr) {
+    fields.push_back(
+      { "Content-Length", std::to_string(m_request.m_body->size()) });
+  }
+  return WriteRequestHead(head.m_method, head.m_target, fields);
+}
+
+std::chrono::milliseconds
+RoutedRequest::HeadPatience(Phase aPhase) const
+{
+  std::chrono::milliseconds left = TimeLeft();
+  if (aPhase == Phase::Prefill) {
+    std::chrono::milliseconds reading(
+      static_cast<std::int64_t>(m_facts.m_promptTokens / kPromptTokensPerMs));
+    return std::min(left, kPrefillPatience + reading);
+  }
+  if (!HasAttemptsLeft()) {
+    return left + kBeyondDeadline; // the request's own timer ends it
+  }
+  if (IsStream()) {
+    return std::min(left, kFirstEventPatience);
+  }
+  auto patience = std::max(kLeastPatience, m_route->m_latencyTarget);
+  return std::min(left, patience);
+}
+
+std::chrono::milliseconds
+RoutedRequest::BodyPatience() const
+{
+  return IsStream() && HasAttemptsLeft() ? std::min(TimeLeft(), kStreamPatience)
+                                         : TimeLeft() + kBeyondDeadline;
+}
+
+void
+RoutedRequest::OnSuspicion()
+{
+  if (m_upstream != nullptr) {
+    m_upstream->m_health.OnSilence(m_shared.m_loop.Now());
+    m_shared.m_log.Write(LogEvent("upstream_suspected")
+                           .Add("request", m_facts.m_id)
+                           .Add("upstream", m_upstream->m_entry.m_key.m_id)
+                           .Add("silence", m_shared.m_loop.Now() - m_sentAt));
+  }
+}
+
+// --------------------------------------------------------------- answers
+
+void
+RoutedRequest::OnAnswerHead(const AnswerHead& aHead)
+{
+  m_shared.m_loop.CancelTimer(m_suspicionTimer);
+  m_held.m_head = aHead;
+  JudgeHead(aHead);
+}
+
+void
+RoutedRequest::JudgeHead(const AnswerHead& aHead)
+{
+  AnswerFacts facts = m_shared.m_dialect.ReadAnswer(aHead);
+  if (facts.m_load) {
+    m_upstream->m_health.OnLoad(*facts.m_load, m_shared.m_loop.Now());
+  }
+  if (facts.m_replaced) {
+    m_verdict = AttemptEnd::Replaced;
+    return;
+  }
+  if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
+    EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
+    return;
+  }
+  if (facts.m_notRun) {
+    m_verdict = AttemptEnd::Refused;
+    return;
+  }
+  if (m_phase == Phase::Reserve) {
+    m_verdict =
+      aHead.m_status == 200 ? AttemptEnd::Answered : AttemptEnd::Refused;
+    return;
+  }
+  if (m_phase == Phase::Run && !facts.m_genuine) {
+    EndAttempt(AttemptEnd::Broken,
+               "unsigned answer with status " + std::to_string(aHead.m_status));
+    return;
+  }
+  m_verdict = EndOfStatus(aHead.m_status);
+  m_streaming = m_phase == Phase::Run && IsStream() && aHead.m_status == 200;
+  if (m_answerBegun && !m_streaming) {
+    EndAttempt(AttemptEnd::Broken,
+               "no stream goes on, but status " +
+                 std::to_string(aHead.m_status));
+  }
+}
+
+void
+RoutedRequest::OnAnswerBody(std::string_view aBytes)
+{
+  m_lastBytesAt = m_shared.m_loop.Now();
+  if (m_streaming) {
+    std::string events;
+    try {
+      events = m_events.Feed(aBytes);
+    } catch (const Error& error) {
+      EndAttempt(AttemptEnd::Broken, error.what());
+      return;
+    }
+    PassEvents(events);
+    return;
+  }
+  if (m_answerBegun && m_verdict == AttemptEnd::Answered) {
+    m_exchange->Write(aBytes); // a long answer
+    return;
+  }
+  m_held.m_body.append(aBytes);
+  if (m_held.m_body.size() <= kMaxHeldAnswer) {
+    return;
+  }
+  if (m_phase != Phase::Run || m_verdict != AttemptEnd::Answered ||
+      m_answerBegun) {
+    EndAttempt(AttemptEnd::Broken, "the answer is too long to be held");
+    return;
+  }
+  BeginAnswer(m_held.m_head);
+  m_exchange->Write(std::exchange(m_held.m_body, {}));
+}
+
+void
+RoutedRequest::PassEvents(const std::string& aEvents)
+{
+  if (aEvents.empty()) {
+    return;
+  }
+  if (!m_answerBegun) {
+    BeginAnswer(m_held.m_head);
+  }
+  m_exchange->Write(aEvents);
+  if (m_exchange->Buffered() > kMaxQueuedForCaller) {
+    m_call->PauseReading();
+  }
+}
+
+void
+RoutedRequest::BeginAnswer(const AnswerHead& aHead)
+{
+  HttpHeaders fields;
+  for (const HttpHeader& field : aHead.m_fields) {
+    if (!IsConnectionField(aHead.m_fields, field.m_name)) {
+      fields.push_back(field);
+    }
+  }
+  m_answerBegun = true;
+  m_firstEventAt = m_shared.m_loop.Now();
+  m_exchange->Begin(aHead.m_status, aHead.m_reason, std::move(fields));
+}
+
+void
+RoutedRequest::OnAnswerEnd()
+{
+  EndAttempt(m_verdict, {});
+}
+
+void
+RoutedRequest::OnCallFailed(AttemptEnd aEnd, const std::string& aReason)
+{
+  // A refusal counts even if the rest of its answer is missing.
+  bool notRun =
+    m_verdict == AttemptEnd::Refused || m_verdict == AttemptEnd::Replaced;
+  EndAttempt(notRun ? m_verdict : aEnd, aReason);
+}
+
+void
+RoutedRequest::EndAttempt(AttemptEnd aEnd, const std::string& aReason)
+{
+  m_shared.m_loop.CancelTimer(m_suspicionTimer);
+  ReleaseCall();
+  m_upstream->m_health.OnEnd(aEnd, m_shared.m_loop.Now());
+  m_shared.m_metrics.Count("attempts_total",
+                           "end=\"" + std::string(shallotford::ToString(aEnd)) +
+                             "\"");
+  bool full = m_phase == Phase::Reserve && aEnd == AttemptEnd::Refused;
+  if (full) {
+    m_full.insert(m_upstream->m_entry.m_key);
+  } else if (aEnd != AttemptEnd::Answered) {
+    LogAttempt(aEnd, aReason);
+    m_excluded.insert(m_upstream->m_entry.m_key);
+  }
+  if (aEnd == AttemptEnd::Replaced) {
+    m_shared.m_upstreams.Remove(m_upstream->m_entry.m_key);
+  }
+  switch (m_phase) {
+    case Phase::Reserve:
+      AfterReserve(aEnd);
+      return;
+    case Phase::Prefill:
+      AfterPrefill(aEnd);
+      return;
+    case Phase::Run:
+      AfterRun(aEnd);
+      return;
+  }
+}
+
+void
+RoutedRequest::AfterReserve(AttemptEnd aEnd)
+{
+  if (aEnd != AttemptEnd::Answered) {
+    Reserve();
+    return;
+  }
+  try {
+    m_reservation = m_shared.m_dialect.ReadReservation(m_held.m_body);
+  } catch (const Error& error) {
+    LogAttempt(AttemptEnd::Broken, error.what());
+    Reserve();
+    return;
+  }
+  m_reservedAt = m_upstream;
+  m_reservedSince = m_shared.m_loop.Now();
+  ++m_reservedAt->m_reserved;
+  m_full.clear();
+  StartPrefill();
+}
+
+void
+RoutedRequest::AfterPrefill(AttemptEnd aEnd)
+{
+  m_prefills += aEnd == AttemptEnd::NotConnected ? 0 : 1;
+  if (aEnd == AttemptEnd::Answered) {
+    try {
+      m_handle = m_shared.m_dialect.ReadPrefill(m_held.m_body);
+      m_prefillUpstream = m_upstream;
+      StartRun();
+      return;
+    } catch (const Error& error) {
+      LogAttempt(AttemptEnd::Broken, error.what());
+    }
+  }
+  StartPrefill();
+}
+
+void
+RoutedRequest::AfterRun(AttemptEnd aEnd)
+{
+  bool notRun = aEnd == AttemptEnd::NotConnected ||
+                aEnd == AttemptEnd::Refused || aEnd == AttemptEnd::Replaced;
+  m_runs += notRun ? 0 : 1;
+  m_refusals += notRun ? 1 : 0;
+  m_arrivals += aEnd == AttemptEnd::NotConnected ? 0 : 1;
+  if (aEnd == AttemptEnd::Refused && !m_handle.empty()) {
+    m_prefillUpstream->m_health.OnHandleLost(m_shared.m_loop.Now());
+  }
+  if (aEnd == AttemptEnd::Answered) {
+    if (m_answerBegun) {
+      FinishStream();
+    } else if (m_streaming) {
+      BeginAnswer(m_held.m_head);
+      FinishStream();
+    } else {
+      Deliver(m_held);
+    }
+    return;
+  }
+  if (aEnd == AttemptEnd::Failed) {
+    m_failure = std::move(m_held);
+  }
+  NextStep next = DecideNextStep(Progress(), aEnd);
+  if (next == NextStep::TryAgain) {
+    TryAgain();
+    return;
+  }
+  Finish(next);
+}
+
+void
+RoutedRequest::TryAgain()
+{
+  m_events.TakeRest();
+  m_handle.clear();
+  m_prefillUpstream = nullptr;
+  m_skipPrefill = true;
+  bool reserve = ServedByEngines() && !m_answerBegun &&
+                 Service()->m_reservationLifetime.count() > 0;
+  if (reserve) {
+    OnTurn();
+  } else {
+    StartRun();
+  }
+}
+
+std::string_view
+RoutedRequest::ToString(Phase aPhase)
+{
+  switch (aPhase) {
+    case Phase::Reserve:
+      return "reserve";
+    case Phase::Prefill:
+      return "prefill";
+    case Phase::Run:
+      return "run";
+  }
+  return "?";
+}
+
+void
+RoutedRequest::ReleaseCall()
+{
+  if (m_call == nullptr) {
+    return;
+  }
+  m_call->Cancel();
+  // It may be inside its own event.
+  std::shared_ptr<UpstreamCallI> call = std::move(m_call);
+  m_shared.m_loop.Post([call] {});
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_request_end.cpp
@@ -0,0 +1,197 @@
+/// One caller's request: its end.
+
+#include "config.h"
+#include "router_request.h"
+
+namespace shallotford {
+
+void
+RoutedRequest::Deliver(const HeldAnswer& aAnswer)
+{
+  HttpHeaders fields;
+  bool toHead = m_request.m_head.m_method == "HEAD";
+  for (const HttpHeader& field : aAnswer.m_head.m_fields) {
+    bool length = SameFieldName(field.m_name, "content-length");
+    if (!IsConnectionField(aAnswer.m_head.m_fields, field.m_name) ||
+        (toHead && length)) {
+      fields.push_back(field);
+    }
+  }
+  int status = aAnswer.m_head.m_status;
+  m_exchange->Respond(
+    status, aAnswer.m_head.m_reason, std::move(fields), aAnswer.m_body);
+  End("answered", status);
+}
+
+void
+RoutedRequest::FinishStream()
+{
+  std::string rest = m_events.TakeRest();
+  if (!rest.empty()) {
+    m_exchange->Write(rest);
+  }
+  m_exchange->End();
+  End("answered", m_held.m_head.m_status);
+}
+
+void
+RoutedRequest::Finish(NextStep aStep)
+{
+  switch (aStep) {
+    case NextStep::PassOn:
+      Deliver(*m_failure);
+      return;
+    case NextStep::Cut:
+      m_exchange->Abort();
+      End("cut", 0);
+      return;
+    case NextStep::AnswerUnknown: {
+      Error error(ErrorKind::UpstreamFailed,
+                  "the upstream broke off its answer",
+                  "The request may have run; check before sending it again.",
+                  RunState::Unknown);
+      RespondError(*m_exchange, error);
+      End("failed", HttpStatus(error.Kind()));
+      return;
+    }
+    case NextStep::AnswerTimeout: {
+      Error error(ErrorKind::DeadlineExceeded,
+                  "no answer came in " + std::to_string(Elapsed().count()) +
+                    " ms",
+                  "The request may have run; check before sending it again.",
+                  RunState::Unknown);
+      RespondError(*m_exchange, error);
+      End("timed_out", HttpStatus(error.Kind()));
+      return;
+    }
+    case NextStep::TryAgain:
+    case NextStep::Refuse:
+      Refuse();
+      return;
+  }
+}
+
+void
+RoutedRequest::Refuse()
+{
+  auto share = std::chrono::duration_cast<std::chrono::milliseconds>(
+    TimeLeft() * kRetryAfterShare);
+  Error error(ErrorKind::NoUpstream,
+              "no upstream of service \"" + m_service + "\" took the request",
+              "Send it again after the time given; it has not run.");
+  error.WithRetryAfter(std::min(kNoUpstreamRetryAfter, share));
+  RespondError(*m_exchange, error);
+  End("refused", HttpStatus(error.Kind()));
+}
+
+void
+RoutedRequest::OnDeadline()
+{
+  if (m_call != nullptr) {
+    bool maySent = m_call->WasSent();
+    bool silent = m_held.m_head.m_status == 0;
+    ReleaseCall();
+    m_shared.m_loop.CancelTimer(m_suspicionTimer);
+    AttemptEnd end = silent ? AttemptEnd::Silent : AttemptEnd::Abandoned;
+    m_upstream->m_health.OnEnd(end, m_shared.m_loop.Now());
+    LogAttempt(end, "the request's time is over");
+    if (m_phase == Phase::Run && maySent) {
+      ++m_runs;
+    }
+  }
+  RequestProgress progress = Progress();
+  progress.m_timeLeft = std::chrono::milliseconds::zero();
+  Finish(DecideEnd(progress));
+}
+
+void
+RoutedRequest::OnCallerGone()
+{
+  if (m_call != nullptr) {
+    ReleaseCall();
+    m_shared.m_loop.CancelTimer(m_suspicionTimer);
+    TimePoint now = m_shared.m_loop.Now();
+    // A caller that leaves after a long silence says something of the upstream.
+    bool silent = now - m_lastBytesAt >= kStreamPatience;
+    AttemptEnd end = silent ? AttemptEnd::Silent : AttemptEnd::Abandoned;
+    m_upstream->m_health.OnEnd(end, now);
+  }
+  End("cancelled", 0);
+}
+
+void
+RoutedRequest::End(std::string_view aOutcome, int aStatus)
+{
+  if (std::exchange(m_ended, true)) {
+    return;
+  }
+  m_shared.m_loop.CancelTimer(m_deadlineTimer);
+  m_exchange->OnClosed(nullptr);
+  m_exchange->OnDrained(nullptr);
+  if (m_waiting != 0) {
+    m_shared.m_admission.Leave(m_waiting);
+  }
+  ReleaseReservation();
+  if (m_answerBegun && ServedByEngines()) {
+    m_shared.m_admission.OnFreed(m_service);
+  }
+  Duration took = m_shared.m_loop.Now() - m_received;
+  LogEvent event("request_end");
+  event.Add("request", m_facts.m_id)
+    .Add("route", m_route->m_name)
+    .Add("version", static_cast<std::int64_t>(m_routing->m_version))
+    .Add("kind", shallotford::ToString(m_route->m_kind))
+    .Add("service", m_service)
+    .Add("outcome", aOutcome)
+    .Add("status", static_cast<std::int64_t>(aStatus))
+    .Add("runs", static_cast<std::int64_t>(m_runs))
+    .Add("refusals", static_cast<std::int64_t>(m_refusals))
+    .Add("prefills", static_cast<std::int64_t>(m_prefills))
+    .Add("took", took);
+  if (m_prefillUpstream != nullptr) {
+    event.Add("prefill", m_prefillUpstream->m_entry.m_key.m_id);
+  }
+  if (m_upstream != nullptr) {
+    event.Add("upstream", m_upstream->m_entry.m_key.m_id);
+  }
+  if (m_reservedAt != nullptr) {
+    event.Add("reserved", m_reservedSince - m_received)
+      .Add("prompt", static_cast<std::int64_t>(m_facts.m_promptTokens))
+      .Add("output", static_cast<std::int64_t>(m_facts.m_outputTokens))
+      .Add("last_event", m_events.LastId());
+  }
+  if (m_answerBegun) {
+    event.Add("first_event", m_firstEventAt - m_received);
+  }
+  m_shared.m_log.Write(event);
+  m_shared.m_metrics.Count(
+    "requests_total",
+    "kind=\"" + std::string(shallotford::ToString(m_route->m_kind)) +
+      "\",outcome=\"" + std::string(aOutcome) + "\"");
+  m_shared.m_metrics.Observe(Latency::Request, took);
+  if (m_answerBegun) {
+    m_shared.m_metrics.Observe(Latency::FirstToken,
+                               m_firstEventAt - m_received);
+  }
+  m_onEnd();
+}
+
+void
+RoutedRequest::LogAttempt(AttemptEnd aEnd, const std::string& aReason) const
+{
+  m_shared.m_log.Write(
+    LogEvent("attempt_failed")
+      .Add("request", m_facts.m_id)
+      .Add("phase", ToString(m_phase))
+      .Add("upstream", m_upstream->m_entry.m_key.m_id)
+      .Add("address", m_upstream->m_entry.m_address)
+      .Add("end", shallotford::ToString(aEnd))
+      .Add("reason", aReason)
+      .Add("status", static_cast<std::int64_t>(m_held.m_head.m_status))
+      .Add("in_flight",
+           static_cast<std::int64_t>(m_upstream->m_health.InFlight()))
+      .Add("took", m_shared.m_loop.Now() - m_sentAt)
+      .Add("time_left", Duration(TimeLeft())));
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_task.cpp
@@ -0,0 +1,427 @@
+/// The routing task: callers, what is published, and the planned stop.
+
+#include "router_task.h"
+
+#include "config.h"
+
+#include <ctime>
+
+namespace shallotford {
+
+namespace {
+
+/// Returns how long this machine was suspended since its boot.
+Duration
+SuspendedTime()
+{
+  auto read = [](clockid_t aClock) {
+    timespec time{};
+    ::clock_gettime(aClock, &time);
+    return std::chrono::seconds(time.tv_sec) +
+           std::chrono::nanoseconds(time.tv_nsec);
+  };
+  return read(CLOCK_BOOTTIME) - read(CLOCK_MONOTONIC);
+}
+
+} // namespace
+
+RouterTask::RouterTask(const RouterOptions& aOptions, const RouterParts& aParts)
+  : m_options(aOptions)
+  , m_loop(aParts.m_loop)
+  , m_source(aParts.m_source)
+  , m_decoder(aParts.m_decoder)
+  , m_dialect(aParts.m_dialect)
+  , m_log(aParts.m_log)
+  , m_random(aParts.m_random)
+  , m_pool(m_loop)
+  , m_upstreams(aOptions.m_location)
+  , m_admission(m_loop)
+  , m_errands(m_loop, m_pool, m_log)
+  , m_shared{ .m_loop = m_loop,
+              .m_dialect = m_dialect,
+              .m_log = m_log,
+              .m_pool = m_pool,
+              .m_upstreams = m_upstreams,
+              .m_metrics = m_metrics,
+              .m_budgetOptions = aOptions.m_retryBudget,
+              .m_startedAt = m_loop.Now(),
+              .m_budgets = {},
+              .m_liveVms = 1,
+              .m_admission = m_admission,
+              .m_errands = m_errands }
+  , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
+  , m_peerCalls(m_loop, {})
+  , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
+    aExchange.Respond(200,
+                      { { "content-type", "application/json" } },
+                      m_rpc.Handle(aCall.m_body));
+  })
+  , m_operatorHandler(
+      [this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
+        OnOperator(aExchange, aCall);
+      })
+{
+  m_rpc.AddMethod("directory", [this](const Json::Value& aParams) {
+    return OnGossip(aParams);
+  });
+}
+
+RouterTask::~RouterTask()
+{
+  m_loop.CancelTimer(m_tickTimer);
+  m_callers.reset();
+}
+
+void
+RouterTask::Start()
+{
+  auto listenOn = [](const std::string& aAddress) {
+    std::size_t colon = aAddress.rfind(':');
+    ServerOptions options;
+    options.m_address = aAddress.substr(0, colon);
+    options.m_port =
+      static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1)));
+    return options;
+  };
+  m_operatorServer =
+    m_loop.Listen(listenOn(m_options.m_operatorAddress), m_operatorHandler);
+  if (!m_options.m_metricsAddress.empty()) {
+    m_metricsServer =
+      m_loop.Listen(listenOn(m_options.m_metricsAddress), m_operatorHandler);
+  }
+  m_peerServer =
+    m_loop.Listen(listenOn(m_options.m_peerAddress), m_peerHandler);
+  m_callers = std::make_unique<CallerListener>(
+    m_loop,
+    StreamListenerOptions{ .m_address = m_options.m_callerAddress,
+                           .m_maxConnections = m_options.m_maxConnections,
+                           .m_silenceTimeout = kCallerSilence },
+    static_cast<CallerHandlerI&>(*this));
+  m_suspended = SuspendedTime();
+  m_lastTick = m_loop.Now();
+  m_sourceHeard = m_lastTick;
+  m_source.Start(*this);
+  Tick();
+}
+
+void
+RouterTask::Reload(const RouterOptions& aOptions)
+{
+  // What is bound to a listener stays until the next start.
+  m_options.m_seeds = aOptions.m_seeds;
+  for (const std::string& seed : aOptions.m_seeds) {
+    m_peers.AddSeed(seed);
+  }
+  m_log.Write(
+    LogEvent("settings_reloaded")
+      .Add("seeds", static_cast<std::int64_t>(aOptions.m_seeds.size())));
+}
+
+// --------------------------------------------------------------- callers
+
+void
+RouterTask::OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest)
+{
+  try {
+    Admit(aExchange, aRequest);
+  } catch (const Error& error) {
+    Reject(*aExchange, aRequest, error);
+  }
+}
+
+void
+RouterTask::Admit(const CallerExchangePtr& aExchange, CallerRequest& aRequest)
+{
+  if (m_routes.Text() == nullptr) {
+    throw Error(ErrorKind::NotReady,
+                "this VM has no configuration yet",
+                "Send the request again after the time given.")
+      .WithRetryAfter(kNoUpstreamRetryAfter);
+  }
+  const std::string* host = FindField(aRequest.m_head.m_fields, "host");
+  const Route* route = m_routes.Find(*host, aRequest.m_head.m_target);
+  if (route == nullptr) {
+    throw Error(ErrorKind::NotFound,
+                "no route matches host " + *host,
+                "Use a host and path of the configuration.");
+  }
+  RequestFacts facts = m_dialect.ReadRequest(aRequest.m_head);
+  RefuseWhileLeaving(facts);
+  auto key = std::make_shared<RoutedRequest*>(nullptr);
+  auto request = std::make_unique<RoutedRequest>(
+    m_shared,
+    RoutedRequestOptions{ .m_exchange = aExchange,
+                          .m_request = std::move(aRequest),
+                          .m_facts = std::move(facts),
+                          .m_routing = m_routes.Text(),
+                          .m_route = route,
+                          .m_onEnd = [this, key] {
+                            // The request is inside its own event.
+                            m_loop.Post(
+                              [this, key] { m_requests.erase(*key); });
+                          } });
+  *key = request.get();
+  RoutedRequest& started = *request;
+  m_requests.emplace(*key, std::move(request));
+  started.Start();
+}
+
+void
+RouterTask::RefuseWhileLeaving(const RequestFacts& aFacts) const
+{
+  if (!m_leaving) {
+    return;
+  }
+  Duration since = m_loop.Now() - m_leavingSince;
+  Duration left = m_options.m_drainTime - kDrainMargin - since;
+  if (since < kDrainAccepting && aFacts.m_outputTokens * kTokenTime < left) {
+    return;
+  }
+  throw Error(ErrorKind::ShuttingDown,
+              "this VM is stopping",
+              "Send the request again on a new connection.")
+    .WithRetryAfter(kLeavingRetryAfter);
+}
+
+void
+RouterTask::Reject(CallerExchangeI& aExchange,
+                   const CallerRequest& aRequest,
+                   const Error& aError)
+{
+  RespondError(aExchange, aError);
+  m_log.Write(LogEvent("request_rejected")
+                .Add("target", aRequest.m_head.m_target)
+                .Add("code", ToString(aError.Kind()))
+                .Add("reason", aError.what()));
+  m_metrics.Count("rejected_total",
+                  "code=\"" + std::string(ToString(aError.Kind())) + "\"");
+}
+
+void
+RouterTask::OnBadRequest(const Error& aError)
+{
+  m_log.Write(LogEvent("request_malformed")
+                .Add("code", ToString(aError.Kind()))
+                .Add("reason", aError.what()));
+  m_metrics.Count("rejected_total",
+                  "code=\"" + std::string(ToString(aError.Kind())) + "\"");
+}
+
+CallerLimits
+RouterTask::Limits() const
+{
+  return m_routes.Text() == nullptr ? CallerLimits{}
+                                    : m_routes.Text()->m_limits;
+}
+
+// ---------------------------------------------------- what is published
+
+void
+RouterTask::OnDelta(const DirectoryDelta& aDelta)
+{
+  m_sourceHeard = m_loop.Now();
+  Learn(aDelta, "source");
+}
+
+void
+RouterTask::OnSourceUp()
+{
+  m_sourceHeard = m_loop.Now();
+  if (!std::exchange(m_sourceUp, true)) {
+    m_log.Write(
+      LogEvent("source_up")
+        .Add("revision", static_cast<std::int64_t>(m_directory.UpTo())));
+  }
+}
+
+void
+RouterTask::OnSourceDown(const std::string& aReason)
+{
+  m_metrics.Count("source_failures_total", "");
+  if (std::exchange(m_sourceUp, false)) {
+    m_log.Write(
+      LogEvent("source_down", LogLevel::Warning)
+        .Add("reason", aReason)
+        .Add("revision", static_cast<std::int64_t>(m_directory.UpTo())));
+  }
+}
+
+void
+RouterTask::Learn(const DirectoryDelta& aDelta, std::string_view aFrom)
+{
+  for (const DirectoryItem& item : m_directory.Apply(aDelta, m_loop.Now())) {
+    LearnItem(item, aFrom);
+  }
+  LogReadiness();
+}
+
+void
+RouterTask::LearnItem(const DirectoryItem& aItem, std::string_view aFrom)
+{
+  DirectoryMeaning meaning;
+  try {
+    meaning = m_decoder.Decode(aItem);
+  } catch (const Error& error) {
+    m_log.Write(LogEvent("item_ignored", LogLevel::Warning)
+                  .Add("key", aItem.m_key)
+                  .Add("revision", static_cast<std::int64_t>(aItem.m_revision))
+                  .Add("reason", error.what()));
+    m_metrics.Count("items_ignored_total", "");
+    return;
+  }
+  if (meaning.m_routing != nullptr) {
+    LearnRouting(meaning.m_routing, aFrom);
+  }
+  if (meaning.m_upstream) {
+    LearnUpstream(*meaning.m_upstream, aFrom);
+  }
+  if (aItem.m_removed && !meaning.m_upstreamId.empty()) {
+    m_upstreams.OnEntryRemoved(meaning.m_upstreamId, m_loop.Now());
+    m_log.Write(LogEvent("upstream_removed")
+                  .Add("upstream", meaning.m_upstreamId)
+                  .Add("revision", static_cast<std::int64_t>(aItem.m_revision))
+                  .Add("from", aFrom));
+  }
+}
+
+void
+RouterTask::LearnRouting(const RoutingPtr& aRouting, std::string_view aFrom)
+{
+  std::uint64_t current =
+    m_routes.Text() == nullptr ? 0 : m_routes.Text()->m_version;
+  if (aRouting->m_version <= current) {
+    return;
+  }
+  m_routes = RouteTable(aRouting);
+  m_log.Write(
+    LogEvent("configuration")
+      .Add("version", static_cast<std::int64_t>(aRouting->m_version))
+      .Add("before", static_cast<std::int64_t>(current))
+      .Add("routes", static_cast<std::int64_t>(aRouting->m_routes.size()))
+      .Add("from", aFrom));
+}
+
+void
+RouterTask::LearnUpstream(const UpstreamEntry& aEntry, std::string_view aFrom)
+{
+  UpstreamPtr known = m_upstreams.Find(aEntry.m_key);
+  bool changed = known == nullptr ||
+                 known->m_entry.m_draining != aEntry.m_draining ||
+                 known->m_entry.m_stage != aEntry.m_stage;
+  m_upstreams.Put(aEntry);
+  if (!changed) {
+    return;
+  }
+  if (aEntry.m_draining) {
+    m_pool.CloseIdle(aEntry.m_key);
+  }
+  m_log.Write(
+    LogEvent("upstream")
+      .Add("upstream", aEntry.m_key.m_id)
+      .Add("started_ms", static_cast<std::int64_t>(aEntry.m_key.m_startedMs))
+      .Add("service", aEntry.m_service)
+      .Add("address", aEntry.m_address)
+      .Add("draining", aEntry.m_draining ? "yes" : "no")
+      .Add("from", aFrom));
+}
+
+// ------------------------------------------------------------------ time
+
+void
+RouterTask::Tick()
+{
+  TimePoint now = m_loop.Now();
+  NoticeFreeze();
+  m_lastTick = now;
+  for (const UpstreamKey& key : m_upstreams.Expire(now)) {
+    m_pool.CloseIdle(key);
+    m_log.Write(LogEvent("upstream_gone").Add("upstream", key.m_id));
+  }
+  m_shared.m_liveVms =
+    std::max(m_peers.LiveCount(now), LeastVms(m_options.m_location));
+  if (now - m_lastGossip >= kGossipPeriod) {
+    m_lastGossip = now;
+    Gossip();
+  }
+  LogReadiness();
+  if (m_leaving) {
+    CheckDrained();
+  }
+  m_tickTimer = m_loop.RunAfter(kRouterTick, [this] { Tick(); });
+}
+
+void
+RouterTask::NoticeFreeze()
+{
+  Duration suspended = SuspendedTime();
+  Duration late = m_loop.Now() - m_lastTick - kRouterTick;
+  Duration pause = std::max(suspended - m_suspended, late);
+  m_suspended = suspended;
+  if (pause < kFreezeLimit) {
+    return;
+  }
+  m_log.Write(LogEvent("paused", LogLevel::Warning).Add("pause", pause));
+  for (const UpstreamPtr& upstream : m_upstreams.All()) {
+    m_pool.CloseIdle(upstream->m_entry.m_key);
+  }
+}
+
+void
+RouterTask::LogReadiness()
+{
+  bool ready = IsReady();
+  if (std::exchange(m_ready, ready) != ready) {
+    m_log.Write(
+      LogEvent("readiness")
+        .Add("ready", ready ? "yes" : "no")
+        .Add("upstreams", static_cast<std::int64_t>(m_upstreams.Size())));
+  }
+}
+
+// ---------------------------------------------------------- planned stop
+
+void
+RouterTask::Drain(std::function<void()> aOnDrained)
+{
+  if (std::exchange(m_leaving, true)) {
+    return;
+  }
+  m_leavingSince = m_loop.Now();
+  m_onDrained = std::move(aOnDrained);
+  m_log.Write(
+    LogEvent("drain_begins")
+      .Add("requests", static_cast<std::int64_t>(m_requests.size()))
+      .Add("connections", static_cast<std::int64_t>(m_callers->Count())));
+}
+
+void
+RouterTask::CheckDrained()
+{
+  Duration since = m_loop.Now() - m_leavingSince;
+  bool late = since >= m_options.m_drainTime - kDrainMargin;
+  if (since < kDrainAccepting) {
+    return;
+  }
+  m_callers->CloseIdle();
+  if (!m_requests.empty() && !late) {
+    return;
+  }
+  if (m_callers->Count() > 0 && !late) {
+    return;
+  }
+  m_log.Write(
+    LogEvent("drained")
+      .Add("requests", static_cast<std::int64_t>(m_requests.size()))
+      .Add("connections", static_cast<std::int64_t>(m_callers->Count())));
+  if (auto onDrained = std::exchange(m_onDrained, nullptr)) {
+    onDrained();
+  }
+}
+
+std::unique_ptr<RouterI>
+MakeRouter(const RouterOptions& aOptions, const RouterParts& aParts)
+{
+  return std::make_unique<RouterTask>(aOptions, aParts);
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_task.h
@@ -0,0 +1,135 @@
+#ifndef SHALLOTFORD_SRC_ROUTER_TASK_H
+#define SHALLOTFORD_SRC_ROUTER_TASK_H
+
+/// The routing task: owns the listeners, the requests and all that this VM
+/// knows of configuration, upstreams and other VMs.
+
+#include "daemon_peer.h"
+#include "router_request.h"
+#include "shallotford/rpc.h"
+
+namespace shallotford {
+
+/// Returns the VMs that are assumed before others are heard of.
+std::size_t
+LeastVms(const Location& aLocation);
+
+class RouterTask
+  : public RouterI
+  , private CallerHandlerI
+  , private DirectoryListenerI
+{
+public:
+  RouterTask(const RouterOptions& aOptions, const RouterParts& aParts);
+  ~RouterTask() override;
+
+  void Start() override;
+  void Drain(std::function<void()> aOnDrained) override;
+  void Reload(const RouterOptions& aOptions) override;
+  std::uint16_t CallerPort() const override { return m_callers->Port(); }
+  std::uint16_t PeerPort() const override { return m_peerServer->Port(); }
+  std::uint16_t OperatorPort() const override
+  {
+    return m_operatorServer->Port();
+  }
+
+private:
+  /// Hands requests of one of the two HTTP ports to a function.
+  struct Handler : HttpHandlerI
+  {
+    explicit Handler(
+      std::function<void(HttpExchangeI&, const HttpRequest&)> aFunction)
+      : m_function(std::move(aFunction))
+    {
+    }
+    void OnRequest(std::shared_ptr<HttpExchangeI> aExchange,
+                   HttpRequest aRequest) override
+    {
+      m_function(*aExchange, aRequest);
+    }
+    std::function<void(HttpExchangeI&, const HttpRequest&)> m_function;
+  };
+
+  // Callers.
+  void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override;
+  void OnBadRequest(const Error& aError) override;
+  CallerLimits Limits() const override;
+  bool IsLeaving() const override { return m_leaving; }
+  void Admit(const CallerExchangePtr& aExchange, CallerRequest& aRequest);
+  /// @throws Error (ShuttingDown) if the request would not end in time
+  void RefuseWhileLeaving(const RequestFacts& aFacts) const;
+  void Reject(CallerExchangeI& aExchange,
+              const CallerRequest& aRequest,
+              const Error& aError);
+
+  // What is published.
+  void OnDelta(const DirectoryDelta& aDelta) override;
+  void OnSourceUp() override;
+  void OnSourceDown(const std::string& aReason) override;
+  void Learn(const DirectoryDelta& aDelta, std::string_view aFrom);
+  void LearnItem(const DirectoryItem& aItem, std::string_view aFrom);
+  void LearnRouting(const RoutingPtr& aRouting, std::string_view aFrom);
+  void LearnUpstream(const UpstreamEntry& aEntry, std::string_view aFrom);
+
+  // Other VMs.
+  void Gossip();
+  Json::Value GossipRequest();
+  Json::Value OnGossip(const Json::Value& aParams);
+  void OnGossipReply(const std::string& aPeer, const PeerResult& aResult);
+  void LearnPeers(const Json::Value& aPeers);
+
+  // Operators.
+  void OnOperator(HttpExchangeI& aExchange, const HttpRequest& aRequest);
+  bool IsReady() const;
+  void SetGauges();
+
+  void Tick();
+  void NoticeFreeze();
+  void LogReadiness();
+  void CheckDrained();
+
+  RouterOptions m_options;
+  LoopI& m_loop;
+  DirectorySourceI& m_source;
+  const DirectoryDecoderI& m_decoder;
+  const DialectI& m_dialect;
+  LogI& m_log;
+  RandomI& m_random;
+
+  Metrics m_metrics;
+  ConnectionPool m_pool;
+  UpstreamTable m_upstreams;
+  Admission m_admission;
+  Errands m_errands;
+  RouterShared m_shared;
+  Directory m_directory;
+  RouteTable m_routes;
+  PeerList m_peers;
+  HttpPeer m_peerCalls;
+  RpcServer m_rpc;
+  Handler m_peerHandler;
+  Handler m_operatorHandler;
+  std::unique_ptr<HttpServerI> m_peerServer;
+  std::unique_ptr<HttpServerI> m_operatorServer;
+  std::unique_ptr<HttpServerI> m_metricsServer;
+
+  bool m_sourceUp{ false };
+  TimePoint m_sourceHeard{};
+  bool m_gossiping{ false };
+  bool m_ready{ false };
+  TimersI::TimerId m_tickTimer{ 0 };
+  TimePoint m_lastTick{};
+  TimePoint m_lastGossip{};
+  Duration m_suspended{}; ///< time that this machine was suspended, in all
+
+  bool m_leaving{ false };
+  TimePoint m_leavingSince{};
+  std::function<void()> m_onDrained;
+
+  std::map<RoutedRequest*, std::unique_ptr<RoutedRequest>> m_requests;
+  std::unique_ptr<CallerListener> m_callers;
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_ROUTER_TASK_H
--- /dev/null
+++ b/src/router_upstream.cpp
@@ -0,0 +1,424 @@
+/// Connections to upstreams.
+
+#include "router_upstream.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+/// One connection to an upstream. While it is idle, any event ends it.
+class UpstreamConnection : public StreamHandlerI
+{
+public:
+  UpstreamConnection(ConnectionPool& aPool, const UpstreamEntry& aUpstream)
+    : m_pool(aPool)
+    , m_key(aUpstream.m_key)
+    , m_stream(
+        aPool.m_loop.Streams().Connect({ .m_address = aUpstream.m_address,
+                                         .m_silenceTimeout = kUpstreamSilence },
+                                       *this))
+  {
+    ++m_pool.m_open[m_key];
+  }
+
+  ~UpstreamConnection() override
+  {
+    m_pool.m_loop.CancelTimer(m_idleTimer);
+    auto open = m_pool.m_open.find(m_key);
+    if (--open->second == 0) {
+      m_pool.m_open.erase(open);
+    }
+  }
+
+  UpstreamConnection(const UpstreamConnection&) = delete;
+  UpstreamConnection& operator=(const UpstreamConnection&) = delete;
+
+  void Attach(StreamHandlerI* aUser) { m_user = aUser; }
+  StreamI& Socket() { return *m_stream; }
+  const UpstreamKey& Key() const { return m_key; }
+  bool IsConnected() const { return m_connected; }
+
+  void OnConnected() override
+  {
+    m_connected = true;
+    if (m_user != nullptr) {
+      m_user->OnConnected();
+    }
+  }
+  void OnBytes(std::string_view aBytes) override
+  {
+    if (m_user != nullptr) {
+      m_user->OnBytes(aBytes);
+      return;
+    }
+    // Bytes that answer nothing.
+    m_pool.Drop(this);
+  }
+  void OnPeerFinished() override
+  {
+    if (m_user != nullptr) {
+      m_user->OnPeerFinished();
+      return;
+    }
+    m_pool.Drop(this);
+  }
+  void OnBroken(const std::string& aReason) override
+  {
+    if (m_user != nullptr) {
+      m_user->OnBroken(aReason);
+      return;
+    }
+    m_pool.Drop(this);
+  }
+
+  TimersI::TimerId m_idleTimer{ 0 };
+  TimePoint m_idleSince{};
+
+private:
+  ConnectionPool& m_pool;
+  UpstreamKey m_key;
+  bool m_connected{ false };
+  StreamHandlerI* m_user{ nullptr };
+  std::unique_ptr<StreamI> m_stream;
+};
+
+namespace {
+
+/// Time that the upstream keeps an idle connection, less a margin.
+std::chrono::milliseconds
+IdleLifetime(const AnswerHead& aHead)
+{
+  const std::string* keepAlive = FindField(aHead.m_fields, "keep-alive");
+  std::size_t at =
+    keepAlive == nullptr ? std::string::npos : keepAlive->find("timeout=");
+  if (at == std::string::npos) {
+    return kUnstatedIdleTime;
+  }
+  constexpr std::string_view kName = "timeout=";
+  auto seconds =
+    std::strtoul(keepAlive->c_str() + at + kName.size(), nullptr, 10);
+  auto stated = std::chrono::seconds(std::min<unsigned long>(
+    seconds, static_cast<unsigned long>(kMostIdleTime.count())));
+  return std::max<std::chrono::milliseconds>(stated - kIdleMargin, 0ms);
+}
+
+} // namespace
+
+/// One request on one connection.
+class UpstreamCall
+  : public UpstreamCallI
+  , public StreamHandlerI
+  , private MessageSinkI
+{
+public:
+  UpstreamCall(ConnectionPool& aPool,
+               std::unique_ptr<UpstreamConnection> aConnection,
+               UpstreamCallOptions aOptions,
+               UpstreamCallHandlerI& aHandler)
+    : m_pool(aPool)
+    , m_loop(aPool.m_loop)
+    , m_connection(std::move(aConnection))
+    , m_options(std::move(aOptions))
+    , m_handler(aHandler)
+    , m_reader(MakeAnswerReader(kMaxAnswerHead, m_options.m_isHead))
+    , m_reused(m_connection->IsConnected())
+    , m_sentBefore(m_connection->Socket().BytesSent())
+  {
+    m_connection->Attach(this);
+    m_connection->Socket().Write(m_options.m_head);
+    if (m_options.m_body != nullptr) {
+      m_connection->Socket().Write(*m_options.m_body);
+    }
+    m_deadline = m_loop.Now() + m_options.m_headTimeout;
+    Arm(m_reused ? m_options.m_headTimeout
+                 : std::min(kConnectTimeout, m_options.m_headTimeout));
+  }
+
+  ~UpstreamCall() override { m_loop.CancelTimer(m_timer); }
+
+  void Cancel() override
+  {
+    m_loop.CancelTimer(m_timer);
+    Retire();
+  }
+
+  void PauseReading() override
+  {
+    if (m_connection != nullptr) {
+      m_paused = true;
+      m_connection->Socket().PauseReading();
+    }
+  }
+  void ResumeReading() override
+  {
+    if (m_connection != nullptr) {
+      m_paused = false;
+      m_connection->Socket().ResumeReading();
+      m_lastBytes = m_loop.Now();
+    }
+  }
+  bool ReusedConnection() const override { return m_reused; }
+  bool WasSent() const override
+  {
+    return IsCancelled() || m_connection->Socket().BytesSent() > m_sentBefore;
+  }
+
+  void OnConnected() override
+  {
+    Arm(std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline -
+                                                              m_loop.Now()));
+  }
+
+  void OnBytes(std::string_view aBytes) override
+  {
+    m_lastBytes = m_loop.Now();
+    std::size_t taken = 0;
+    try {
+      taken = m_reader->Feed(aBytes, *this);
+    } catch (const Error& error) {
+      Fail(AttemptEnd::Broken, error.what());
+      return;
+    }
+    if (m_ended) {
+      m_extraBytes = taken < aBytes.size();
+      Finish();
+    }
+  }
+
+  void OnPeerFinished() override
+  {
+    m_keep = false;
+    if (m_reader->Finish(*this)) {
+      Finish();
+      return;
+    }
+    Fail(AttemptEnd::Broken, "the upstream closed the connection");
+  }
+
+  void OnBroken(const std::string& aReason) override
+  {
+    Fail(WasSent() ? AttemptEnd::Broken : AttemptEnd::NotConnected, aReason);
+  }
+
+private:
+  void OnAnswerHead(const AnswerHead& aHead) override
+  {
+    m_headSeen = true;
+    m_keep = aHead.m_keepAlive;
+    m_idleLifetime = IdleLifetime(aHead);
+    Arm(m_options.m_bodyTimeout);
+    m_handler.OnAnswerHead(aHead);
+  }
+  void OnBody(std::string_view aBytes) override
+  {
+    if (!IsCancelled()) {
+      m_handler.OnAnswerBody(aBytes);
+    }
+  }
+  void OnEnd() override { m_ended = true; }
+
+  bool IsCancelled() const { return m_connection == nullptr; }
+
+  void Finish()
+  {
+    if (IsCancelled()) {
+      return;
+    }
+    m_loop.CancelTimer(m_timer);
+    bool bodySent = m_connection->Socket().Buffered() == 0;
+    if (m_keep && !m_extraBytes && bodySent && !m_paused) {
+      m_connection->Attach(nullptr);
+      m_pool.Keep(std::move(m_connection), m_idleLifetime);
+    } else {
+      Retire();
+    }
+    m_handler.OnAnswerEnd();
+  }
+
+  void Fail(AttemptEnd aEnd, const std::string& aReason)
+  {
+    if (IsCancelled()) {
+      return;
+    }
+    m_loop.CancelTimer(m_timer);
+    Retire();
+    m_handler.OnCallFailed(aEnd, aReason);
+  }
+
+  /// Closes the connection, whose own event may be running.
+  void Retire()
+  {
+    if (m_connection == nullptr) {
+      return;
+    }
+    std::shared_ptr<UpstreamConnection> connection = std::move(m_connection);
+    connection->Attach(nullptr);
+    connection->Socket().PauseReading();
+    m_loop.Post([connection] {});
+  }
+
+  void Arm(std::chrono::milliseconds aDelay)
+  {
+    m_loop.CancelTimer(m_timer);
+    m_lastBytes = m_loop.Now();
+    m_allowed = aDelay;
+    m_timer = m_loop.RunAfter(aDelay, [this] { OnTimer(); });
+  }
+
+  void OnTimer()
+  {
+    Duration silence = m_loop.Now() - m_lastBytes;
+    if (m_headSeen && (m_paused || silence < m_allowed)) {
+      m_timer = m_loop.RunAfter(m_paused ? m_allowed : m_allowed - silence,
+                                [this] { OnTimer(); });
+      return;
+    }
+    bool sent = WasSent();
+    Fail(sent ? AttemptEnd::Silent : AttemptEnd::NotConnected,
+         (sent ? "nothing came for " : "no connection in ") +
+           std::to_string(
+             std::chrono::duration_cast<std::chrono::milliseconds>(m_allowed)
+               .count()) +
+           " ms");
+  }
+
+  ConnectionPool& m_pool;
+  LoopI& m_loop;
+  std::unique_ptr<UpstreamConnection> m_connection;
+  UpstreamCallOptions m_options;
+  UpstreamCallHandlerI& m_handler;
+  std::unique_ptr<MessageReaderI> m_reader;
+  bool m_reused;
+  std::uint64_t m_sentBefore;
+  TimePoint m_deadline;
+  TimePoint m_lastBytes{};
+  Duration m_allowed{};
+  TimersI::TimerId m_timer{ 0 };
+  bool m_headSeen{ false };
+  bool m_ended{ false };
+  bool m_keep{ false };
+  bool m_extraBytes{ false };
+  bool m_paused{ false };
+  std::chrono::milliseconds m_idleLifetime{ 0 };
+};
+
+/// A request whose connection could not even be tried.
+class FailedCall : public UpstreamCallI
+{
+public:
+  FailedCall(LoopI& aLoop, std::string aReason, UpstreamCallHandlerI& aHandler)
+  {
+    aLoop.Post([reason = std::move(aReason),
+                &aHandler,
+                pending = std::weak_ptr<bool>(m_pending)] {
+      if (!pending.expired()) {
+        aHandler.OnCallFailed(AttemptEnd::NotConnected, reason);
+      }
+    });
+  }
+  void Cancel() override { m_pending.reset(); }
+  void PauseReading() override {}
+  void ResumeReading() override {}
+  bool ReusedConnection() const override { return false; }
+  bool WasSent() const override { return false; }
+
+private:
+  std::shared_ptr<bool> m_pending{ std::make_shared<bool>(true) };
+};
+
+ConnectionPool::ConnectionPool(LoopI& aLoop)
+  : m_loop(aLoop)
+{
+}
+
+ConnectionPool::~ConnectionPool()
+{
+  m_idle.clear();
+}
+
+std::unique_ptr<UpstreamCallI>
+ConnectionPool::Start(const UpstreamEntry& aUpstream,
+                      UpstreamCallOptions aOptions,
+                      UpstreamCallHandlerI& aHandler)
+{
+  auto connection = TakeIdle(aUpstream.m_key, aOptions.m_freshFor);
+  if (connection == nullptr) {
+    try {
+      connection = std::make_unique<UpstreamConnection>(*this, aUpstream);
+    } catch (const Error& error) {
+      return std::make_unique<FailedCall>(m_loop, error.what(), aHandler);
+    }
+    ++m_counts.m_opened;
+  } else {
+    ++m_counts.m_reused;
+  }
+  return std::make_unique<UpstreamCall>(
+    *this, std::move(connection), std::move(aOptions), aHandler);
+}
+
+std::unique_ptr<UpstreamConnection>
+ConnectionPool::TakeIdle(const UpstreamKey& aKey, Duration aFreshFor)
+{
+  auto found = m_idle.find(aKey);
+  if (found == m_idle.end() || found->second.empty()) {
+    return nullptr;
+  }
+  if (m_loop.Now() - found->second.back()->m_idleSince > aFreshFor) {
+    return nullptr;
+  }
+  std::unique_ptr<UpstreamConnection> connection =
+    std::move(found->second.back());
+  found->second.pop_back();
+  m_loop.CancelTimer(connection->m_idleTimer);
+  return connection;
+}
+
+void
+ConnectionPool::Keep(std::unique_ptr<UpstreamConnection> aConnection,
+                     std::chrono::milliseconds aLifetime)
+{
+  UpstreamConnection* kept = aConnection.get();
+  kept->m_idleSince = m_loop.Now();
+  kept->m_idleTimer = m_loop.RunAfter(aLifetime, [this, kept] { Drop(kept); });
+  m_idle[kept->Key()].push_back(std::move(aConnection));
+}
+
+void
+ConnectionPool::Drop(UpstreamConnection* aIdle)
+{
+  auto found = m_idle.find(aIdle->Key());
+  if (found == m_idle.end()) {
+    return;
+  }
+  auto& idle = found->second;
+  auto at = std::find_if(idle.begin(), idle.end(), [&](const auto& aOne) {
+    return aOne.get() == aIdle;
+  });
+  if (at == idle.end()) {
+    return;
+  }
+  // It may be inside its own event.
+  std::shared_ptr<UpstreamConnection> connection = std::move(*at);
+  idle.erase(at);
+  if (idle.empty()) {
+    m_idle.erase(found);
+  }
+  m_loop.Post([connection] {});
+}
+
+std::size_t
+ConnectionPool::Count(const UpstreamKey& aKey) const
+{
+  auto found = m_open.find(aKey);
+  return found == m_open.end() ? 0 : found->second;
+}
+
+void
+ConnectionPool::CloseIdle(const UpstreamKey& aKey)
+{
+  m_idle.erase(aKey);
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_upstream.h
@@ -0,0 +1,101 @@
+#ifndef SHALLOTFORD_SRC_ROUTER_UPSTREAM_H
+#define SHALLOTFORD_SRC_ROUTER_UPSTREAM_H
+
+/// Connections to upstreams: one request at a time on each, kept for further
+/// requests only after an answer that ended where it should.
+
+#include "shallotford/http1.h"
+#include "shallotford/route.h"
+
+namespace shallotford {
+
+/// Receives the events of one request at an upstream, ending with exactly one
+/// of OnAnswerEnd() or OnCallFailed().
+class UpstreamCallHandlerI
+{
+public:
+  virtual ~UpstreamCallHandlerI() = default;
+  virtual void OnAnswerHead(const AnswerHead& aHead) = 0;
+  virtual void OnAnswerBody(std::string_view aBytes) = 0;
+  virtual void OnAnswerEnd() = 0;
+  /// @param aEnd  NotConnected, Broken or Silent
+  virtual void OnCallFailed(AttemptEnd aEnd, const std::string& aReason) = 0;
+};
+
+/// A request for an upstream, as bytes.
+struct UpstreamCallOptions
+{
+  std::string m_head;
+  std::shared_ptr<const std::string> m_body;
+  bool m_isHead{ false }; ///< the method is HEAD
+  /// Longest time that a reused connection may have been idle.
+  std::chrono::milliseconds m_freshFor{ 0 };
+  /// From the start to the answer's head.
+  std::chrono::milliseconds m_headTimeout{ 0 };
+  /// Longest silence inside the answer's body.
+  std::chrono::milliseconds m_bodyTimeout{ 0 };
+};
+
+/// A request under way. It must not be destroyed inside its own events.
+class UpstreamCallI
+{
+public:
+  virtual ~UpstreamCallI() = default;
+  /// Closes the connection, which makes the upstream stop working on the
+  /// request. No further event is delivered.
+  virtual void Cancel() = 0;
+  virtual void PauseReading() = 0;
+  virtual void ResumeReading() = 0;
+  virtual bool ReusedConnection() const = 0;
+  /// Returns whether a byte of the request was given to the socket.
+  virtual bool WasSent() const = 0;
+};
+
+struct ConnectionPoolCounts
+{
+  std::uint64_t m_opened{ 0 };
+  std::uint64_t m_reused{ 0 };
+};
+
+class UpstreamConnection;
+
+/// Connections to all upstreams. Used by one task only.
+class ConnectionPool
+{
+public:
+  explicit ConnectionPool(LoopI& aLoop);
+  ~ConnectionPool();
+
+  /// Starts a request. aHandler is never called from inside Start() and must
+  /// outlive the call.
+  std::unique_ptr<UpstreamCallI> Start(const UpstreamEntry& aUpstream,
+                                       UpstreamCallOptions aOptions,
+                                       UpstreamCallHandlerI& aHandler);
+  /// Returns the connections to aKey, in use and idle.
+  std::size_t Count(const UpstreamKey& aKey) const;
+  /// Closes the idle connections to aKey.
+  void CloseIdle(const UpstreamKey& aKey);
+  const ConnectionPoolCounts& Counts() const { return m_counts; }
+
+private:
+  friend class UpstreamCall;
+  friend class UpstreamConnection;
+
+  /// Returns the idle connection that was used last, or nullptr.
+  std::unique_ptr<UpstreamConnection> TakeIdle(const UpstreamKey& aKey,
+                                               Duration aFreshFor);
+  /// Keeps a connection whose answer ended cleanly.
+  void Keep(std::unique_ptr<UpstreamConnection> aConnection,
+            std::chrono::milliseconds aLifetime);
+  void Drop(UpstreamConnection* aIdle);
+
+  LoopI& m_loop;
+  std::map<UpstreamKey, std::vector<std::unique_ptr<UpstreamConnection>>>
+    m_idle;
+  std::map<UpstreamKey, std::size_t> m_open;
+  ConnectionPoolCounts m_counts;
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_ROUTER_UPSTREAM_H
--- /dev/null
+++ b/tests/platform_test.cpp
@@ -0,0 +1,222 @@
+/// The platform's configuration, entries and header fields.
+
+#define BOOST_TEST_MODULE platform
+#include <boost/test/unit_test.hpp>
+
+#include "platform.h"
+
+using namespace shallotford;
+using namespace std::chrono_literals;
+
+namespace {
+
+DirectoryItem
+Item(const std::string& aKey, const std::string& aValue)
+{
+  return { .m_key = aKey, .m_value = aValue, .m_revision = 1 };
+}
+
+std::string
+RefusalOf(const std::string& aKey, const std::string& aValue)
+{
+  try {
+    platform::MakeDecoder()->Decode(Item(aKey, aValue));
+  } catch (const Error& error) {
+    return error.what();
+  }
+  return "";
+}
+
+const std::string kServer =
+  R"({"service":"s","address":"10.0.0.9:80","zone":"z1","version":"v1",)"
+  R"("slots":128,"state":"ready","cold-ms":0,"stage":"decode","seq":4,)"
+  R"("born":1700000000000})";
+
+std::string
+With(std::string aText, const std::string& aOld, const std::string& aNew)
+{
+  return aText.replace(aText.find(aOld), aOld.size(), aNew);
+}
+
+std::string
+ValueOf(const HttpHeaders& aFields, const std::string& aName)
+{
+  const std::string* value = FindField(aFields, aName);
+  return value == nullptr ? "(none)" : *value;
+}
+
+RequestHead
+CallersHead()
+{
+  return { .m_method = "POST",
+           .m_target = "/p/x",
+           .m_fields = { { "Host", "h.example" },
+                         { "X-Shallotford-Request-Id", "r1" },
+                         { "X-Shallotford-Deadline-Ms", "1200" },
+                         { "X-Shallotford-Token-Count", "5000,781" },
+                         { "X-Shallotford-Kv-Hold", "forged" },
+                         { "x-shallotford-stage", "prefill" },
+                         { "Last-Event-Id", "3" },
+                         { "Connection", "close" },
+                         { "Content-Length", "5" } } };
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_server_entry_names_an_upstream)
+{
+  auto meaning = platform::MakeDecoder()->Decode(Item("servers/i-1", kServer));
+  BOOST_REQUIRE(meaning.m_upstream.has_value());
+  BOOST_TEST(meaning.m_upstreamId == "i-1");
+  BOOST_TEST(meaning.m_upstream->m_key.m_startedMs == 1700000000000U);
+  BOOST_TEST(meaning.m_upstream->m_failureDomain == "z1");
+  BOOST_TEST((meaning.m_upstream->m_stage == EngineStage::Decode));
+  BOOST_TEST(!meaning.m_upstream->m_draining);
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_entry_is_refused_by_its_field)
+{
+  BOOST_TEST(RefusalOf("servers/i", "\xff\x01").find("no JSON") !=
+             std::string::npos);
+  BOOST_TEST(RefusalOf("servers/i", With(kServer, "\"ready\"", "\"asleep\""))
+               .find("\"state\"") != std::string::npos);
+  BOOST_TEST(
+    RefusalOf("servers/i", With(kServer, "128", "\"128\"")).find("\"slots\"") !=
+    std::string::npos);
+  BOOST_TEST(RefusalOf("servers/i", With(kServer, "\"decode\"", "7"))
+               .find("\"stage\"") != std::string::npos);
+  BOOST_TEST(
+    RefusalOf("servers/i", With(kServer, "1700000000000", "\"yesterday\""))
+      .find("\"born\"") != std::string::npos);
+  BOOST_TEST(RefusalOf("servers/i", "[]").find("an object") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(an_entry_without_a_real_address_is_refused)
+{
+  std::string wrong = With(kServer, "10.0.0.9:80", "somewhere");
+  BOOST_TEST(RefusalOf("servers/i", wrong).find("\"address\"") !=
+             std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_removed_entry_keeps_its_id)
+{
+  DirectoryItem item{
+    .m_key = "servers/i-1", .m_value = {}, .m_revision = 2, .m_removed = true
+  };
+  auto meaning = platform::MakeDecoder()->Decode(item);
+  BOOST_TEST(meaning.m_upstreamId == "i-1");
+  BOOST_TEST(!meaning.m_upstream.has_value());
+}
+
+BOOST_AUTO_TEST_CASE(a_configuration_gives_routes_services_and_limits)
+{
+  auto meaning = platform::MakeDecoder()->Decode(
+    Item("op/config",
+         R"({"version":7,"routes":[)"
+         R"({"name":"r1","host":"h","prefix":"/a/","kind":"streaming",)"
+         R"("timeout-ms":14000,"target-latency-ms":900,"priority":1,)"
+         R"("traffic-split":[{"service":"m","weight":90},)"
+         R"({"service":"n","weight":10}],"max-attempts":2,"resumable":true,)"
+         R"("gap-aim-ms":300},)"
+         R"({"name":"r2","host":"h","prefix":"/b/","kind":"unsafe",)"
+         R"("service":"n"}],)"
+         R"("services":[{"name":"m","max-connections":630,"engine":{)"
+         R"("kv-tokens":59729,"handle-ttl-s":0.5,"hold-ms":2000.0}},)"
+         R"({"name":"n","max-connections":110}],)"
+         R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
+         R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})"));
+  BOOST_REQUIRE(meaning.m_routing != nullptr);
+  const RoutingText& text = *meaning.m_routing;
+  BOOST_TEST(text.m_version == 7U);
+  BOOST_TEST(text.m_routes[0].MayRepeat());
+  BOOST_TEST(text.m_routes[0].m_targets.size() == 2U);
+  BOOST_TEST((text.m_routes[0].m_callerPatience == 3'600ms));
+  BOOST_TEST((text.m_routes[1].m_kind == RouteKind::RunOnce));
+  BOOST_TEST(!text.m_routes[1].MayRepeat());
+  BOOST_TEST(text.m_services.at("m").m_engines);
+  BOOST_TEST((text.m_services.at("m").m_reservationLifetime == 2'000ms));
+  BOOST_TEST(!text.m_services.at("n").m_engines);
+  BOOST_TEST((text.m_limits.m_idleTimeout == 15'000ms));
+}
+
+BOOST_AUTO_TEST_CASE(a_wrong_configuration_is_refused_by_its_field)
+{
+  BOOST_TEST(RefusalOf("op/config", R"({"routes":[]})").find("\"version\"") !=
+             std::string::npos);
+  BOOST_TEST(RefusalOf("op/config",
+                       R"({"version":1,"routes":[{"name":"r","host":"h",)"
+                       R"("prefix":"/","kind":"safe","timeout-ms":"soon"}]})")
+               .find("\"timeout-ms\"") != std::string::npos);
+}
+
+BOOST_AUTO_TEST_CASE(a_request_tells_its_facts)
+{
+  RequestFacts facts = platform::MakeDialect()->ReadRequest(CallersHead());
+  BOOST_TEST(facts.m_id == "r1");
+  BOOST_TEST((*facts.m_deadline == 1'200ms));
+  BOOST_TEST(facts.m_promptTokens == 5'000U);
+  BOOST_TEST(facts.m_outputTokens == 781U);
+  RequestHead wrong = CallersHead();
+  wrong.m_fields[2].m_value = "soon";
+  BOOST_CHECK_THROW(platform::MakeDialect()->ReadRequest(wrong), Error);
+}
+
+BOOST_AUTO_TEST_CASE(fields_of_the_system_are_never_the_callers)
+{
+  auto dialect = platform::MakeDialect();
+  HttpHeaders fields = dialect->FieldsForUpstream(
+    CallersHead(), { .m_timeLeft = 800ms, .m_upstreamId = "i-1" });
+  BOOST_TEST(ValueOf(fields, "X-Shallotford-Request-Id") == "r1");
+  BOOST_TEST(ValueOf(fields, "X-Shallotford-Deadline-Ms") == "800");
+  BOOST_TEST(ValueOf(fields, "X-Shallotford-Expect-Instance") == "i-1");
+  BOOST_TEST(ValueOf(fields, "Last-Event-Id") == "3");
+  for (const char* name : { "X-Shallotford-Kv-Hold",
+                            "X-Shallotford-Stage",
+                            "X-Shallotford-Kv-Source",
+                            "Connection",
+                            "Content-Length" }) {
+    BOOST_TEST(ValueOf(fields, name) == "(none)", name);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(a_dispatch_adds_its_fields)
+{
+  auto dialect = platform::MakeDialect();
+  HttpHeaders prefill = dialect->FieldsForUpstream(
+    CallersHead(), { .m_upstreamId = "i-1", .m_prefillOnly = true });
+  BOOST_TEST(ValueOf(prefill, "X-Shallotford-Stage") == "prefill");
+  HttpHeaders run =
+    dialect->FieldsForUpstream(CallersHead(),
+                               { .m_upstreamId = "i-2",
+                                 .m_prefillAddress = "10.0.0.9:80",
+                                 .m_prefillHandle = "abc",
+                                 .m_reservation = "h1",
+                                 .m_resumeAfter = "17" });
+  BOOST_TEST(ValueOf(run, "X-Shallotford-Kv-Source") == "10.0.0.9:80/abc");
+  BOOST_TEST(ValueOf(run, "X-Shallotford-Kv-Hold") == "h1");
+  BOOST_TEST(ValueOf(run, "Last-Event-Id") == "17");
+}
+
+BOOST_AUTO_TEST_CASE(an_answer_tells_its_facts)
+{
+  auto dialect = platform::MakeDialect();
+  AnswerFacts good = dialect->ReadAnswer(
+    { .m_status = 200,
+      .m_fields = { { "X-Shallotford-Request-Id", "r1" },
+                    { "X-Shallotford-Response-Signature", "s" },
+                    { "X-Shallotford-Server-Load", "3,1,8" } } });
+  BOOST_TEST(good.m_genuine);
+  BOOST_TEST(!good.m_notRun);
+  BOOST_TEST(good.m_load->m_waiting == 1U);
+  AnswerFacts shed = dialect->ReadAnswer(
+    { .m_status = 503,
+      .m_fields = { { "X-Shallotford-Not-Executed", "1" },
+                    { "X-Shallotford-Server-Load", "3,x" } } });
+  BOOST_TEST(shed.m_notRun);
+  BOOST_TEST(!shed.m_load.has_value());
+  BOOST_TEST(dialect->ReadAnswer({ .m_status = 421 }).m_replaced);
+  BOOST_TEST(dialect->ReadPrefill(R"({"handle":"abc","tokens":1})") == "abc");
+  BOOST_CHECK_THROW(dialect->ReadPrefill(R"({"tokens":1})"), Error);
+  BOOST_CHECK_THROW(dialect->ReadPrefill("no json"), Error);
+}
--- /dev/null
+++ b/tests/router_fixture.h
@@ -0,0 +1,177 @@
+#ifndef SHALLOTFORD_TESTS_ROUTER_FIXTURE_H
+#define SHALLOTFORD_TESTS_ROUTER_FIXTURE_H
+
+/// A whole router with the platform's stand-ins around it, on loopback.
+
+#include "net_fixture.h"
+#include "platform.h"
+#include "standin_published.h"
+
+namespace shallotford::test {
+
+using standin::PublishedCall;
+using standin::PublishedServer;
+using standin::PublishedStore;
+using standin::StoreMood;
+
+/// Routes "/safe/", "/once/" of service "plain" and "/stream/", "/fixed/" of
+/// service "model"; the first stream may be resumed.
+inline std::string
+ConfigText(std::uint64_t aVersion, const std::string& aMoreRoutes = "")
+{
+  return R"({"version":)" + std::to_string(aVersion) + R"(,"routes":[)" +
+         R"({"name":"safe","host":"h","prefix":"/safe/","kind":"safe",)"
+         R"("timeout-ms":4000,"target-latency-ms":200,"max-attempts":2,)"
+         R"("service":"plain"},)"
+         R"({"name":"once","host":"h","prefix":"/once/","kind":"unsafe",)"
+         R"("timeout-ms":1500,"target-latency-ms":200,"max-attempts":1,)"
+         R"("service":"plain"},)"
+         R"({"name":"stream","host":"h","prefix":"/stream/",)"
+         R"("kind":"streaming","timeout-ms":8000,"target-latency-ms":900,)"
+         R"("max-attempts":2,"resumable":true,"service":"model"},)"
+         R"({"name":"fixed","host":"h","prefix":"/fixed/",)"
+         R"("kind":"streaming","timeout-ms":8000,"target-latency-ms":900,)"
+         R"("max-attempts":1,"service":"model"})" +
+         aMoreRoutes +
+         R"(],"services":[{"name":"plain","max-connections":100},)"
+         R"({"name":"model","max-connections":100,)"
+         R"("engine":{"hold-ms":2000.0,"kv-tokens":50000}}],)"
+         R"("limits":{"max-header-bytes":2048,"max-body-bytes":4096,)"
+         R"("header-timeout-ms":300,"idle-timeout-ms":5000}})";
+}
+
+/// One router, one store, and servers that a test adds.
+class RouterFixture
+{
+public:
+  RouterFixture()
+    : m_random(MakeSeededRandom(1))
+    , m_decoder(platform::MakeDecoder())
+    , m_dialect(platform::MakeDialect())
+  {
+    m_loop.Do([this] {
+      m_store = std::make_unique<PublishedStore>(*m_loop);
+      m_source = platform::MakeStoreSource(
+        *m_loop, m_log, *m_random, { .m_address = m_store->Address() });
+      m_router = MakeRouter(
+        Options(),
+        { *m_loop, *m_source, *m_decoder, *m_dialect, m_log, *m_random });
+    });
+  }
+
+  ~RouterFixture()
+  {
+    m_loop.Do([this] {
+      m_router.reset();
+      m_source.reset();
+      m_servers.clear();
+      m_store.reset();
+    });
+  }
+  RouterFixture(const RouterFixture&) = delete;
+  RouterFixture& operator=(const RouterFixture&) = delete;
+
+  static RouterOptions Options()
+  {
+    return { .m_callerAddress = "127.0.0.1:0",
+             .m_peerAddress = "127.0.0.1:0",
+             .m_operatorAddress = "127.0.0.1:0",
+             .m_location = { .m_failureDomain = "z1",
+                             .m_regions = { { "z1", "r1" } } },
+             .m_retryBudget = { .m_ratio = 10 } };
+  }
+
+  PublishedServer& AddServer(const std::string& aId,
+                             const std::string& aService,
+                             const std::string& aStage = "")
+  {
+    PublishedServer* added = m_loop.Do([&] {
+      auto server = std::make_unique<PublishedServer>(*m_loop, aId);
+      m_store->Put("servers/" + aId, server->Entry(aService, aStage));
+      m_servers.push_back(std::move(server));
+      return m_servers.back().get();
+    });
+    return *added;
+  }
+
+  void Publish(const std::string& aConfig)
+  {
+    m_loop.Do([&] { m_store->Put("op/config", aConfig); });
+  }
+
+  /// Starts the router and waits until it is ready.
+  void Start()
+  {
+    m_loop.Do([this] { m_router->Start(); });
+    WaitFor([this] { return Ready() == 200; });
+  }
+
+  int Ready()
+  {
+    HttpResult result = FetchAndWait(
+      m_loop,
+      { .m_address = "127.0.0.1:" + std::to_string(m_router->OperatorPort()),
+        .m_path = "/readyz" });
+    return result.m_reply ? result.m_reply->m_status : 0;
+  }
+
+  /// Waits, up to twenty seconds, until aCondition holds.
+  static bool WaitFor(const std::function<bool()>& aCondition)
+  {
+    constexpr int kRounds = 2'000;
+    for (int i = 0; i < kRounds; ++i) {
+      if (aCondition()) {
+        return true;
+      }
+      std::this_thread::sleep_for(10ms);
+    }
+    return false;
+  }
+
+  std::uint16_t Port() { return m_router->CallerPort(); }
+
+  static std::string Request(const std::string& aPath,
+                             const std::string& aId,
+                             const std::string& aBody = "body",
+                             const std::string& aFields = "")
+  {
+    return "POST " + aPath + " HTTP/1.1\r\nHost: h\r\n" +
+           "X-Shallotford-Request-Id: " + aId + "\r\n" +
+           "X-Shallotford-Deadline-Ms: 6000\r\n" + aFields +
+           "Content-Length: " + std::to_string(aBody.size()) + "\r\n\r\n" +
+           aBody;
+  }
+
+  /// Sends one request on a connection of its own and returns the whole
+  /// answer, head included.
+  std::string Ask(const std::string& aPath,
+                  const std::string& aId,
+                  const std::string& aFields = "")
+  {
+    RawSocket socket(Port());
+    socket.Send(Request(aPath, aId, "body", "Connection: close\r\n" + aFields));
+    return socket.ReadToEnd();
+  }
+
+  int Runs(PublishedServer& aServer, const std::string& aId)
+  {
+    return m_loop.Do([&] {
+      auto found = aServer.Runs().find(aId);
+      return found == aServer.Runs().end() ? 0 : found->second;
+    });
+  }
+
+  LoopThread m_loop;
+  MemoryLog m_log;
+  std::unique_ptr<RandomI> m_random;
+  std::unique_ptr<DirectoryDecoderI> m_decoder;
+  std::unique_ptr<DialectI> m_dialect;
+  std::unique_ptr<PublishedStore> m_store;
+  std::unique_ptr<DirectorySourceI> m_source;
+  std::vector<std::unique_ptr<PublishedServer>> m_servers;
+  std::unique_ptr<RouterI> m_router;
+};
+
+} // namespace shallotford::test
+
+#endif // SHALLOTFORD_TESTS_ROUTER_FIXTURE_H
