Judge silence by what an upstream answers meanwhile; end a planned stop in time

Two processes were killed at the end of their grace time, since the stop was looked at only every 500 ms. Ruled out: a longer suspicion time; the slow route's would be guessed. A stop is looked at every 100 ms and ends 700 ms early. Test: a_slow_request_does_not_make_its_upstream_silent.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -194,7 +194,8 @@
 {
 public:
   void OnStart(TimePoint aNow);
-  void OnEnd(AttemptEnd aEnd, TimePoint aNow);
+  /// @param aSentAt  start of the attempt that has ended
+  void OnEnd(AttemptEnd aEnd, TimePoint aSentAt, TimePoint aNow);
   void OnLoad(const UpstreamLoad& aLoad, TimePoint aNow);
   /// Returns whether requests may go there: sound, or due for one trial.
   bool IsUsable(TimePoint aNow) const;
@@ -208,8 +209,9 @@
   bool RefusedLately(TimePoint aNow) const;
   /// The result of a prefill there was gone when it was fetched.
   void OnHandleLost(TimePoint aNow) { Blend(1, aNow); }
-  /// A request has been without a sign of life for long.
-  void OnSilence(TimePoint aNow) { Eject(aNow); }
+  /// A request sent at aSentAt has been without a sign of life for long. That
+  /// says something of the upstream only if it answered no other since.
+  void OnSilence(TimePoint aSentAt, TimePoint aNow);
   /// When it may be tried again; meaningful while IsEjected().
   TimePoint EjectedUntil() const { return m_ejectedUntil; }
 
@@ -224,6 +226,7 @@
   double m_failureShare{ 0 };
   TimePoint m_failureAt{};
   std::optional<TimePoint> m_refusedAt;
+  std::optional<TimePoint> m_answeredAt;
   UpstreamLoad m_load;
   std::optional<TimePoint> m_loadAt;
 };
--- a/src/config.h
+++ b/src/config.h
@@ -229,6 +229,7 @@
 /// VMs assumed in each failure domain before others are heard of.
 constexpr std::size_t kVmsPerDomain = 3;
 constexpr std::chrono::milliseconds kRouterTick = 500ms;
+constexpr std::chrono::milliseconds kLeavingTick = 100ms;
 constexpr std::chrono::milliseconds kGossipPeriod = 1'000ms;
 /// Silence of the directory's source after which peers are asked.
 constexpr std::chrono::milliseconds kSourceSilence = 1'500ms;
@@ -241,7 +242,7 @@
 /// A planned stop goes on accepting for so long, until balancers notice.
 constexpr std::chrono::milliseconds kDrainAccepting = 2'800ms;
 /// The process ends so long before its time is up.
-constexpr std::chrono::milliseconds kDrainMargin = 400ms;
+constexpr std::chrono::milliseconds kDrainMargin = 700ms;
 /// Time of one generated token, at most, to tell whether a stream will end
 /// before a planned stop does.
 constexpr std::chrono::microseconds kTokenTime = 6'000us;
--- a/src/route_health.cpp
+++ b/src/route_health.cpp
@@ -43,16 +43,18 @@
 }
 
 void
-UpstreamHealth::OnEnd(AttemptEnd aEnd, TimePoint aNow)
+UpstreamHealth::OnEnd(AttemptEnd aEnd, TimePoint aSentAt, TimePoint aNow)
 {
   --m_inFlight;
   switch (aEnd) {
     case AttemptEnd::Answered:
+      m_answeredAt = aNow;
       m_consecutiveBreaks = 0;
       m_ejections = 0;
       Blend(0, aNow);
       return;
     case AttemptEnd::Failed:
+      m_answeredAt = aNow;
       m_consecutiveBreaks = 0;
       m_ejections = 0;
       Blend(1, aNow);
@@ -61,10 +63,12 @@
       m_refusedAt = aNow;
       return;
     case AttemptEnd::NotConnected:
-    case AttemptEnd::Silent:
       Blend(1, aNow);
       Eject(aNow);
       return;
+    case AttemptEnd::Silent:
+      OnSilence(aSentAt, aNow);
+      return;
     case AttemptEnd::Broken:
       Blend(1, aNow);
       if (++m_consecutiveBreaks >= kBreaksForEjection) {
@@ -77,6 +81,17 @@
   }
 }
 
+void
+UpstreamHealth::OnSilence(TimePoint aSentAt, TimePoint aNow)
+{
+  bool alive = m_answeredAt && *m_answeredAt > aSentAt;
+  if (alive || aNow - aSentAt < kSuspicionTime) {
+    return; // the request itself takes long
+  }
+  Blend(1, aNow);
+  Eject(aNow);
+}
+
 void
 UpstreamHealth::Eject(TimePoint aNow)
 {
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -404,7 +404,7 @@
 RoutedRequest::OnSuspicion()
 {
   if (m_upstream != nullptr) {
-    m_upstream->m_health.OnSilence(m_shared.m_loop.Now());
+    m_upstream->m_health.OnSilence(m_sentAt, m_shared.m_loop.Now());
     m_shared.m_log.Write(LogEvent("upstream_suspected")
                            .Add("request", m_facts.m_id)
                            .Add("upstream", m_upstream->m_entry.m_key.m_id)
@@ -541,7 +541,7 @@
 {
   m_shared.m_loop.CancelTimer(m_suspicionTimer);
   ReleaseCall();
-  m_upstream->m_health.OnEnd(aEnd, m_shared.m_loop.Now());
+  m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
   m_shared.m_metrics.Count("attempts_total",
                            "end=\"" + std::string(shallotford::ToString(aEnd)) +
                              "\"");
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -93,7 +93,7 @@
     ReleaseCall();
     m_shared.m_loop.CancelTimer(m_suspicionTimer);
     AttemptEnd end = silent ? AttemptEnd::Silent : AttemptEnd::Abandoned;
-    m_upstream->m_health.OnEnd(end, m_shared.m_loop.Now());
+    m_upstream->m_health.OnEnd(end, m_sentAt, m_shared.m_loop.Now());
     LogAttempt(end, "the request's time is over");
     if (m_phase == Phase::Run && maySent) {
       ++m_runs;
@@ -114,7 +114,7 @@
     // A caller that leaves after a long silence says something of the upstream.
     bool silent = now - m_lastBytesAt >= kStreamPatience;
     AttemptEnd end = silent ? AttemptEnd::Silent : AttemptEnd::Abandoned;
-    m_upstream->m_health.OnEnd(end, now);
+    m_upstream->m_health.OnEnd(end, m_sentAt, now);
   }
   End("cancelled", 0);
 }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -347,7 +347,8 @@
   if (m_leaving) {
     CheckDrained();
   }
-  m_tickTimer = m_loop.RunAfter(kRouterTick, [this] { Tick(); });
+  m_tickTimer =
+    m_loop.RunAfter(m_leaving ? kLeavingTick : kRouterTick, [this] { Tick(); });
 }
 
 void
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -136,23 +136,39 @@
   table.Put(MakeEntry("v", "b1"));
   UpstreamPtr silent = table.Find({ "u", 1 });
   silent->m_health.OnStart(kStart);
-  silent->m_health.OnEnd(AttemptEnd::Silent, kStart);
+  silent->m_health.OnEnd(AttemptEnd::Silent, kStart - 1s, kStart);
   BOOST_TEST(PickId(table, kStart) == "v");
   TimePoint later = kStart + kFirstEjection + 20s;
   BOOST_TEST(PickId(table, later) == "u");
   silent->m_health.OnStart(later); // the trial
   BOOST_TEST(PickId(table, later) == "v");
-  silent->m_health.OnEnd(AttemptEnd::Answered, later);
+  silent->m_health.OnEnd(AttemptEnd::Answered, later, later);
   BOOST_TEST(PickId(table, later) == "u");
 }
 
+BOOST_AUTO_TEST_CASE(a_slow_request_does_not_make_its_upstream_silent)
+{
+  UpstreamHealth health;
+  health.OnStart(kStart);
+  health.OnStart(kStart);
+  TimePoint now = kStart + kSuspicionTime;
+  health.OnEnd(AttemptEnd::Answered, kStart, kStart + 50ms);
+  health.OnSilence(kStart, now);
+  health.OnEnd(AttemptEnd::Silent, kStart, now + 1s);
+  BOOST_TEST(!health.IsEjected());
+  // Nor does one whose own time is over soon.
+  health.OnStart(now);
+  health.OnEnd(AttemptEnd::Silent, now, now + kSuspicionTime - 1ms);
+  BOOST_TEST(!health.IsEjected());
+}
+
 BOOST_AUTO_TEST_CASE(a_doubtful_upstream_is_used_if_no_other_is_left)
 {
   UpstreamTable table(ThreeDomains());
   table.Put(MakeEntry("u", "a1"));
   UpstreamPtr upstream = table.Find({ "u", 1 });
   upstream->m_health.OnStart(kStart);
-  upstream->m_health.OnEnd(AttemptEnd::NotConnected, kStart);
+  upstream->m_health.OnEnd(AttemptEnd::NotConnected, kStart, kStart);
   BOOST_TEST(PickId(table, kStart) == "u");
 }
 
@@ -162,7 +178,7 @@
   TimePoint now = kStart;
   for (std::uint32_t i = 0; i < kMaxDoublings + 3; ++i) {
     health.OnStart(now);
-    health.OnEnd(AttemptEnd::Silent, now);
+    health.OnEnd(AttemptEnd::Silent, now - 1s, now);
     Duration wanted = kFirstEjection * (1U << std::min(i, kMaxDoublings));
     BOOST_TEST((health.EjectedUntil() - now == wanted));
     now = health.EjectedUntil();
@@ -177,7 +193,7 @@
   UpstreamHealth& health = table.Find({ "near", 1 })->m_health;
   for (int i = 0; i < 6; ++i) {
     health.OnStart(kStart);
-    health.OnEnd(AttemptEnd::Failed, kStart);
+    health.OnEnd(AttemptEnd::Failed, kStart, kStart);
   }
   BOOST_TEST(PickId(table, kStart) == "far");
   BOOST_TEST(PickId(table, kStart + 20s) == "near");
