--- a/src/config.h
+++ b/src/config.h
@@ -220,9 +220,11 @@
 constexpr std::chrono::milliseconds kAdmissionPeriod = 40ms;
 /// From a reservation to the first event: prefill, transfer and first tokens.
 constexpr std::chrono::milliseconds kFirstEventTime = 250ms;
-/// Tokens beside the prompt for which an engine must have room, at most: what
-/// its requests generate until one of them ends.
-constexpr std::uint32_t kGrowthTokens = 1'000;
+/// Tokens for which an engine must have room beside the prompt, for each of its
+/// requests: what they generate until one of them ends.
+constexpr double kGrowthTokens = 90;
+/// The same in all, at least: reports of an engine's requests lag.
+constexpr double kLeastGrowthTokens = 800;
 /// Further tokens for a request that is late already: room that is left for one
 /// that can still be on time.
 constexpr std::uint32_t kLateTokens = 6'000;
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -201,10 +201,13 @@
 }
 
 std::uint32_t
-RoutedRequest::TokensToReserve() const
+RoutedRequest::TokensToReserve(const Upstream& aEngine) const
 {
+  double requests = aEngine.m_health.Use(1, m_shared.m_loop.Now()) + 1;
+  auto growth = static_cast<std::uint32_t>(
+    std::max(kLeastGrowthTokens, kGrowthTokens * requests));
   std::uint32_t tokens =
-    m_facts.m_promptTokens + std::min(m_facts.m_outputTokens, kGrowthTokens);
+    m_facts.m_promptTokens + std::min(m_facts.m_outputTokens, growth);
   return m_shared.m_loop.Now() > GoodUntil() ? tokens + kLateTokens : tokens;
 }
 
@@ -319,7 +322,7 @@
       m_shared.m_pool.Start(aUpstream->m_entry,
                             OptionsFor(m_shared.m_dialect.ReserveCall(
                                          aUpstream->m_entry,
-                                         TokensToReserve(),
+                                         TokensToReserve(*aUpstream),
                                          Service()->m_reservationLifetime),
                                        std::min(kReserveTimeout, TimeLeft())),
                             *this);
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -83,7 +83,7 @@
   void StartAtEngines();
   void Reserve();
   void WaitForMemory();
-  std::uint32_t TokensToReserve() const;
+  std::uint32_t TokensToReserve(const Upstream& aEngine) const;
   /// When it has to get memory to be on time.
   TimePoint GoodUntil() const;
   void OnTurn() override;
