--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -214,7 +214,16 @@
 TimePoint
 RoutedRequest::GoodUntil() const
 {
-  return m_received + m_route->m_latencyTarget - kFirstEventTime;
+  return m_answerBegun
+           ? GiveUpAt()
+           : m_received + m_route->m_latencyTarget - kFirstEventTime;
+}
+
+TimePoint
+RoutedRequest::GiveUpAt() const
+{
+  TimePoint from = m_answerBegun ? m_brokenAt : m_received;
+  return from + m_route->m_callerPatience - kFirstEventTime;
 }
 
 void
@@ -225,11 +234,8 @@
     Finish(DecideEnd(Progress()));
     return;
   }
-  m_waiting = m_shared.m_admission.Enter(
-    m_service,
-    *this,
-    GoodUntil(),
-    m_received + m_route->m_callerPatience - kFirstEventTime);
+  m_waiting =
+    m_shared.m_admission.Enter(m_service, *this, GoodUntil(), GiveUpAt());
 }
 
 void
@@ -478,7 +484,8 @@
     PassEvents(events);
     return;
   }
-  if (m_answerBegun && m_verdict == AttemptEnd::Answered) {
+  if (m_phase == Phase::Run && m_answerBegun &&
+      m_verdict == AttemptEnd::Answered) {
     m_exchange->Write(aBytes); // a long answer
     return;
   }
@@ -649,8 +656,9 @@
   m_handle.clear();
   m_prefillUpstream = nullptr;
   m_skipPrefill = true;
-  bool reserve = ServedByEngines() && !m_answerBegun &&
-                 Service()->m_reservationLifetime.count() > 0;
+  m_brokenAt = m_lastBytesAt;
+  bool reserve =
+    ServedByEngines() && Service()->m_reservationLifetime.count() > 0;
   if (reserve) {
     OnTurn();
   } else {
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -84,8 +84,10 @@
   void Reserve();
   void WaitForMemory();
   std::uint32_t TokensToReserve(const Upstream& aEngine) const;
-  /// When it has to get memory to be on time.
+  /// When it has to get memory to be on time, or to go on.
   TimePoint GoodUntil() const;
+  /// When its caller is about to leave.
+  TimePoint GiveUpAt() const;
   void OnTurn() override;
   void OnHopeless() override;
   void StartPrefill();
@@ -173,6 +175,7 @@
   // The stream that the caller gets.
   EventBoundaries m_events;
   bool m_answerBegun{ false };
+  TimePoint m_brokenAt{}; ///< last bytes of the run that goes on elsewhere
   TimePoint m_firstEventAt{};
 };
 
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -468,6 +468,44 @@
   BOOST_TEST(Runs(*m_other, "r1") == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_broken_stream_waits_for_memory_elsewhere, Engines)
+{
+  // After the break no engine has room for a while.
+  auto broken = std::make_shared<bool>(false);
+  auto refusals = std::make_shared<int>(8);
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([engine, broken, refusals](const PublishedCall& aCall) {
+        if (aCall.m_reserve && *broken && (*refusals)-- > 0) {
+          PublishedServer::AnswerNotRun(aCall);
+          return true;
+        }
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        const HttpHeaders& fields = aCall.m_request.m_head.m_fields;
+        bool first = !std::exchange(*broken, true);
+        if (!first && FindField(fields, "X-Shallotford-Kv-Hold") == nullptr) {
+          PublishedServer::AnswerNotRun(aCall); // no room without a reservation
+          return true;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(first ? 1 : 2));
+        if (first) {
+          aCall.m_exchange->Abort();
+        } else {
+          aCall.m_exchange->End();
+        }
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/stream/x", "r1");
+  BOOST_TEST(Has(answer, Event(1)));
+  BOOST_TEST(Has(answer, Event(2)));
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_preempted_stream_stays_where_it_is, Engines)
 {
   // Both engines give the first event only after a second.
