Send streams that waited in vain back for longer; split the request's file

Change: Retry-After 2.5 s for these, within 0.3 of the time left. Settings and calls that nothing read are removed; router_request_engines.cpp holds the reservation and the prefill. Test: a_stream_that_waited_in_vain_comes_back_later.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -67,10 +67,8 @@
   std::string m_name;
   std::uint32_t m_maxConnections{ 64 }; ///< of one upstream, over all callers
   bool m_engines{ false }; ///< served by prefill and decode engines
-  std::chrono::milliseconds m_handleLifetime{ 500 }; ///< of a prefill's result
   /// Longest life of an unused reservation; 0 if engines take none.
   std::chrono::milliseconds m_reservationLifetime{ 0 };
-  std::uint32_t m_kvTokens{ 0 }; ///< memory of one engine
 };
 
 /// What a caller may send, and how long it may take.
--- a/src/config.h
+++ b/src/config.h
@@ -213,6 +213,8 @@
 /// Share of an upstream's connections that this system opens.
 constexpr double kConnectionShare = 0.8;
 constexpr std::chrono::milliseconds kNoUpstreamRetryAfter = 400ms;
+/// For a stream that waited for memory in vain: a burst lasts some seconds.
+constexpr std::chrono::milliseconds kBacklogRetryAfter = 2'500ms;
 constexpr std::chrono::milliseconds kLeavingRetryAfter = 100ms;
 /// Share of the time left that a caller waits at most before it asks again.
 constexpr double kRetryAfterShare = 0.3;
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -138,6 +138,7 @@
   TimePoint m_deadline;
   TimersI::TimerId m_deadlineTimer{ 0 };
   TimersI::TimerId m_suspicionTimer{ 0 };
+  std::chrono::milliseconds m_retryAfter; ///< if it is refused
   bool m_ended{ false };
 
   // Attempts so far.
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -79,7 +79,7 @@
   Error error(ErrorKind::NoUpstream,
               "no upstream of service \"" + m_service + "\" took the request",
               "Send it again after the time given; it has not run.");
-  error.WithRetryAfter(std::min(kNoUpstreamRetryAfter, share));
+  error.WithRetryAfter(std::min(m_retryAfter, share));
   RespondError(*m_exchange, error);
   End("refused", HttpStatus(error.Kind()));
 }
--- /dev/null
+++ b/src/router_request_engines.cpp
@@ -0,0 +1,158 @@
+/// One caller's request: memory of a decode engine, and the prefill.
+
+#include "config.h"
+#include "router_request.h"
+
+namespace shallotford {
+
+void
+RoutedRequest::StartAtEngines()
+{
+  if (Service()->m_reservationLifetime.count() == 0) {
+    StartPrefill();
+  } else if (m_shared.m_admission.HasTimely(m_service)) {
+    WaitForMemory();
+  } else {
+    OnTurn();
+  }
+}
+
+void
+RoutedRequest::OnTurn()
+{
+  m_waiting = 0;
+  m_reserveTries = 0;
+  m_full.clear();
+  Reserve();
+}
+
+void
+RoutedRequest::Reserve()
+{
+  UpstreamPtr engine =
+    m_reserveTries < kReserveTries ? Pick(EngineStage::Decode, {}) : nullptr;
+  if (engine == nullptr) {
+    WaitForMemory();
+    return;
+  }
+  ++m_reserveTries;
+  Send(engine, Phase::Reserve);
+}
+
+std::uint32_t
+RoutedRequest::TokensToReserve(const Upstream& aEngine) const
+{
+  double requests = aEngine.m_health.Use(1, m_shared.m_loop.Now()) + 1;
+  auto growth = static_cast<std::uint32_t>(
+    std::max(kLeastGrowthTokens, kGrowthTokens * requests));
+  std::uint32_t tokens =
+    m_facts.m_promptTokens + std::min(m_facts.m_outputTokens, growth);
+  return m_shared.m_loop.Now() > GoodUntil() ? tokens + kLateTokens : tokens;
+}
+
+TimePoint
+RoutedRequest::GoodUntil() const
+{
+  return m_answerBegun
+           ? GiveUpAt()
+           : m_received + m_route->m_latencyTarget - kFirstEventTime;
+}
+
+TimePoint
+RoutedRequest::GiveUpAt() const
+{
+  TimePoint from = m_answerBegun ? m_brokenAt : m_received;
+  return from + m_route->m_callerPatience - kFirstEventTime;
+}
+
+void
+RoutedRequest::WaitForMemory()
+{
+  m_full.clear();
+  if (!m_shared.m_upstreams.Serves(m_service)) {
+    Finish(DecideEnd(Progress()));
+    return;
+  }
+  m_waiting =
+    m_shared.m_admission.Enter(m_service, *this, GoodUntil(), GiveUpAt());
+}
+
+void
+RoutedRequest::OnHopeless()
+{
+  m_waiting = 0;
+  m_retryAfter = kBacklogRetryAfter;
+  Finish(DecideEnd(Progress()));
+}
+
+void
+RoutedRequest::ReleaseReservation()
+{
+  if (m_reservation.empty()) {
+    return;
+  }
+  --m_reservedAt->m_reserved;
+  m_shared.m_errands.Send(
+    m_reservedAt->m_entry,
+    m_shared.m_dialect.ReleaseCall(m_reservedAt->m_entry, m_reservation));
+  m_reservation.clear();
+}
+
+void
+RoutedRequest::StartPrefill()
+{
+  std::string near;
+  if (m_reservedAt != nullptr) {
+    near = m_reservedAt->m_entry.m_failureDomain;
+  }
+  UpstreamPtr upstream =
+    m_skipPrefill ? nullptr : Pick(EngineStage::Prefill, near);
+  bool allowed = upstream != nullptr && m_prefillTries < kMaxPrefills &&
+                 (m_prefills == 0 || TakeRetryBudget());
+  if (!allowed) {
+    StartRun(); // the decode engine reads the prompt itself
+    return;
+  }
+  ++m_prefillTries;
+  Send(upstream, Phase::Prefill);
+}
+
+void
+RoutedRequest::AfterReserve(AttemptEnd aEnd)
+{
+  if (aEnd != AttemptEnd::Answered) {
+    Reserve();
+    return;
+  }
+  try {
+    m_reservation = m_shared.m_dialect.ReadReservation(m_held.m_body);
+  } catch (const Error& error) {
+    LogAttempt(AttemptEnd::Broken, error.what());
+    Reserve();
+    return;
+  }
+  m_reservedAt = m_upstream;
+  m_reservedSince = m_shared.m_loop.Now();
+  ++m_reservedAt->m_reserved;
+  m_full.clear();
+  StartPrefill();
+}
+
+void
+RoutedRequest::AfterPrefill(AttemptEnd aEnd)
+{
+  m_prefills += aEnd == AttemptEnd::NotConnected ? 0 : 1;
+  if (aEnd == AttemptEnd::Answered) {
+    try {
+      m_handle = m_shared.m_dialect.ReadPrefill(m_held.m_body);
+      m_prefillUpstream = m_upstream;
+      StartRun();
+      return;
+    } catch (const Error& error) {
+      LogAttempt(AttemptEnd::Broken, error.what());
+    }
+  }
+  StartPrefill();
+}
+
+} // namespace shallotford
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -159,7 +159,6 @@
       m_lastBytes = m_loop.Now();
     }
   }
-  bool ReusedConnection() const override { return m_reused; }
   bool WasSent() const override
   {
     return IsCancelled() || m_connection->Socket().BytesSent() > m_sentBefore;
@@ -321,7 +320,6 @@
   void Cancel() override { m_pending.reset(); }
   void PauseReading() override {}
   void ResumeReading() override {}
-  bool ReusedConnection() const override { return false; }
   bool WasSent() const override { return false; }
 
 private:
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -46,7 +46,6 @@
   virtual void Cancel() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
-  virtual bool ReusedConnection() const = 0;
   /// Returns whether a byte of the request was given to the socket.
   virtual bool WasSent() const = 0;
 };
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -468,6 +468,26 @@
   BOOST_TEST(Runs(*m_other, "r1") == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_stream_that_waited_in_vain_comes_back_later, Engines)
+{
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([](const PublishedCall& aCall) {
+        PublishedServer::AnswerNotRun(aCall);
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/fixed/x", "r1");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  // At most 0.3 of the time left of 6 s, and beyond the 0.4 s of others.
+  std::size_t at = answer.find("Retry-After: ");
+  BOOST_REQUIRE(at != std::string::npos);
+  double seconds = std::stod(answer.substr(at + 13));
+  BOOST_TEST(seconds > 0.5);
+  BOOST_TEST(seconds <= 1.8);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_broken_stream_waits_for_memory_elsewhere, Engines)
 {
   // After the break no engine has room for a while.
