Count prefills that no engine accepted; wait longer for a prefill

Only a prefill that an engine accepts is free of the budget, but each first one was taken as free, so the run after two lost ones counted as the first arrival. Ruled out: slack spent twice after a restart; it is withheld since a_restarted_vm_does_not_spend_the_slack_again. Change: a prefill that arrived and was not accepted counts. A prefill is waited for 1.5 s beside its reading; a silent engine is avoided after 0.7 s in that phase too. Test: a_lost_prefill_counts_as_sent failed before.

--- a/src/config.h
+++ b/src/config.h
@@ -195,7 +195,9 @@
 constexpr std::chrono::milliseconds kLeastPatience = 250ms;
 /// Prompt tokens that a prefill engine reads in a millisecond, at least.
 constexpr double kPromptTokensPerMs = 20.0;
-constexpr std::chrono::milliseconds kPrefillPatience = 400ms; // beside reading
+/// Beside reading: a prefill that waits in an engine's queue is served there
+/// sooner than elsewhere, where it would have to be read again.
+constexpr std::chrono::milliseconds kPrefillPatience = 1'500ms;
 /// A stream without a first event goes elsewhere after so long; an engine that
 /// has preempted it still serves it sooner than one that reads it anew.
 constexpr std::chrono::milliseconds kFirstEventPatience = 1'500ms;
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -235,15 +235,13 @@
       .m_headTimeout = HeadPatience(aPhase),
       .m_bodyTimeout = BodyPatience() },
     *this);
-  if (aPhase == Phase::Run) {
-    if (!m_reservation.empty()) {
-      --m_reservedAt->m_reserved;
-      m_reservation.clear();
-    }
-    m_suspicionTimer = m_shared.m_loop.RunAfter(
-      ServedByEngines() ? kEngineSuspicionTime : kSuspicionTime,
-      [this] { OnSuspicion(); });
+  if (aPhase == Phase::Run && !m_reservation.empty()) {
+    --m_reservedAt->m_reserved;
+    m_reservation.clear();
   }
+  m_suspicionTimer = m_shared.m_loop.RunAfter(
+    ServedByEngines() ? kEngineSuspicionTime : kSuspicionTime,
+    [this] { OnSuspicion(); });
 }
 
 std::string
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -145,9 +145,11 @@
   std::set<UpstreamKey> m_excluded;
   std::uint32_t m_prefills{ 0 }; ///< prefills that reached an engine
   std::uint32_t m_prefillTries{ 0 };
-  std::uint32_t m_runs{ 0 };           ///< attempts that may have run
-  std::uint32_t m_refusals{ 0 };       ///< attempts that certainly did not run
-  std::uint32_t m_arrivals{ 0 };       ///< runs that reached an upstream
+  std::uint32_t m_runs{ 0 };     ///< attempts that may have run
+  std::uint32_t m_refusals{ 0 }; ///< attempts that certainly did not run
+  /// Sends that reached an upstream and count against the retry budget, but
+  /// for the first.
+  std::uint32_t m_arrivals{ 0 };
   std::optional<HeldAnswer> m_failure; ///< an upstream's own failure
 
   // The attempt under way.
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -141,7 +141,10 @@
 void
 RoutedRequest::AfterPrefill(AttemptEnd aEnd)
 {
-  m_prefills += aEnd == AttemptEnd::NotConnected ? 0 : 1;
+  bool arrived = aEnd != AttemptEnd::NotConnected;
+  m_prefills += arrived ? 1 : 0;
+  // Only a prefill that an engine accepted is free of the retry budget.
+  m_arrivals += arrived && aEnd != AttemptEnd::Answered ? 1 : 0;
   if (aEnd == AttemptEnd::Answered) {
     try {
       m_handle = m_shared.m_dialect.ReadPrefill(m_held.m_body);
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -44,17 +44,17 @@
 class RouterFixture
 {
 public:
-  RouterFixture()
+  explicit RouterFixture(const RouterOptions& aOptions = Options())
     : m_random(MakeSeededRandom(1))
     , m_decoder(platform::MakeDecoder())
     , m_dialect(platform::MakeDialect())
   {
-    m_loop.Do([this] {
+    m_loop.Do([&] {
       m_store = std::make_unique<PublishedStore>(*m_loop);
       m_source = platform::MakeStoreSource(
         *m_loop, m_log, *m_random, { .m_address = m_store->Address() });
       m_router = MakeRouter(
-        Options(),
+        aOptions,
         { *m_loop, *m_source, *m_decoder, *m_dialect, m_log, *m_random });
     });
   }
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -20,7 +20,8 @@
 /// Two plain servers.
 struct Plain : RouterFixture
 {
-  Plain()
+  explicit Plain(const RouterOptions& aOptions = Options())
+    : RouterFixture(aOptions)
   {
     Publish(ConfigText(1));
     m_a = &AddServer("i-a", "plain");
@@ -59,7 +60,8 @@
 /// One prefill engine and two decode engines.
 struct Engines : Plain
 {
-  Engines()
+  explicit Engines(const RouterOptions& aOptions = Options())
+    : Plain(aOptions)
   {
     m_prefill = &AddServer("i-p", "model", "prefill");
     m_decode = &AddServer("i-d", "model", "decode");
@@ -97,6 +99,21 @@
   PublishedServer* m_other;
 };
 
+/// Engines without any retry budget.
+struct EnginesWithoutBudget : Engines
+{
+  EnginesWithoutBudget()
+    : Engines(WithoutBudget())
+  {
+  }
+  static RouterOptions WithoutBudget()
+  {
+    RouterOptions options = Options();
+    options.m_retryBudget = { .m_ratio = 0, .m_slack = 0 };
+    return options;
+  }
+};
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(a_request_passes_unchanged, Plain)
@@ -587,6 +604,21 @@
   BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_lost_prefill_counts_as_sent, EnginesWithoutBudget)
+{
+  StreamAll(*m_decode, 1);
+  StreamAll(*m_other, 1);
+  BOOST_TEST(Has(Ask("/fixed/x", "r1"), Event(1)));
+  m_loop.Do([this] {
+    m_prefill->SetScript([](const PublishedCall& aCall) {
+      aCall.m_exchange->Abort();
+      return true;
+    });
+  });
+  BOOST_TEST(Ask("/fixed/x", "r2").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(Runs(*m_decode, "r2") + Runs(*m_other, "r2") == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_full_engine_makes_requests_wait, Engines)
 {
   StreamAll(*m_decode, 1);
