--- a/include/shallotford/base.h
+++ b/include/shallotford/base.h
@@ -241,11 +241,13 @@
   LogEvent& Add(std::string_view aKey, Duration aValue);
 
   LogLevel Level() const { return m_level; }
+  const std::string& Name() const { return m_name; }
   /// Returns the line, values quoted where they hold spaces or quotes.
   const std::string& Line() const { return m_line; }
 
 private:
   LogLevel m_level;
+  std::string m_name;
   std::string m_line;
 };
 
@@ -257,11 +259,44 @@
   virtual void Write(const LogEvent& aEvent) = 0;
 };
 
-/// Returns a log that writes through easylogging++ to standard error.
+/// Returns a log that writes through easylogging++ to standard output. It never
+/// blocks: lines wait in a bounded queue while the reader is slow, and are
+/// dropped and counted, informational ones first, when that is full.
 /// @param aLevel  events below it are dropped
 std::unique_ptr<LogI>
 MakeLog(LogLevel aLevel);
 
+/// Returns a log that passes at most aPerSecond events of one name and level to
+/// aSink, and says how many it left out. aSink and aClock must outlive it.
+std::unique_ptr<LogI>
+MakeLimitedLog(LogI& aSink, const ClockI& aClock, std::uint32_t aPerSecond);
+
+/// Takes lines for a descriptor whose reader may be slow.
+class LineQueue
+{
+public:
+  /// @param aCapacity  bytes that wait at most
+  LineQueue(int aDescriptor, std::size_t aCapacity)
+    : m_descriptor(aDescriptor)
+    , m_capacity(aCapacity)
+  {
+  }
+  /// Queues aLine and writes what the descriptor takes without blocking.
+  /// @param aIsWarning  kept while there is room at all; other lines only
+  ///                    while half of the queue is free
+  void Push(std::string_view aLine, bool aIsWarning);
+  std::uint64_t Dropped() const { return m_dropped; }
+
+private:
+  void Flush();
+
+  int m_descriptor;
+  std::size_t m_capacity;
+  std::string m_queued;
+  std::uint64_t m_dropped{ 0 };  ///< in all
+  std::uint64_t m_reported{ 0 }; ///< of these, told in a line
+};
+
 /// Keeps the lines in memory, for golden tests.
 class MemoryLog : public LogI
 {
--- a/makefile
+++ b/makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all install build format check-format lint test quick demo clean \
-	bench-relay bench-faults bench-policy bench-control
+	bench-relay bench-faults bench-policy bench-control day score hunt
 
 all: build
 
@@ -44,5 +44,20 @@
 bench-control: build ## cost of control from 9 to 360 VMs
 	scripts/bench-control.sh $(BUILD)
 
+# The users' bench. FLEETBENCH, SITE, DAY, DAYS and WHY may be set.
+FLEETBENCH ?= ../given/kit/more/system/bin/fleetbench
+SITE ?= ../given/kit/more/system/sites/noces-liaison.toml
+DAY ?= quiet-1
+DAYS ?= 40
+WHY ?= no reason given
+day:                ## one day of a site, with the logs of all VMs
+	$(FLEETBENCH) run $(SITE) $(DAY) --log all --why "$(WHY)"
+
+score:              ## the standard days of a site
+	$(FLEETBENCH) score $(SITE) --jobs 4 --why "$(WHY)"
+
+hunt:               ## days with other luck, to find broken rules
+	$(FLEETBENCH) hunt $(SITE) --days $(DAYS) --jobs 4
+
 clean:
 	rm -rf $(BUILD)
--- a/src/base_log.cpp
+++ b/src/base_log.cpp
@@ -4,6 +4,13 @@
 
 #include <easylogging++.h>
 
+#include <poll.h>
+#include <unistd.h>
+
+#include <climits>
+#include <map>
+#include <mutex>
+
 INITIALIZE_EASYLOGGINGPP
 
 namespace shallotford {
@@ -38,6 +45,38 @@
   aLine += '"';
 }
 
+/// Bytes of lines that wait for a slow reader.
+constexpr std::size_t kLogQueueBytes = 256u << 10;
+
+LineQueue&
+StandardOutput()
+{
+  static LineQueue sQueue(STDOUT_FILENO, kLogQueueBytes);
+  return sQueue;
+}
+
+std::mutex&
+OutputMutex()
+{
+  static std::mutex sMutex;
+  return sMutex;
+}
+
+/// Takes easylogging++'s finished lines.
+class QueueDispatch : public el::LogDispatchCallback
+{
+protected:
+  void handle(const el::LogDispatchData* aData) override
+  {
+    const el::LogMessage* message = aData->logMessage();
+    bool isWarning = message->level() == el::Level::Warning ||
+                     message->level() == el::Level::Error;
+    std::string line = message->logger()->logBuilder()->build(message, true);
+    std::lock_guard lock(OutputMutex());
+    StandardOutput().Push(line, isWarning);
+  }
+};
+
 class EasyLog : public LogI
 {
 public:
@@ -47,11 +86,12 @@
     el::Configurations configuration;
     configuration.setToDefault();
     configuration.setGlobally(el::ConfigurationType::ToFile, "false");
-    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "true");
+    configuration.setGlobally(el::ConfigurationType::ToStandardOutput, "false");
     configuration.setGlobally(el::ConfigurationType::Format,
                               "time=%datetime{%Y-%M-%dT%H:%m:%s.%g} "
                               "level=%level %msg");
     el::Loggers::reconfigureLogger("default", configuration);
+    el::Helpers::installLogDispatchCallback<QueueDispatch>("queue");
   }
 
   void Write(const LogEvent& aEvent) override
@@ -79,10 +119,103 @@
   LogLevel m_level;
 };
 
+/// Counts the events of one name and level in the second under way.
+class LimitedLog : public LogI
+{
+public:
+  LimitedLog(LogI& aSink, const ClockI& aClock, std::uint32_t aPerSecond)
+    : m_sink(aSink)
+    , m_clock(aClock)
+    , m_perSecond(aPerSecond)
+  {
+  }
+
+  void Write(const LogEvent& aEvent) override
+  {
+    std::lock_guard lock(m_mutex);
+    TimePoint now = m_clock.Now();
+    Kind& kind = m_kinds[{ aEvent.Name(), aEvent.Level() }];
+    if (now - kind.m_since >= std::chrono::seconds(1)) {
+      ReportSuppressed(aEvent, kind);
+      kind = { .m_since = now, .m_written = 0, .m_suppressed = 0 };
+    }
+    if (kind.m_written >= m_perSecond) {
+      ++kind.m_suppressed;
+      return;
+    }
+    ++kind.m_written;
+    m_sink.Write(aEvent);
+  }
+
+private:
+  struct Kind
+  {
+    TimePoint m_since{};
+    std::uint32_t m_written{ 0 };
+    std::uint64_t m_suppressed{ 0 };
+  };
+
+  void ReportSuppressed(const LogEvent& aEvent, const Kind& aKind)
+  {
+    if (aKind.m_suppressed > 0) {
+      m_sink.Write(
+        LogEvent("suppressed", aEvent.Level())
+          .Add("kind", aEvent.Name())
+          .Add("count", static_cast<std::int64_t>(aKind.m_suppressed)));
+    }
+  }
+
+  LogI& m_sink;
+  const ClockI& m_clock;
+  std::uint32_t m_perSecond;
+  std::mutex m_mutex;
+  std::map<std::pair<std::string, LogLevel>, Kind> m_kinds;
+};
+
 } // namespace
 
+void
+LineQueue::Push(std::string_view aLine, bool aIsWarning)
+{
+  std::size_t limit = aIsWarning ? m_capacity : m_capacity / 2;
+  if (m_queued.size() + aLine.size() > limit) {
+    ++m_dropped;
+  } else {
+    m_queued.append(aLine);
+  }
+  Flush();
+}
+
+void
+LineQueue::Flush()
+{
+  // A descriptor that polls writable takes PIPE_BUF bytes without blocking.
+  while (!m_queued.empty()) {
+    pollfd item{ .fd = m_descriptor, .events = POLLOUT, .revents = 0 };
+    if (::poll(&item, 1, 0) <= 0 || (item.revents & POLLOUT) == 0) {
+      return;
+    }
+    std::size_t size = std::min<std::size_t>(m_queued.size(), PIPE_BUF);
+    ssize_t written = ::write(m_descriptor, m_queued.data(), size);
+    if (written <= 0) {
+      return;
+    }
+    m_queued.erase(0, static_cast<std::size_t>(written));
+  }
+  if (m_reported < m_dropped) {
+    m_queued =
+      LogEvent("lines_dropped")
+        .Add("count", static_cast<std::int64_t>(m_dropped - m_reported))
+        .Line() +
+      "\n";
+    m_reported = m_dropped;
+    Flush();
+  }
+}
+
 LogEvent::LogEvent(std::string_view aName, LogLevel aLevel)
   : m_level(aLevel)
+  , m_name(aName)
   , m_line("event=" + std::string(aName))
 {
 }
@@ -121,6 +254,12 @@
   return std::make_unique<EasyLog>(aLevel);
 }
 
+std::unique_ptr<LogI>
+MakeLimitedLog(LogI& aSink, const ClockI& aClock, std::uint32_t aPerSecond)
+{
+  return std::make_unique<LimitedLog>(aSink, aClock, aPerSecond);
+}
+
 void
 MemoryLog::Write(const LogEvent& aEvent)
 {
--- a/src/config.h
+++ b/src/config.h
@@ -196,9 +196,13 @@
 /// Prompt tokens that a prefill engine reads in a millisecond, at least.
 constexpr double kPromptTokensPerMs = 20.0;
 constexpr std::chrono::milliseconds kPrefillPatience = 400ms; // beside reading
-constexpr std::chrono::milliseconds kFirstEventPatience = 700ms;
+/// A stream without a first event goes elsewhere after so long; an engine that
+/// has preempted it still serves it sooner than one that reads it anew.
+constexpr std::chrono::milliseconds kFirstEventPatience = 1'500ms;
+/// An engine without a sign of life for so long gets no other requests.
+constexpr std::chrono::milliseconds kEngineSuspicionTime = 700ms;
 /// Longest pause inside a stream that may go on elsewhere.
-constexpr std::chrono::milliseconds kStreamPatience = 900ms;
+constexpr std::chrono::milliseconds kStreamPatience = 1'500ms;
 /// An attempt's own timers end after the request's, if that is to decide.
 constexpr std::chrono::milliseconds kBeyondDeadline = 1'000ms;
 constexpr std::uint32_t kMaxPrefills = 2; // of one request
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -14,6 +14,8 @@
 
 /// How often the settings file is compared with what is in force.
 constexpr std::chrono::milliseconds kSettingsCheck{ 2'000 };
+/// Log lines of one event and level; further ones are counted.
+constexpr std::uint32_t kLinesPerSecond = 40;
 /// Sockets of a loop beyond the callers' connections.
 constexpr std::size_t kOtherSockets = 1'024;
 
@@ -116,7 +118,9 @@
 RunRouting(const Settings& aSettings, const std::string& aFile)
 {
   BlockSignals();
-  auto log = MakeLog(aSettings.m_logLevel);
+  auto output = MakeLog(aSettings.m_logLevel);
+  auto clock = MakeSystemClock();
+  auto log = MakeLimitedLog(*output, *clock, kLinesPerSecond);
   auto random = MakeSystemRandom();
   auto loop =
     MakeLoop({ .m_name = "router",
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -199,6 +199,7 @@
   set("upstreams", static_cast<double>(m_upstreams.Size()));
   set("requests_in_flight", static_cast<double>(m_requests.size()));
   set("caller_connections", static_cast<double>(m_callers->Count()));
+  set("waiting_for_memory", static_cast<double>(m_admission.Size()));
   set("live_vms", static_cast<double>(m_shared.m_liveVms));
   set("source_up", m_sourceUp ? 1 : 0);
   set("directory_revision", static_cast<double>(m_directory.UpTo()));
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -345,7 +345,7 @@
       m_reservation.clear();
     }
     m_suspicionTimer = m_shared.m_loop.RunAfter(
-      ServedByEngines() ? kFirstEventPatience : kSuspicionTime,
+      ServedByEngines() ? kEngineSuspicionTime : kSuspicionTime,
       [this] { OnSuspicion(); });
   }
 }
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -136,7 +136,8 @@
     m_shared.m_admission.OnFreed(m_service);
   }
   Duration took = m_shared.m_loop.Now() - m_received;
-  LogEvent event("request_end");
+  LogEvent event("request_end",
+                 aOutcome == "answered" ? LogLevel::Info : LogLevel::Warning);
   event.Add("request", m_facts.m_id)
     .Add("route", m_route->m_name)
     .Add("version", static_cast<std::int64_t>(m_routing->m_version))
@@ -180,7 +181,7 @@
 RoutedRequest::LogAttempt(AttemptEnd aEnd, const std::string& aReason) const
 {
   m_shared.m_log.Write(
-    LogEvent("attempt_failed")
+    LogEvent("attempt_failed", LogLevel::Warning)
       .Add("request", m_facts.m_id)
       .Add("phase", ToString(m_phase))
       .Add("upstream", m_upstream->m_entry.m_key.m_id)
--- a/tests/base_test.cpp
+++ b/tests/base_test.cpp
@@ -3,6 +3,8 @@
 #define BOOST_TEST_MODULE base
 #include <boost/test/unit_test.hpp>
 
+#include <unistd.h>
+
 #include "shallotford/base.h"
 
 using namespace shallotford;
@@ -56,3 +58,49 @@
   BOOST_CHECK_THROW(ParseJson(std::string(5000, '[')), Error);
   BOOST_TEST(ParseJson("{\"a\":[1]}")["a"][0].asInt() == 1);
 }
+
+BOOST_AUTO_TEST_CASE(a_limited_log_counts_what_it_leaves_out)
+{
+  MemoryLog sink;
+  FakeClock clock;
+  auto log = MakeLimitedLog(sink, clock, 2);
+  for (int i = 0; i < 5; ++i) {
+    log->Write(LogEvent("often"));
+  }
+  log->Write(LogEvent("often", LogLevel::Warning));
+  log->Write(LogEvent("seldom"));
+  BOOST_TEST(sink.Lines().size() == 4U);
+  clock.Advance(std::chrono::seconds(1));
+  log->Write(LogEvent("often"));
+  BOOST_TEST(sink.Lines()[4] == "event=suppressed kind=often count=3");
+  BOOST_TEST(sink.Lines()[5] == "event=often");
+}
+
+BOOST_AUTO_TEST_CASE(a_slow_reader_never_blocks_the_log)
+{
+  int ends[2];
+  BOOST_REQUIRE(::pipe(ends) == 0);
+  constexpr std::size_t kCapacity = 64u << 10;
+  LineQueue queue(ends[1], kCapacity);
+  std::string line(1'000, 'x');
+  line += '\n';
+  // Far more than the pipe and the queue hold.
+  for (int i = 0; i < 1'000; ++i) {
+    queue.Push(line, false);
+  }
+  std::uint64_t dropped = queue.Dropped();
+  BOOST_TEST(dropped > 0U);
+  queue.Push("warning\n", true); // still has room
+  BOOST_TEST(queue.Dropped() == dropped);
+  std::string read;
+  char buffer[65'536];
+  while (read.find("lines_dropped") == std::string::npos) {
+    ssize_t got = ::read(ends[0], buffer, sizeof buffer);
+    BOOST_REQUIRE(got > 0);
+    read.append(buffer, static_cast<std::size_t>(got));
+    queue.Push("more\n", true);
+  }
+  BOOST_TEST(read.find("warning\n") != std::string::npos);
+  ::close(ends[0]);
+  ::close(ends[1]);
+}
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -468,6 +468,31 @@
   BOOST_TEST(Runs(*m_other, "r1") == 1);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_preempted_stream_stays_where_it_is, Engines)
+{
+  // Both engines give the first event only after a second.
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([this, engine](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        m_loop->RunAfter(1s, [engine, aCall] {
+          engine->BeginStream(aCall);
+          aCall.m_exchange->Write(Event(1));
+          aCall.m_exchange->End();
+        });
+        return true;
+      });
+    }
+  });
+  BOOST_TEST(Has(Ask("/stream/x", "r1"), Event(1)));
+  std::size_t sent = m_loop.Do([this] {
+    return m_decode->Received().size() + m_other->Received().size();
+  });
+  BOOST_TEST(sent == 2U); // one reservation, one run
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stream_that_may_not_go_on_shows_its_break, Engines)
 {
   m_loop.Do([&] {
