Drop malformed words of peers, give an upstream's failure after a vain wait

A peer's malformed reply ended the process: the exception left the reply's callback. It is dropped now with a log line (test aborted before). A request whose engine had failed it ended with 502 when it then waited in vain for memory; DecideEnd() alone now decides that the failure is passed on (test gave 502 before). upstream_suspected is logged only where the silence counted.

LoopI::DestroyLater() and ListenOptions() replace six and four copies. The router's tests are split by what they test.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -316,6 +316,12 @@
 public:
   /// Runs aFunction on the loop's thread. Safe from any thread.
   virtual void Post(std::function<void()> aFunction) = 0;
+  /// Destroys aObject later, on the loop's thread: what may be inside its own
+  /// event must not be destroyed at once.
+  void DestroyLater(std::shared_ptr<void> aObject)
+  {
+    Post([object = std::move(aObject)] {});
+  }
   /// Serves until Stop().
   virtual void Run() = 0;
   /// Makes Run() return. Safe from any thread and from a signal handler's
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -209,7 +209,8 @@
   void OnHandleLost(TimePoint aNow) { Blend(1, aNow); }
   /// A request sent at aSentAt has been without a sign of life for long. That
   /// says something of the upstream only if it answered no other since.
-  void OnSilence(TimePoint aSentAt, TimePoint aNow);
+  /// @return whether it was ejected
+  bool OnSilence(TimePoint aSentAt, TimePoint aNow);
   /// When it may be tried again; meaningful while IsEjected().
   TimePoint EjectedUntil() const { return m_ejectedUntil; }
 
@@ -304,13 +305,13 @@
 /// Where one request stands, for the choice of its next step.
 struct RequestProgress
 {
-  RouteKind m_kind{ RouteKind::RunOnce };
   bool m_mayRepeat{ false };
   std::uint32_t m_maxAttempts{ 1 };
   std::uint32_t m_runs{ 0 };     ///< attempts that ran or may have run
   std::uint32_t m_refusals{ 0 }; ///< attempts that certainly did not run
   bool m_answerBegun{ false };   ///< the caller has a part of an answer
   bool m_canResume{ false };     ///< what has begun can go on elsewhere
+  bool m_hasFailure{ false };    ///< an upstream's own failure can be given
   std::chrono::milliseconds m_timeLeft{ 0 };
 };
 
--- a/src/daemon_control.cpp
+++ b/src/daemon_control.cpp
@@ -4,6 +4,7 @@
 
 #include "config.h"
 #include "daemon_handlers.h"
+#include "daemon_listen.h"
 
 namespace shallotford {
 
@@ -91,12 +92,11 @@
 ServerOptions
 PeerServerOptions(const std::string& aAddress, const TlsSettings& aTls)
 {
-  SocketAddress address = ParseAddress(aAddress);
-  return { .m_address = address.m_ip,
-           .m_port = address.m_port,
-           .m_tls = { .m_certificate = aTls.m_certificate,
-                      .m_key = aTls.m_key,
-                      .m_peerAuthority = aTls.m_peerAuthority } };
+  ServerOptions options = ListenOptions(aAddress);
+  options.m_tls = { .m_certificate = aTls.m_certificate,
+                    .m_key = aTls.m_key,
+                    .m_peerAuthority = aTls.m_peerAuthority };
+  return options;
 }
 
 } // namespace
--- a/src/daemon_peer.cpp
+++ b/src/daemon_peer.cpp
@@ -40,10 +40,8 @@
                  const PeerDone& aDone,
                  HttpResult aResult)
 {
-  // A handle must not be destroyed inside its own callback.
-  std::shared_ptr<HttpClientCallI> call = std::move(m_calls[aNumber]);
-  m_calls.erase(aNumber);
-  m_loop.Post([call] {});
+  auto call = m_calls.extract(aNumber);
+  m_loop.DestroyLater(std::move(call.mapped()));
   if (aResult.m_failure) {
     aDone(PeerFailure{ aResult.m_failure->m_progress,
                        aResult.m_failure->m_reason });
--- a/src/route_health.cpp
+++ b/src/route_health.cpp
@@ -48,16 +48,11 @@
   --m_inFlight;
   switch (aEnd) {
     case AttemptEnd::Answered:
-      m_answeredAt = aNow;
-      m_consecutiveBreaks = 0;
-      m_ejections = 0;
-      Blend(0, aNow);
-      return;
     case AttemptEnd::Failed:
       m_answeredAt = aNow;
       m_consecutiveBreaks = 0;
       m_ejections = 0;
-      Blend(1, aNow);
+      Blend(aEnd == AttemptEnd::Failed ? 1 : 0, aNow);
       return;
     case AttemptEnd::Refused:
       m_refusedAt = aNow;
@@ -81,15 +76,16 @@
   }
 }
 
-void
+bool
 UpstreamHealth::OnSilence(TimePoint aSentAt, TimePoint aNow)
 {
   bool alive = m_answeredAt && *m_answeredAt > aSentAt;
   if (alive || aNow - aSentAt < kSuspicionTime) {
-    return; // the request itself takes long
+    return false; // the request itself takes long
   }
   Blend(1, aNow);
   Eject(aNow);
+  return true;
 }
 
 void
--- a/src/route_request.cpp
+++ b/src/route_request.cpp
@@ -51,6 +51,9 @@
   if (aProgress.m_answerBegun) {
     return NextStep::Cut;
   }
+  if (aProgress.m_hasFailure) {
+    return NextStep::PassOn;
+  }
   if (aProgress.m_runs == 0) {
     return NextStep::Refuse;
   }
@@ -64,11 +67,6 @@
   switch (aEnd) {
     case AttemptEnd::Answered:
       return NextStep::PassOn;
-    case AttemptEnd::Failed:
-      if (MayRunAgain(aProgress)) {
-        return NextStep::TryAgain;
-      }
-      return aProgress.m_answerBegun ? NextStep::Cut : NextStep::PassOn;
     case AttemptEnd::NotConnected:
     case AttemptEnd::Refused:
     case AttemptEnd::Replaced: {
@@ -76,6 +74,7 @@
                    (aProgress.m_runs == 0 || MayRunAgain(aProgress));
       return again ? NextStep::TryAgain : DecideEnd(aProgress);
     }
+    case AttemptEnd::Failed:
     case AttemptEnd::Broken:
     case AttemptEnd::Silent:
       return MayRunAgain(aProgress) ? NextStep::TryAgain : DecideEnd(aProgress);
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -459,9 +459,8 @@
   if (found == m_connections.end()) {
     return;
   }
-  std::shared_ptr<CallerConnection> connection = std::move(found->second);
+  m_loop.DestroyLater(std::move(found->second));
   m_connections.erase(found);
-  m_loop.Post([connection] {});
 }
 
 void
--- a/src/router_errands.cpp
+++ b/src/router_errands.cpp
@@ -75,10 +75,8 @@
   if (found == m_errands.end()) {
     return;
   }
-  // It is inside its own event.
-  std::shared_ptr<Errand> errand = std::move(found->second);
+  m_loop.DestroyLater(std::move(found->second));
   m_errands.erase(found);
-  m_loop.Post([errand] {});
 }
 
 } // namespace shallotford
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -142,18 +142,30 @@
                   .Add("reason", failure->m_reason));
     return;
   }
-  const auto& reply = std::get<Json::Value>(aResult);
   m_peers.OnHeard(aPeer, now);
-  LearnPeers(reply["peers"]);
-  if (!reply.isMember("delta")) {
+  try {
+    LearnFromPeer(aPeer, std::get<Json::Value>(aResult));
+  } catch (const std::exception& error) {
+    m_metrics.Count("gossip_failures_total", "");
+    m_log.Write(LogEvent("peer_malformed", LogLevel::Warning)
+                  .Add("peer", aPeer)
+                  .Add("reason", error.what()));
+  }
+}
+
+void
+RouterTask::LearnFromPeer(const std::string& aPeer, const Json::Value& aReply)
+{
+  LearnPeers(aReply["peers"]);
+  if (!aReply.isMember("delta")) {
     return;
   }
-  DirectoryDelta delta = DeltaFromJson(reply["delta"]);
+  DirectoryDelta delta = DeltaFromJson(aReply["delta"]);
   m_log.Write(LogEvent("directory_from_peer")
                 .Add("peer", aPeer)
                 .Add("before", static_cast<std::int64_t>(m_directory.UpTo()))
                 .Add("revision", static_cast<std::int64_t>(delta.m_upTo))
-                .Add("source_age", now - m_sourceHeard));
+                .Add("source_age", m_loop.Now() - m_sourceHeard));
   Learn(delta, "peer");
   m_source.SkipTo(m_directory.UpTo());
 }
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -91,13 +91,13 @@
 RequestProgress
 RoutedRequest::Progress() const
 {
-  return { .m_kind = m_route->m_kind,
-           .m_mayRepeat = m_route->MayRepeat(),
+  return { .m_mayRepeat = m_route->MayRepeat(),
            .m_maxAttempts = m_route->m_maxAttempts,
            .m_runs = m_runs,
            .m_refusals = m_refusals,
            .m_answerBegun = m_answerBegun,
            .m_canResume = IsStream() && !m_events.LastId().empty(),
+           .m_hasFailure = m_failure.has_value(),
            .m_timeLeft = TimeLeft() };
 }
 
@@ -135,9 +135,9 @@
   PickRequest request{ .m_service = m_service,
                        .m_stage = aStage,
                        .m_near = aNear,
-                       .m_excluded = m_excluded,
+                       .m_excluded = m_full,
                        .m_salt = StableHash(m_facts.m_id) };
-  request.m_excluded.insert(m_full.begin(), m_full.end());
+  request.m_excluded.insert(m_excluded.begin(), m_excluded.end());
   for (;;) {
     UpstreamPtr upstream =
       m_shared.m_upstreams.Pick(request, m_shared.m_loop.Now());
@@ -191,10 +191,6 @@
 {
   UpstreamPtr upstream = PickForRun();
   if (upstream == nullptr || (m_arrivals > 0 && !TakeRetryBudget())) {
-    if (m_failure) {
-      Finish(NextStep::PassOn);
-      return;
-    }
     Finish(DecideEnd(Progress()));
     return;
   }
@@ -300,8 +296,8 @@
 void
 RoutedRequest::OnSuspicion()
 {
-  if (m_upstream != nullptr) {
-    m_upstream->m_health.OnSilence(m_sentAt, m_shared.m_loop.Now());
+  if (m_upstream != nullptr &&
+      m_upstream->m_health.OnSilence(m_sentAt, m_shared.m_loop.Now())) {
     m_shared.m_log.Write(LogEvent("upstream_suspected")
                            .Add("request", m_facts.m_id)
                            .Add("upstream", m_upstream->m_entry.m_key.m_id)
@@ -537,9 +533,7 @@
     return;
   }
   m_call->Cancel();
-  // It may be inside its own event.
-  std::shared_ptr<UpstreamCallI> call = std::move(m_call);
-  m_shared.m_loop.Post([call] {});
+  m_shared.m_loop.DestroyLater(std::move(m_call));
 }
 
 } // namespace shallotford
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -3,6 +3,7 @@
 #include "router_task.h"
 
 #include "config.h"
+#include "daemon_listen.h"
 
 #include <ctime>
 
@@ -75,22 +76,14 @@
 void
 RouterTask::Start()
 {
-  auto listenOn = [](const std::string& aAddress) {
-    std::size_t colon = aAddress.rfind(':');
-    ServerOptions options;
-    options.m_address = aAddress.substr(0, colon);
-    options.m_port =
-      static_cast<std::uint16_t>(std::stoul(aAddress.substr(colon + 1)));
-    return options;
-  };
-  m_operatorServer =
-    m_loop.Listen(listenOn(m_options.m_operatorAddress), m_operatorHandler);
+  m_operatorServer = m_loop.Listen(ListenOptions(m_options.m_operatorAddress),
+                                   m_operatorHandler);
   if (!m_options.m_metricsAddress.empty()) {
-    m_metricsServer =
-      m_loop.Listen(listenOn(m_options.m_metricsAddress), m_operatorHandler);
+    m_metricsServer = m_loop.Listen(ListenOptions(m_options.m_metricsAddress),
+                                    m_operatorHandler);
   }
   m_peerServer =
-    m_loop.Listen(listenOn(m_options.m_peerAddress), m_peerHandler);
+    m_loop.Listen(ListenOptions(m_options.m_peerAddress), m_peerHandler);
   m_callers = std::make_unique<CallerListener>(
     m_loop,
     StreamListenerOptions{ .m_address = m_options.m_callerAddress,
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -76,6 +76,8 @@
   Json::Value GossipRequest();
   Json::Value OnGossip(const Json::Value& aParams);
   void OnGossipReply(const std::string& aPeer, const PeerResult& aResult);
+  /// @throws std::exception if a field is malformed; nothing is learnt then
+  void LearnFromPeer(const std::string& aPeer, const Json::Value& aReply);
   void LearnPeers(const Json::Value& aPeers);
 
   // Operators.
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -255,7 +255,7 @@
     std::shared_ptr<UpstreamConnection> connection = std::move(m_connection);
     connection->Attach(nullptr);
     connection->Socket().PauseReading();
-    m_loop.Post([connection] {});
+    m_loop.DestroyLater(std::move(connection));
   }
 
   void Arm(std::chrono::milliseconds aDelay)
@@ -397,13 +397,11 @@
   if (at == idle.end()) {
     return;
   }
-  // It may be inside its own event.
-  std::shared_ptr<UpstreamConnection> connection = std::move(*at);
+  m_loop.DestroyLater(std::move(*at));
   idle.erase(at);
   if (idle.empty()) {
     m_idle.erase(found);
   }
-  m_loop.Post([connection] {});
 }
 
 std::size_t
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -153,7 +153,7 @@
   health.OnStart(kStart);
   TimePoint now = kStart + kSuspicionTime;
   health.OnEnd(AttemptEnd::Answered, kStart, kStart + 50ms);
-  health.OnSilence(kStart, now);
+  BOOST_TEST(!health.OnSilence(kStart, now));
   health.OnEnd(AttemptEnd::Silent, kStart, now + 1s);
   BOOST_TEST(!health.IsEjected());
   // Nor does one whose own time is over soon.
@@ -234,18 +234,19 @@
 {
   BOOST_TEST(rc::check("no second run, no false refusal", [] {
     RequestProgress progress;
-    progress.m_kind = *rc::gen::element(
-      RouteKind::RunOnce, RouteKind::Stream, RouteKind::Repeatable);
+    auto end = static_cast<AttemptEnd>(
+      *rc::gen::inRange(0, static_cast<int>(AttemptEnd::Abandoned) + 1));
     progress.m_mayRepeat = *rc::gen::arbitrary<bool>();
     progress.m_maxAttempts = *rc::gen::inRange(1U, 4U);
     progress.m_runs = *rc::gen::inRange(0U, 5U);
     progress.m_refusals = *rc::gen::inRange(0U, 6U);
     progress.m_answerBegun = *rc::gen::arbitrary<bool>();
     progress.m_canResume = *rc::gen::arbitrary<bool>();
+    progress.m_hasFailure =
+      end == AttemptEnd::Failed ||
+      (progress.m_runs > 0 && *rc::gen::arbitrary<bool>());
     progress.m_timeLeft =
       std::chrono::milliseconds(*rc::gen::inRange(0, 2'000));
-    auto end = static_cast<AttemptEnd>(
-      *rc::gen::inRange(0, static_cast<int>(AttemptEnd::Abandoned) + 1));
     bool ran = end == AttemptEnd::Failed || end == AttemptEnd::Broken ||
                end == AttemptEnd::Silent;
     if (ran && progress.m_runs == 0) {
@@ -264,6 +265,9 @@
     if (progress.m_answerBegun && end != AttemptEnd::Answered) {
       RC_ASSERT(next == NextStep::Cut || next == NextStep::TryAgain);
     }
+    if (progress.m_hasFailure && !progress.m_answerBegun) {
+      RC_ASSERT(next == NextStep::PassOn || next == NextStep::TryAgain);
+    }
   }));
 }
 
@@ -280,7 +284,9 @@
 
 BOOST_AUTO_TEST_CASE(an_upstreams_own_failure_is_passed_on_if_it_cannot_repeat)
 {
-  RequestProgress progress{ .m_runs = 1, .m_timeLeft = 1'000ms };
+  RequestProgress progress{ .m_runs = 1,
+                            .m_hasFailure = true,
+                            .m_timeLeft = 1'000ms };
   BOOST_TEST(
     (DecideNextStep(progress, AttemptEnd::Failed) == NextStep::PassOn));
   progress.m_mayRepeat = true;
--- /dev/null
+++ b/tests/router_engines_test.cpp
@@ -0,0 +1,327 @@
+/// Streams through the router, over prefill and decode engines.
+
+#define BOOST_TEST_MODULE router_engines
+#include <boost/test/unit_test.hpp>
+
+#include "router_fixture.h"
+
+using namespace shallotford;
+using namespace shallotford::test;
+
+namespace {
+
+/// One prefill engine and two decode engines.
+struct Engines : Plain
+{
+  explicit Engines(const RouterOptions& aOptions = Options())
+    : Plain(aOptions)
+  {
+    m_prefill = &AddServer("i-p", "model", "prefill");
+    m_decode = &AddServer("i-d", "model", "decode");
+    m_other = &AddServer("i-e", "model", "decode");
+    WaitFor([this] { return Knows(5); });
+  }
+  /// Streams aText by one event an id, from aFrom on, then ends well.
+  void StreamAll(PublishedServer& aServer, int aEvents)
+  {
+    m_loop.Do([&] {
+      aServer.SetScript([&aServer, aEvents](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_prefill ||
+            aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        const std::string* after =
+          FindField(aCall.m_request.m_head.m_fields, "Last-Event-Id");
+        aServer.BeginStream(aCall);
+        int first = after == nullptr ? 1 : std::stoi(*after) + 1;
+        for (int i = first; i <= aEvents; ++i) {
+          aCall.m_exchange->Write(Event(i));
+        }
+        aCall.m_exchange->End();
+        return true;
+      });
+    });
+  }
+  static std::string Event(int aNumber)
+  {
+    std::string number = std::to_string(aNumber);
+    return "id: " + number + "\ndata: token" + number + "\n\n";
+  }
+  PublishedServer* m_prefill;
+  PublishedServer* m_decode;
+  PublishedServer* m_other;
+};
+
+/// Engines without any retry budget.
+struct EnginesWithoutBudget : Engines
+{
+  EnginesWithoutBudget()
+    : Engines(WithoutBudget())
+  {
+  }
+  static RouterOptions WithoutBudget()
+  {
+    RouterOptions options = Options();
+    options.m_retryBudget = { .m_ratio = 0, .m_slack = 0 };
+    return options;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_stream_runs_at_two_engines, Engines)
+{
+  StreamAll(*m_decode, 3);
+  StreamAll(*m_other, 3);
+  std::string answer = Ask("/stream/x", "r1");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 OK\r\n"));
+  for (int i = 1; i <= 3; ++i) {
+    BOOST_TEST(Has(answer, Event(i)));
+  }
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+  BOOST_TEST(Runs(*m_decode, "r1") + Runs(*m_other, "r1") == 1);
+  const CallerRequest run = m_loop.Do([this] {
+    return m_decode->Runs().empty() ? m_other->Received().back()
+                                    : m_decode->Received().back();
+  });
+  BOOST_TEST(*FindField(run.m_head.m_fields, "X-Shallotford-Kv-Source") ==
+             m_prefill->Address() + "/k1");
+  BOOST_TEST(*FindField(run.m_head.m_fields, "X-Shallotford-Kv-Hold") == "h1");
+}
+
+BOOST_FIXTURE_TEST_CASE(a_broken_stream_goes_on_elsewhere, Engines)
+{
+  // The first run breaks inside the third event.
+  auto broken = std::make_shared<bool>(false);
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([engine, broken](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        const std::string* after =
+          FindField(aCall.m_request.m_head.m_fields, "Last-Event-Id");
+        engine->BeginStream(aCall);
+        if (!std::exchange(*broken, true)) {
+          aCall.m_exchange->Write(Event(1) + Event(2) + "id: 3\ndata: tok");
+          aCall.m_exchange->Abort();
+          return true;
+        }
+        for (int i = std::stoi(*after) + 1; i <= 4; ++i) {
+          aCall.m_exchange->Write(Event(i));
+        }
+        aCall.m_exchange->End();
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/stream/x", "r1");
+  std::string all = Event(1) + Event(2) + Event(3) + Event(4);
+  std::string body;
+  auto reader = MakeAnswerReader(4'096);
+  struct Sink : MessageSinkI
+  {
+    void OnBody(std::string_view aBytes) override { m_body += aBytes; }
+    void OnEnd() override { m_ended = true; }
+    std::string m_body;
+    bool m_ended{ false };
+  } sink;
+  reader->Feed(answer, sink);
+  BOOST_TEST(sink.m_body == all);
+  BOOST_TEST(sink.m_ended);
+  BOOST_TEST(Runs(*m_decode, "r1") == 1);
+  BOOST_TEST(Runs(*m_other, "r1") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_waited_in_vain_comes_back_later, Engines)
+{
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([](const PublishedCall& aCall) {
+        PublishedServer::AnswerNotRun(aCall);
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/fixed/x", "r1");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  // At most 0.3 of the time left of 6 s, and beyond the 0.4 s of others.
+  std::size_t at = answer.find("Retry-After: ");
+  BOOST_REQUIRE(at != std::string::npos);
+  double seconds = std::stod(answer.substr(at + 13));
+  BOOST_TEST(seconds > 0.5);
+  BOOST_TEST(seconds <= 1.8);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_broken_stream_waits_for_memory_elsewhere, Engines)
+{
+  // After the break no engine has room for a while.
+  auto broken = std::make_shared<bool>(false);
+  auto refusals = std::make_shared<int>(8);
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([engine, broken, refusals](const PublishedCall& aCall) {
+        if (aCall.m_reserve && *broken && (*refusals)-- > 0) {
+          PublishedServer::AnswerNotRun(aCall);
+          return true;
+        }
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        const HttpHeaders& fields = aCall.m_request.m_head.m_fields;
+        bool first = !std::exchange(*broken, true);
+        if (!first && FindField(fields, "X-Shallotford-Kv-Hold") == nullptr) {
+          PublishedServer::AnswerNotRun(aCall); // no room without a reservation
+          return true;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(first ? 1 : 2));
+        if (first) {
+          aCall.m_exchange->Abort();
+        } else {
+          aCall.m_exchange->End();
+        }
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/stream/x", "r1");
+  BOOST_TEST(Has(answer, Event(1)));
+  BOOST_TEST(Has(answer, Event(2)));
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_preempted_stream_stays_where_it_is, Engines)
+{
+  // Both engines give the first event only after a second.
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([this, engine](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        m_loop->RunAfter(1s, [engine, aCall] {
+          engine->BeginStream(aCall);
+          aCall.m_exchange->Write(Event(1));
+          aCall.m_exchange->End();
+        });
+        return true;
+      });
+    }
+  });
+  BOOST_TEST(Has(Ask("/stream/x", "r1"), Event(1)));
+  std::size_t sent = m_loop.Do([this] {
+    return m_decode->Received().size() + m_other->Received().size();
+  });
+  BOOST_TEST(sent == 2U); // one reservation, one run
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_that_may_not_go_on_shows_its_break, Engines)
+{
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([engine](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(1));
+        aCall.m_exchange->Abort();
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/fixed/x", "r1");
+  BOOST_TEST(Has(answer, Event(1)));
+  BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+  BOOST_TEST(Runs(*m_decode, "r1") + Runs(*m_other, "r1") == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lost_prefill_leaves_the_prompt_to_decode, Engines)
+{
+  StreamAll(*m_decode, 2);
+  StreamAll(*m_other, 2);
+  m_loop.Do([this] {
+    m_prefill->SetScript([](const PublishedCall& aCall) {
+      aCall.m_exchange->Abort();
+      return true;
+    });
+  });
+  std::string answer = Ask("/fixed/x", "r1");
+  BOOST_TEST(Has(answer, Event(2)));
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lost_prefill_counts_as_sent, EnginesWithoutBudget)
+{
+  StreamAll(*m_decode, 1);
+  StreamAll(*m_other, 1);
+  BOOST_TEST(Has(Ask("/fixed/x", "r1"), Event(1)));
+  m_loop.Do([this] {
+    m_prefill->SetScript([](const PublishedCall& aCall) {
+      aCall.m_exchange->Abort();
+      return true;
+    });
+  });
+  BOOST_TEST(Ask("/fixed/x", "r2").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(Runs(*m_decode, "r2") + Runs(*m_other, "r2") == 0);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_full_engine_makes_requests_wait, Engines)
+{
+  StreamAll(*m_decode, 1);
+  StreamAll(*m_other, 1);
+  // Both engines have no memory for the first calls.
+  auto refusals = std::make_shared<int>(6);
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([engine, refusals](const PublishedCall& aCall) {
+        if (aCall.m_reserve && (*refusals)-- > 0) {
+          PublishedServer::AnswerNotRun(aCall);
+          return true;
+        }
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(1));
+        aCall.m_exchange->End();
+        return true;
+      });
+    }
+  });
+  BOOST_TEST(Has(Ask("/fixed/x", "r1"), Event(1)));
+  // No prompt was read before there was memory.
+  std::size_t prefills =
+    m_loop.Do([this] { return m_prefill->Received().size(); });
+  BOOST_TEST(prefills == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_engines_failure_is_passed_on_after_a_vain_wait,
+                        Engines)
+{
+  // Both engines fail what they run, then have no memory any more.
+  auto failed = std::make_shared<bool>(false);
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([failed](const PublishedCall& aCall) {
+        if (aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        if (aCall.m_reserve) {
+          if (*failed) {
+            PublishedServer::AnswerNotRun(aCall);
+          }
+          return *failed;
+        }
+        *failed = true;
+        aCall.m_exchange->Respond(
+          500, "Own Words", PublishedServer::SignedFields(aCall), "why");
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/stream/x", "r1");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 500 Own Words\r\n"));
+  BOOST_TEST(answer.ends_with("\r\n\r\nwhy"));
+}
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -35,11 +35,18 @@
          aMoreRoutes +
          R"(],"services":[{"name":"plain","max-connections":100},)"
          R"({"name":"model","max-connections":100,)"
-         R"("engine":{"hold-ms":2000.0,"kv-tokens":50000}}],)"
+         R"("engine":{"hold-ms":2000.0,"slots":128,"kv-tokens":50000,)"
+         R"("role-switch-s":6.0}}],)"
          R"("limits":{"max-header-bytes":2048,"max-body-bytes":4096,)"
          R"("header-timeout-ms":300,"idle-timeout-ms":5000}})";
 }
 
+inline bool
+Has(const std::string& aText, const std::string& aPart)
+{
+  return aText.find(aPart) != std::string::npos;
+}
+
 /// One router, one store, and servers that a test adds.
 class RouterFixture
 {
@@ -153,6 +160,18 @@
     return socket.ReadToEnd();
   }
 
+  /// Returns how many lines of the log hold aPart.
+  std::size_t LinesOf(const std::string& aPart)
+  {
+    return m_loop.Do([&] {
+      const auto& lines = m_log.Lines();
+      return static_cast<std::size_t>(
+        std::count_if(lines.begin(), lines.end(), [&](const auto& aLine) {
+          return Has(aLine, aPart);
+        }));
+    });
+  }
+
   int Runs(PublishedServer& aServer, const std::string& aId)
   {
     return m_loop.Do([&] {
@@ -172,6 +191,46 @@
   std::unique_ptr<RouterI> m_router;
 };
 
+/// Two plain servers.
+struct Plain : RouterFixture
+{
+  explicit Plain(const RouterOptions& aOptions = Options())
+    : RouterFixture(aOptions)
+  {
+    Publish(ConfigText(1));
+    m_a = &AddServer("i-a", "plain");
+    m_b = &AddServer("i-b", "plain");
+    Start();
+    WaitFor([this] { return Knows(2); });
+  }
+  /// Returns whether the router knows so many upstreams.
+  bool Knows(std::size_t aUpstreams)
+  {
+    HttpResult result = FetchAndWait(
+      m_loop,
+      { .m_address = "127.0.0.1:" + std::to_string(m_router->OperatorPort()),
+        .m_path = "/metrics" });
+    return result.m_reply &&
+           Has(result.m_reply->m_body,
+               "shallotford_upstreams " + std::to_string(aUpstreams) + "\n");
+  }
+  void ScriptBoth(const PublishedServer::Script& aScript)
+  {
+    m_loop.Do([&] {
+      m_a->SetScript(aScript);
+      m_b->SetScript(aScript);
+    });
+  }
+  int AllRuns(const std::string& aId)
+  {
+    return Runs(*m_a, aId) + Runs(*m_b, aId);
+  }
+  PublishedServer* m_a;
+  PublishedServer* m_b;
+  int m_broken{ 0 };                     ///< on the loop's thread
+  std::vector<CallerExchangePtr> m_held; ///< on the loop's thread
+};
+
 } // namespace shallotford::test
 
 #endif // SHALLOTFORD_TESTS_ROUTER_FIXTURE_H
--- /dev/null
+++ b/tests/router_vms_test.cpp
@@ -0,0 +1,161 @@
+/// What a router believes: the store, other VMs, its start and its stop.
+
+#define BOOST_TEST_MODULE router_vms
+#include <boost/test/unit_test.hpp>
+
+#include "router_fixture.h"
+#include "shallotford/rpc.h"
+
+using namespace shallotford;
+using namespace shallotford::test;
+
+BOOST_FIXTURE_TEST_CASE(a_configuration_never_goes_back, Plain)
+{
+  const std::string kAdded =
+    R"(,{"name":"new","host":"h","prefix":"/new/","kind":"safe",)"
+    R"("service":"plain"})";
+  Publish(ConfigText(5, kAdded));
+  BOOST_TEST(WaitFor(
+    [this] { return Ask("/new/", "r1").starts_with("HTTP/1.1 200 "); }));
+  Publish(ConfigText(4));
+  std::uint64_t calls = m_loop.Do([this] { return m_store->Calls(); });
+  WaitFor(
+    [&] { return m_loop.Do([this] { return m_store->Calls(); }) > calls + 1; });
+  BOOST_TEST(Ask("/new/", "r2").starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_wrong_configuration_changes_nothing, Plain)
+{
+  Publish(R"({"version":9,"routes":[{"name":"r"}]})");
+  m_loop.Do([this] { m_store->Put("servers/i-x", "garbage"); });
+  BOOST_TEST(WaitFor([this] { return LinesOf("event=item_ignored") == 2; }));
+  BOOST_TEST(Ask("/safe/", "r1").starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(routing_goes_on_without_the_store, Plain)
+{
+  for (StoreMood mood : { StoreMood::Unavailable, StoreMood::Silent }) {
+    m_loop.Do([&] { m_store->SetMood(mood); });
+    BOOST_TEST(Ask("/safe/", "r1").starts_with("HTTP/1.1 200 "));
+  }
+  m_loop.Do([this] {
+    m_store->SetMood(StoreMood::Compacted);
+    m_store->Put("op/config",
+                 ConfigText(8,
+                            R"(,{"name":"n","host":"h",)"
+                            R"("prefix":"/n/","kind":"safe",)"
+                            R"("service":"plain"})"));
+  });
+  BOOST_TEST(
+    WaitFor([this] { return Ask("/n/", "r2").starts_with("HTTP/1.1 200 "); }));
+}
+
+BOOST_AUTO_TEST_CASE(without_a_configuration_nothing_is_denied)
+{
+  RouterFixture fixture;
+  fixture.m_loop.Do([&] { fixture.m_router->Start(); });
+  BOOST_TEST(fixture.Ready() == 503);
+  std::string answer = fixture.Ask("/safe/", "r1");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(Has(answer, "Retry-After: "));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_planned_stop_loses_nothing, Plain)
+{
+  RawSocket kept(Port());
+  kept.Send(Request("/safe/1", "r1"));
+  kept.ReadUntil("body");
+  Inbox<bool> drained;
+  m_loop.Do([&] { m_router->Drain([&drained] { drained.Put(true); }); });
+  BOOST_TEST(Ready() == 503);
+  kept.Send(Request("/safe/2", "r2"));
+  std::string answers = kept.ReadToEnd();
+  BOOST_TEST(Has(answers, "Connection: close"));
+  BOOST_TEST(Has(answers, "mark-r2"));
+  BOOST_TEST(Ask("/safe/", "r3").starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(drained.Take(20s).has_value());
+}
+
+BOOST_FIXTURE_TEST_CASE(two_vms_share_what_only_one_is_told, Plain)
+{
+  // A second VM whose store turns it away learns all from the first.
+  RouterOptions options = Options();
+  options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+  auto store =
+    m_loop.Do([this] { return std::make_unique<PublishedStore>(*m_loop); });
+  std::unique_ptr<DirectorySourceI> source;
+  std::unique_ptr<RouterI> other;
+  m_loop.Do([&] {
+    store->SetMood(StoreMood::Unavailable);
+    source = platform::MakeStoreSource(
+      *m_loop, m_log, *m_random, { .m_address = store->Address() });
+    other = MakeRouter(
+      options, { *m_loop, *source, *m_decoder, *m_dialect, m_log, *m_random });
+    other->Start();
+  });
+  BOOST_TEST(WaitFor([&] {
+    RawSocket socket(other->CallerPort());
+    socket.Send(Request("/safe/", "r1", "body", "Connection: close\r\n"));
+    return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
+  }));
+  m_loop.Do([&] {
+    other.reset();
+    source.reset();
+    store.reset();
+  });
+}
+
+namespace {
+
+/// A peer that answers each call with the same result.
+struct WrongPeer : HttpHandlerI
+{
+  WrongPeer(LoopI& aLoop, Json::Value aResult)
+    : m_result(std::move(aResult))
+    , m_server(aLoop.Listen({}, *this))
+  {
+  }
+  void OnRequest(std::shared_ptr<HttpExchangeI> aExchange,
+                 HttpRequest aRequest) override
+  {
+    ++m_calls;
+    aExchange->Respond(
+      200,
+      { { "content-type", "application/json" } },
+      RpcResultBody(ParseRpcCall(aRequest.m_body).m_id, m_result));
+  }
+  std::string Address() const
+  {
+    return "127.0.0.1:" + std::to_string(m_server->Port());
+  }
+  Json::Value m_result;
+  int m_calls{ 0 };
+  std::unique_ptr<HttpServerI> m_server;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_malformed_word_of_a_peer_changes_nothing, Plain)
+{
+  Json::Value noNumber;
+  noNumber["delta"]["up_to"] = "many";
+  Json::Value noItems;
+  noItems["delta"]["items"].append("text");
+  Json::Value noBase64;
+  noBase64["delta"]["items"][0]["key"] = "op/config";
+  noBase64["delta"]["items"][0]["value"] = "%%%";
+  Json::Value noObject(Json::arrayValue);
+  for (const Json::Value& result :
+       { noNumber, noItems, noBase64, noObject, Json::Value("text") }) {
+    auto peer =
+      m_loop.Do([&] { return std::make_unique<WrongPeer>(*m_loop, result); });
+    RouterOptions options = Options();
+    options.m_seeds = { peer->Address() };
+    std::size_t before = LinesOf("event=peer_malformed");
+    m_loop.Do([&] { m_router->Reload(options); });
+    BOOST_TEST(
+      WaitFor([&] { return LinesOf("event=peer_malformed") > before; }));
+    BOOST_TEST(Ask("/safe/", "r1").starts_with("HTTP/1.1 200 "));
+    m_loop.Do([&] { peer.reset(); });
+  }
+}
--- a/tools/standin_http.cpp
+++ b/tools/standin_http.cpp
@@ -2,6 +2,8 @@
 
 #include "standin_http.h"
 
+#include "daemon_listen.h"
+
 #include "shallotford/fleet.h"
 
 #include <charconv>
@@ -105,10 +107,7 @@
 ServerOptions
 ServerOptionsOf(const std::string& aListen)
 {
-  SocketAddress address = ParseAddress(aListen);
-  ServerOptions options;
-  options.m_address = address.m_ip;
-  options.m_port = address.m_port;
+  ServerOptions options = ListenOptions(aListen);
   options.m_idleTimeout = std::chrono::minutes(10);
   return options;
 }
