Let surplus prefill engines decode from the first start on

Cause: in the bursts streams wait for the memory of decode engines, while prefill engines are busy for 40 % of the time (read from request_end lines: late first events had waited for a reservation). A prompt of 5,200 tokens takes 94 ms of a prefill engine, a stream of 780 tokens about 350 ms of a decode engine, so that 3 of 12 engines suffice to read. Ruled out: shorter reservations (5 % of the time held).

At the first start of all VMs, before callers come, the first of the seeds orders the surplus engines to decode, once; nobody orders later.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -32,6 +32,12 @@
   double m_retrySlack{ 10.0 };  ///< further extra sends, over all VMs
   double m_retryWindow{ 10.0 }; ///< seconds
   double m_drainTime{ 8.0 };    ///< seconds from the stop signal to the end
+  /// The whole system starts for the first time, without requests yet.
+  bool m_firstStart{ false };
+  /// Mean tokens of a request's prompt and answer, by which engines' roles are
+  /// set at the first start; 0 leaves them as they are.
+  double m_typicalPrompt{ 0 };
+  double m_typicalOutput{ 0 };
 };
 
 /// Settings of one daemon. Addresses are "IP:PORT".
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -69,6 +69,10 @@
   bool m_engines{ false }; ///< served by prefill and decode engines
   /// Longest life of an unused reservation; 0 if engines take none.
   std::chrono::milliseconds m_reservationLifetime{ 0 };
+  std::uint32_t m_engineSlots{ 0 };  ///< requests that one engine runs at once
+  std::uint32_t m_engineTokens{ 0 }; ///< that one engine's memory holds
+  /// Time that an engine is away to change its role; 0 if it can't.
+  std::chrono::milliseconds m_roleChangeTime{ 0 };
 };
 
 /// What a caller may send, and how long it may take.
@@ -300,6 +304,39 @@
   std::map<UpstreamKey, UpstreamPtr> m_upstreams;
 };
 
+// ------------------------------------------------------------------ roles
+
+/// What one engine holds at once.
+struct EngineCapacity
+{
+  std::uint32_t m_slots{ 1 };
+  double m_memoryTokens{ 0 };
+};
+
+/// The mean of what requests ask of engines.
+struct RequestShape
+{
+  double m_promptTokens{ 0 };
+  double m_outputTokens{ 0 };
+};
+
+/// Returns the share of all engine time that reading prompts takes, 0 to 1,
+/// where decode engines are full. It answers a load near the engines' limits,
+/// at which the split decides how much is served.
+double
+PrefillShare(const EngineCapacity& aCapacity, const RequestShape& aShape);
+
+/// Returns how many of aEngines should read prompts.
+std::size_t
+WantedPrefillEngines(std::size_t aEngines, double aPrefillShare);
+
+/// Chooses the prefill engines of aService that should decode instead, from
+/// the failure domains that have the most of them.
+std::vector<UpstreamPtr>
+ChooseForDecode(const std::vector<UpstreamPtr>& aUpstreams,
+                const std::string& aService,
+                double aPrefillShare);
+
 // --------------------------------------------------------------- requests
 
 /// Where one request stands, for the choice of its next step.
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -43,6 +43,14 @@
   std::string m_body;
 };
 
+/// An order to an engine to change its role.
+struct RoleOrder
+{
+  EngineStage m_role{ EngineStage::Decode };
+  std::string m_holder;       ///< the VM that gives it
+  std::uint64_t m_fence{ 0 }; ///< a higher one goes before a lower one
+};
+
 /// What an upstream's answer says of itself.
 struct AnswerFacts
 {
@@ -77,6 +85,9 @@
   virtual std::string ReadReservation(const std::string& aBody) const = 0;
   virtual EngineCall ReleaseCall(const UpstreamEntry& aEngine,
                                  const std::string& aReservation) const = 0;
+  /// Orders an engine to change its role.
+  virtual EngineCall RoleCall(const UpstreamEntry& aEngine,
+                              const RoleOrder& aOrder) const = 0;
 };
 
 // -------------------------------------------------------------- directory
@@ -134,6 +145,10 @@
   std::size_t m_maxConnections{ 2048 };
   /// From the stop signal to the process's end, at most.
   std::chrono::milliseconds m_drainTime{ 8'000 };
+  /// The whole system starts for the first time.
+  bool m_firstStart{ false };
+  /// By which engines' roles are set then; zeros leave them as they are.
+  RequestShape m_typicalRequest;
 };
 
 class RouterI
--- a/src/config.h
+++ b/src/config.h
@@ -236,6 +236,23 @@
 /// Further tokens for a request that is late already: room that is left for one
 /// that can still be on time.
 constexpr std::uint32_t kLateTokens = 6'000;
+/// Prompt tokens that a prefill engine reads in a millisecond, and the time in
+/// which a decode engine makes one token for each of its requests: of the
+/// engines that the users describe, to compare the two roles' work.
+constexpr double kTypicalPromptTokensPerMs = 55.0;
+constexpr std::chrono::duration<double, std::milli> kTypicalStep{ 3.4 };
+constexpr std::chrono::duration<double, std::milli> kTypicalStepPerRequest{
+  0.1
+};
+/// Prefill engines beyond those that would always be busy: prompts come at
+/// random, and each one that waits makes a first token late.
+constexpr double kPrefillHeadroom = 1.15;
+/// One may be lost.
+constexpr std::size_t kLeastPrefillEngines = 2;
+/// Roles are set in this time after the first start of all VMs: engines start
+/// within some seconds, and callers come after ten.
+constexpr std::chrono::milliseconds kRolesAfter = 4'000ms;
+constexpr std::chrono::milliseconds kRolesUntil = 8'000ms;
 /// VMs assumed in each failure domain before others are heard of.
 constexpr std::size_t kVmsPerDomain = 3;
 constexpr std::chrono::milliseconds kRouterTick = 500ms;
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -59,6 +59,7 @@
 constexpr Range<double> kRatio{ 0.0, 10.0 };
 constexpr Range<double> kSlack{ 0.0, 1e6 };
 constexpr Range<double> kSeconds{ 0.1, 3600.0 };
+constexpr Range<double> kTokens{ 0.0, 1e7 };
 
 void
 ReadRouting(ObjectReader& aReader, Settings& aSettings)
@@ -70,6 +71,9 @@
   aReader.Read("retry_slack", routing.m_retrySlack, kSlack);
   aReader.Read("retry_window_s", routing.m_retryWindow, kSeconds);
   aReader.Read("drain_s", routing.m_drainTime, kSeconds);
+  aReader.Read("first_start", routing.m_firstStart);
+  aReader.Read("typical_prompt_tokens", routing.m_typicalPrompt, kTokens);
+  aReader.Read("typical_output_tokens", routing.m_typicalOutput, kTokens);
 }
 
 /// Reads {"listen": ADDRESS, "tls": {...}}. A missing object is reported as
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -41,7 +41,10 @@
                               .m_slack = routing.m_retrySlack,
                               .m_window = FromSeconds(routing.m_retryWindow) },
            .m_maxConnections = aSettings.m_maxConnections,
-           .m_drainTime = FromSeconds(routing.m_drainTime) };
+           .m_drainTime = FromSeconds(routing.m_drainTime),
+           .m_firstStart = routing.m_firstStart,
+           .m_typicalRequest = { .m_promptTokens = routing.m_typicalPrompt,
+                                 .m_outputTokens = routing.m_typicalOutput } };
 }
 
 /// Applies the settings file to a running router when its text has changed.
--- /dev/null
+++ b/src/route_roles.cpp
@@ -0,0 +1,88 @@
+/// How many engines of a service read prompts, and which change their role.
+
+#include "config.h"
+#include "shallotford/route.h"
+
+#include <algorithm>
+#include <cmath>
+
+namespace shallotford {
+
+double
+PrefillShare(const EngineCapacity& aCapacity, const RequestShape& aShape)
+{
+  double held = aShape.m_promptTokens + aShape.m_outputTokens;
+  double atOnce = std::clamp(aCapacity.m_memoryTokens / std::max(held, 1.0),
+                             1.0,
+                             static_cast<double>(aCapacity.m_slots));
+  using Milliseconds = std::chrono::duration<double, std::milli>;
+  Milliseconds prefill(aShape.m_promptTokens / kTypicalPromptTokensPerMs);
+  Milliseconds decode = kTypicalStep + kTypicalStepPerRequest * atOnce;
+  decode *= aShape.m_outputTokens / atOnce;
+  return prefill / (prefill + decode);
+}
+
+std::size_t
+WantedPrefillEngines(std::size_t aEngines, double aPrefillShare)
+{
+  double wanted =
+    std::ceil(kPrefillHeadroom * aPrefillShare * static_cast<double>(aEngines));
+  return std::max(static_cast<std::size_t>(wanted), kLeastPrefillEngines);
+}
+
+namespace {
+
+/// Engines of one service, by failure domain.
+struct DomainEngines
+{
+  std::vector<UpstreamPtr> m_prefill;
+  std::size_t m_all{ 0 };
+
+  /// Prefill engines beyond the domain's part of aShare.
+  double Surplus(double aShare) const
+  {
+    return static_cast<double>(m_prefill.size()) -
+           aShare * static_cast<double>(m_all);
+  }
+};
+
+} // namespace
+
+std::vector<UpstreamPtr>
+ChooseForDecode(const std::vector<UpstreamPtr>& aUpstreams,
+                const std::string& aService,
+                double aPrefillShare)
+{
+  std::map<std::string, DomainEngines> domains;
+  std::size_t engines = 0;
+  std::size_t prefill = 0;
+  for (const UpstreamPtr& upstream : aUpstreams) {
+    const UpstreamEntry& entry = upstream->m_entry;
+    if (entry.m_service != aService || entry.m_draining ||
+        entry.m_stage == EngineStage::None) {
+      continue;
+    }
+    DomainEngines& domain = domains[entry.m_failureDomain];
+    ++engines;
+    ++domain.m_all;
+    if (entry.m_stage == EngineStage::Prefill) {
+      ++prefill;
+      domain.m_prefill.push_back(upstream);
+    }
+  }
+  std::size_t wanted = WantedPrefillEngines(engines, aPrefillShare);
+  std::vector<UpstreamPtr> chosen;
+  for (; prefill > wanted; --prefill) {
+    auto most = std::max_element(domains.begin(),
+                                 domains.end(),
+                                 [&](const auto& aLeft, const auto& aRight) {
+                                   return aLeft.second.Surplus(aPrefillShare) <
+                                          aRight.second.Surplus(aPrefillShare);
+                                 });
+    chosen.push_back(most->second.m_prefill.back());
+    most->second.m_prefill.pop_back();
+  }
+  return chosen;
+}
+
+} // namespace shallotford
--- a/src/router_errands.cpp
+++ b/src/router_errands.cpp
@@ -1,4 +1,4 @@
-/// Calls at engines whose answers nobody waits for.
+/// Calls at engines that no request waits for.
 
 #include "router_errands.h"
 
@@ -25,16 +25,23 @@
 public:
   Errand(Errands& aOwner,
          const UpstreamEntry& aUpstream,
-         const EngineCall& aCall)
+         const EngineCall& aCall,
+         std::function<void(int)> aOnAnswer)
     : m_owner(aOwner)
     , m_target(aCall.m_target)
+    , m_onAnswer(std::move(aOnAnswer))
     , m_call(aOwner.m_pool.Start(aUpstream,
                                  OptionsFor(aCall, kErrandTimeout),
                                  *this))
   {
   }
 
-  void OnAnswerHead(const AnswerHead&) override {}
+  void OnAnswerHead(const AnswerHead& aHead) override
+  {
+    if (m_onAnswer) {
+      m_onAnswer(aHead.m_status);
+    }
+  }
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerEnd() override { m_owner.Remove(this); }
   void OnCallFailed(AttemptEnd aEnd, const std::string& aReason) override
@@ -49,6 +56,7 @@
 private:
   Errands& m_owner;
   std::string m_target;
+  std::function<void(int)> m_onAnswer;
   std::unique_ptr<UpstreamCallI> m_call;
 };
 
@@ -62,9 +70,12 @@
 Errands::~Errands() = default;
 
 void
-Errands::Send(const UpstreamEntry& aUpstream, const EngineCall& aCall)
+Errands::Send(const UpstreamEntry& aUpstream,
+              const EngineCall& aCall,
+              std::function<void(int)> aOnAnswer)
 {
-  auto errand = std::make_unique<Errand>(*this, aUpstream, aCall);
+  auto errand =
+    std::make_unique<Errand>(*this, aUpstream, aCall, std::move(aOnAnswer));
   m_errands.emplace(errand.get(), std::move(errand));
 }
 
--- a/src/router_errands.h
+++ b/src/router_errands.h
@@ -1,7 +1,7 @@
 #ifndef SHALLOTFORD_SRC_ROUTER_ERRANDS_H
 #define SHALLOTFORD_SRC_ROUTER_ERRANDS_H
 
-/// Calls at engines whose answers nobody waits for.
+/// Calls at engines that no request waits for.
 
 #include "router_upstream.h"
 #include "shallotford/router.h"
@@ -18,7 +18,10 @@
   Errands(LoopI& aLoop, ConnectionPool& aPool, LogI& aLog);
   ~Errands();
 
-  void Send(const UpstreamEntry& aUpstream, const EngineCall& aCall);
+  /// @param aOnAnswer  gets the answer's status; not called without an answer
+  void Send(const UpstreamEntry& aUpstream,
+            const EngineCall& aCall,
+            std::function<void(int)> aOnAnswer = {});
 
 private:
   class Errand;
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -336,6 +336,7 @@
     m_lastGossip = now;
     Gossip();
   }
+  SetRoles();
   LogReadiness();
   if (m_leaving) {
     CheckDrained();
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -85,6 +85,11 @@
   bool IsReady() const;
   void SetGauges();
 
+  void SetRoles();
+  /// Returns whether this VM is the one that gives orders to engines.
+  bool GivesOrders() const;
+  void OrderRoles(const RoutedService& aService);
+
   void Tick();
   void NoticeFreeze();
   void LogReadiness();
@@ -115,6 +120,7 @@
   std::unique_ptr<HttpServerI> m_operatorServer;
   std::unique_ptr<HttpServerI> m_metricsServer;
 
+  bool m_rolesSet{ false };
   bool m_sourceUp{ false };
   TimePoint m_sourceHeard{};
   bool m_gossiping{ false };
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE router_engines
 #include <boost/test/unit_test.hpp>
 
+#include "config.h"
 #include "router_fixture.h"
 
 using namespace shallotford;
@@ -325,3 +326,84 @@
   BOOST_TEST(answer.starts_with("HTTP/1.1 500 Own Words\r\n"));
   BOOST_TEST(answer.ends_with("\r\n\r\nwhy"));
 }
+
+namespace {
+
+/// A first start with four prefill engines and eight decode engines.
+struct FirstStart : RouterFixture
+{
+  FirstStart()
+    : RouterFixture(FirstOptions("127.0.0.1:0"))
+  {
+    Publish(ConfigText(1));
+    for (int i = 0; i < 12; ++i) {
+      AddServer(
+        "i-" + std::to_string(i), "model", i < 4 ? "prefill" : "decode");
+    }
+  }
+  /// @param aFirstSeed  the VM that gives orders
+  static RouterOptions FirstOptions(const std::string& aFirstSeed)
+  {
+    RouterOptions options = Options();
+    options.m_seeds = { "127.0.0.9:1", aFirstSeed };
+    options.m_firstStart = true;
+    options.m_typicalRequest = { .m_promptTokens = 5'200,
+                                 .m_outputTokens = 780 };
+    return options;
+  }
+  std::vector<CallerRequest> Orders()
+  {
+    return m_loop.Do([this] {
+      std::vector<CallerRequest> orders;
+      for (const auto& server : m_servers) {
+        for (const CallerRequest& request : server->Received()) {
+          if (request.m_head.m_target == "/api/order") {
+            orders.push_back(request);
+          }
+        }
+      }
+      return orders;
+    });
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(the_first_seed_sets_roles_once, FirstStart)
+{
+  Start();
+  BOOST_TEST(WaitFor([this] { return LinesOf("event=role_ordered") > 0; }));
+  std::vector<CallerRequest> orders = Orders();
+  BOOST_REQUIRE(orders.size() == 1U);
+  Json::Value body = ParseJson(*orders.front().m_body);
+  BOOST_TEST(body["op"].asString() == "stage");
+  BOOST_TEST(body["stage"].asString() == "decode");
+  BOOST_TEST(body["holder"].asString() == "127.0.0.1:0");
+  BOOST_TEST(body["fence"].asUInt64() > 0U);
+  std::this_thread::sleep_for(2 * kRouterTick);
+  BOOST_TEST(Orders().size() == 1U);
+}
+
+BOOST_FIXTURE_TEST_CASE(other_vms_and_later_starts_give_no_orders, FirstStart)
+{
+  RouterOptions later = FirstOptions("127.0.0.1:0");
+  later.m_firstStart = false;
+  for (const RouterOptions& options : { FirstOptions("127.0.0.0:1"), later }) {
+    std::unique_ptr<DirectorySourceI> source;
+    std::unique_ptr<RouterI> router;
+    m_loop.Do([&] {
+      source = platform::MakeStoreSource(
+        *m_loop, m_log, *m_random, { .m_address = m_store->Address() });
+      router = MakeRouter(
+        options,
+        { *m_loop, *source, *m_decoder, *m_dialect, m_log, *m_random });
+      router->Start();
+    });
+    std::this_thread::sleep_for(kRolesUntil + kRouterTick);
+    BOOST_TEST(Orders().empty());
+    m_loop.Do([&] {
+      router.reset();
+      source.reset();
+    });
+  }
+}
