Leave prompts to decode engines where prefill engines are short

Ruled out: memory of decode engines (reserved after 4 ms at the median).

Each VM estimates the wait of its prompts; above 150 ms a growing part of them, above 500 ms all, go to the decode engine at once, which reads at half the speed.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -126,6 +126,9 @@
   Decode,
 };
 
+std::string_view
+ToString(EngineStage aStage);
+
 /// One start of an upstream. Another start has another id or start time.
 struct UpstreamKey
 {
@@ -337,6 +340,26 @@
                 const std::string& aService,
                 double aPrefillShare);
 
+/// How long a service's prompts wait before prefill engines read them, as this
+/// VM's requests found it. Above what keeps a first token on time, a part of
+/// the prompts is left to the decode engines, which read them at half the
+/// speed. It answers a lack of prefill engines, by losses or in a burst.
+class PrefillDelay
+{
+public:
+  /// A prefill of aPromptTokens was answered, or given up, after aTook.
+  void OnPrefill(double aPromptTokens, Duration aTook, TimePoint aNow);
+  /// The expected wait of a prompt; fades with time.
+  Duration Expected(TimePoint aNow) const;
+  /// Returns whether a decode engine should read a request's prompt.
+  /// @param aHash  of the request's id
+  bool LeavesToDecode(std::uint64_t aHash, TimePoint aNow) const;
+
+private:
+  Duration m_wait{ 0 };
+  TimePoint m_waitAt{};
+};
+
 // --------------------------------------------------------------- requests
 
 /// Where one request stands, for the choice of its next step.
--- a/src/config.h
+++ b/src/config.h
@@ -249,6 +249,13 @@
 constexpr double kPrefillHeadroom = 1.15;
 /// One may be lost.
 constexpr std::size_t kLeastPrefillEngines = 2;
+/// Waits of prompts at prefill engines: from the first on, some are left to
+/// decode engines, from the second on all. A decode engine takes about 200 ms
+/// longer to read one, and the target for a first token is 900 ms.
+constexpr std::chrono::milliseconds kGoodPrefillDelay = 150ms;
+constexpr std::chrono::milliseconds kBadPrefillDelay = 500ms;
+constexpr std::chrono::milliseconds kPrefillDelayHalfLife = 1'000ms;
+constexpr double kPrefillDelayBlend = 0.4; // of the newest prefill
 /// Roles are set in this time after the first start of all VMs: engines start
 /// within some seconds, and callers come after ten.
 constexpr std::chrono::milliseconds kRolesAfter = 4'000ms;
--- a/src/route_roles.cpp
+++ b/src/route_roles.cpp
@@ -30,6 +30,36 @@
   return std::max(static_cast<std::size_t>(wanted), kLeastPrefillEngines);
 }
 
+void
+PrefillDelay::OnPrefill(double aPromptTokens, Duration aTook, TimePoint aNow)
+{
+  std::chrono::duration<double, std::milli> reading(aPromptTokens /
+                                                    kTypicalPromptTokensPerMs);
+  Duration wait = std::max(
+    aTook - std::chrono::duration_cast<Duration>(reading), Duration::zero());
+  Duration before = Expected(aNow);
+  m_wait = before + std::chrono::duration_cast<Duration>(kPrefillDelayBlend *
+                                                         (wait - before));
+  m_waitAt = aNow;
+}
+
+Duration
+PrefillDelay::Expected(TimePoint aNow) const
+{
+  using Seconds = std::chrono::duration<double>;
+  double age = Seconds(aNow - m_waitAt) / Seconds(kPrefillDelayHalfLife);
+  return std::chrono::duration_cast<Duration>(m_wait * std::exp2(-age));
+}
+
+bool
+PrefillDelay::LeavesToDecode(std::uint64_t aHash, TimePoint aNow) const
+{
+  using Seconds = std::chrono::duration<double>;
+  double excess = Seconds(Expected(aNow) - kGoodPrefillDelay) /
+                  Seconds(kBadPrefillDelay - kGoodPrefillDelay);
+  return static_cast<double>(aHash >> 11) * 0x1.0p-53 < excess;
+}
+
 namespace {
 
 /// Engines of one service, by failure domain.
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -68,6 +68,20 @@
 
 } // namespace
 
+std::string_view
+ToString(EngineStage aStage)
+{
+  switch (aStage) {
+    case EngineStage::None:
+      return "none";
+    case EngineStage::Prefill:
+      return "prefill";
+    case EngineStage::Decode:
+      return "decode";
+  }
+  return "?";
+}
+
 Distance
 DistanceBetween(const Location& aLocation,
                 const std::string& aFrom,
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -159,6 +159,8 @@
     event.Add("reserved", m_reservedSince - m_received)
       .Add("prompt", static_cast<std::int64_t>(m_facts.m_promptTokens))
       .Add("output", static_cast<std::int64_t>(m_facts.m_outputTokens))
+      .Add("prefill_delay",
+           m_shared.m_prefillDelays[m_service].Expected(m_shared.m_loop.Now()))
       .Add("last_event", m_events.LastId());
   }
   if (m_answerBegun) {
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -105,6 +105,10 @@
   if (m_reservedAt != nullptr) {
     near = m_reservedAt->m_entry.m_failureDomain;
   }
+  TimePoint now = m_shared.m_loop.Now();
+  const PrefillDelay& delay = m_shared.m_prefillDelays[m_service];
+  m_skipPrefill =
+    m_skipPrefill || delay.LeavesToDecode(StableHash(m_facts.m_id), now);
   UpstreamPtr upstream =
     m_skipPrefill ? nullptr : Pick(EngineStage::Prefill, near);
   bool allowed = upstream != nullptr && m_prefillTries < kMaxPrefills &&
@@ -142,6 +146,11 @@
 RoutedRequest::AfterPrefill(AttemptEnd aEnd)
 {
   bool arrived = aEnd != AttemptEnd::NotConnected;
+  if (aEnd == AttemptEnd::Answered || aEnd == AttemptEnd::Silent) {
+    TimePoint now = m_shared.m_loop.Now();
+    m_shared.m_prefillDelays[m_service].OnPrefill(
+      m_facts.m_promptTokens, now - m_sentAt, now);
+  }
   m_prefills += arrived ? 1 : 0;
   // Only a prefill that an engine accepted is free of the retry budget.
   m_arrivals += arrived && aEnd != AttemptEnd::Answered ? 1 : 0;
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -47,6 +47,7 @@
               .m_budgetOptions = aOptions.m_retryBudget,
               .m_startedAt = m_loop.Now(),
               .m_budgets = {},
+              .m_prefillDelays = {},
               .m_liveVms = 1,
               .m_admission = m_admission,
               .m_errands = m_errands }
@@ -314,6 +315,7 @@
       .Add("started_ms", static_cast<std::int64_t>(aEntry.m_key.m_startedMs))
       .Add("service", aEntry.m_service)
       .Add("address", aEntry.m_address)
+      .Add("stage", ToString(aEntry.m_stage))
       .Add("draining", aEntry.m_draining ? "yes" : "no")
       .Add("from", aFrom));
 }
--- a/tests/route_roles_test.cpp
+++ b/tests/route_roles_test.cpp
@@ -6,6 +6,7 @@
 #include "shallotford/route.h"
 
 #include <algorithm>
+#include <cmath>
 #include <numeric>
 #include <queue>
 #include <rapidcheck.h>
@@ -48,16 +49,21 @@
 
 /// Plays a burst of requests on engines of two roles: prompts are read one
 /// after the other, and a request begins to decode when memory is free.
+/// @param aBurstPerSecond  requests, for five seconds
+/// @param aDelay  decides which prompts are left to decode engines, if given
 /// @return the share of requests with a first token within 900 ms
 double
-PlayBurst(std::size_t aPrefill, std::size_t aDecode)
+PlayBurst(std::size_t aPrefill,
+          std::size_t aDecode,
+          double aBurstPerSecond,
+          PrefillDelay* aDelay = nullptr)
 {
   using Ms = double;
   constexpr Ms kTarget = 900;
   constexpr Ms kRead = 94;
+  constexpr Ms kSlowRead = 225; // by a decode engine
   constexpr Ms kDecode = 3'500;
   constexpr double kUsualPerSecond = 13;
-  constexpr double kBurstPerSecond = 29;
   constexpr int kHeldAtOnce = 9; // requests that one engine's memory holds
   using Times = std::priority_queue<Ms, std::vector<Ms>, std::greater<>>;
   Times readers;
@@ -72,14 +78,29 @@
   int timely = 0;
   for (Ms now = 0; now < 20'000; ++all) {
     bool burst = now > 8'000 && now < 13'000;
-    Ms read = std::max(now, readers.top()) + kRead;
-    Ms begin = std::max(read, places.top());
-    readers.pop();
-    readers.push(read);
+    TimePoint at(std::chrono::microseconds(std::llround(1'000 * now)));
+    std::uint64_t hash = StableHash("request " + std::to_string(all));
+    Ms read = now;
+    Ms slower = 0;
+    if (aDelay != nullptr && aDelay->LeavesToDecode(hash, at)) {
+      slower = kSlowRead;
+    } else {
+      read = std::max(now, readers.top()) + kRead;
+      readers.pop();
+      readers.push(read);
+    }
+    if (aDelay != nullptr && slower == 0) {
+      aDelay->OnPrefill(
+        kShape.m_promptTokens,
+        std::chrono::microseconds(std::llround(1'000 * (read - now))),
+        at);
+    }
+    Ms begin = std::max(read, places.top()) + slower;
     places.pop();
-    places.push(begin + kDecode);
+    // The other requests of that engine stand still meanwhile.
+    places.push(begin + kDecode + slower);
     timely += begin - now <= kTarget ? 1 : 0;
-    now += 1'000 / (burst ? kBurstPerSecond : kUsualPerSecond);
+    now += 1'000 / (burst ? aBurstPerSecond : kUsualPerSecond);
   }
   return static_cast<double>(timely) / all;
 }
@@ -142,7 +163,33 @@
 {
   std::size_t prefill =
     WantedPrefillEngines(12, PrefillShare(kCapacity, kShape));
-  double published = PlayBurst(4, 8);
-  double chosen = PlayBurst(prefill, 12 - prefill);
+  double published = PlayBurst(4, 8, 29);
+  double chosen = PlayBurst(prefill, 12 - prefill, 29);
   BOOST_TEST(chosen > published + 0.05);
 }
+
+BOOST_AUTO_TEST_CASE(a_lack_of_prefill_engines_makes_few_requests_late)
+{
+  // One more prefill engine was lost than the split allows for.
+  PrefillDelay delay;
+  double without = PlayBurst(2, 9, 26);
+  double with = PlayBurst(2, 9, 26, &delay);
+  BOOST_TEST(with > without + 0.1);
+  // Nearly as well as if it weren't lost.
+  BOOST_TEST(with > PlayBurst(3, 9, 26) - 0.05);
+  // Where there are enough, decode engines read nothing.
+  PrefillDelay unused;
+  BOOST_TEST(PlayBurst(5, 9, 26, &unused) == PlayBurst(5, 9, 26));
+}
+
+BOOST_AUTO_TEST_CASE(a_delay_is_forgotten)
+{
+  TimePoint now{ 1h };
+  PrefillDelay delay;
+  BOOST_TEST(!delay.LeavesToDecode(0, now));
+  for (int i = 0; i < 20; ++i) {
+    delay.OnPrefill(5'200, 1'500ms, now);
+  }
+  BOOST_TEST(delay.LeavesToDecode(UINT64_MAX, now));
+  BOOST_TEST(!delay.LeavesToDecode(0, now + 10s));
+}
