--- a/src/router_request.h
+++ b/src/router_request.h
@@ -24,7 +24,7 @@
   Metrics& m_metrics;
   RetryBudgetOptions m_budgetOptions;
   TimePoint m_startedAt;
-  std::map<std::string, RetryBudget> m_budgets; ///< by service
+  std::map<std::string, RetryBudget> m_budgets;        ///< by service
   std::map<std::string, PrefillDelay> m_prefillDelays; ///< by service
   std::size_t m_liveVms{ 1 };
   Admission& m_admission;
