--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -335,10 +335,12 @@
 
 /// Chooses the prefill engines of aService that should decode instead, from
 /// the failure domains that have the most of them.
+/// @param aChanging  prefill engines that were ordered to decode before
 std::vector<UpstreamPtr>
 ChooseForDecode(const std::vector<UpstreamPtr>& aUpstreams,
                 const std::string& aService,
-                double aPrefillShare);
+                double aPrefillShare,
+                const std::set<UpstreamKey>& aChanging = {});
 
 /// How long a service's prompts wait before prefill engines read them, as this
 /// VM's requests found it. Above what keeps a first token on time, a part of
--- a/src/route_roles.cpp
+++ b/src/route_roles.cpp
@@ -81,7 +81,8 @@
 std::vector<UpstreamPtr>
 ChooseForDecode(const std::vector<UpstreamPtr>& aUpstreams,
                 const std::string& aService,
-                double aPrefillShare)
+                double aPrefillShare,
+                const std::set<UpstreamKey>& aChanging)
 {
   std::map<std::string, DomainEngines> domains;
   std::size_t engines = 0;
@@ -95,7 +96,8 @@
     DomainEngines& domain = domains[entry.m_failureDomain];
     ++engines;
     ++domain.m_all;
-    if (entry.m_stage == EngineStage::Prefill) {
+    if (entry.m_stage == EngineStage::Prefill &&
+        !aChanging.contains(entry.m_key)) {
       ++prefill;
       domain.m_prefill.push_back(upstream);
     }
--- a/src/router_roles.cpp
+++ b/src/router_roles.cpp
@@ -39,12 +39,11 @@
 RouterTask::SetRoles()
 {
   Duration age = m_loop.Now() - m_shared.m_startedAt;
-  bool due = m_options.m_firstStart && !m_rolesSet && age >= kRolesAfter &&
+  bool due = m_options.m_firstStart && age >= kRolesAfter &&
              age < kRolesUntil && m_routes.Text() != nullptr;
   if (!due || !GivesOrders()) {
     return;
   }
-  m_rolesSet = true;
   for (const auto& [name, service] : m_routes.Text()->m_services) {
     if (service.m_engines && service.m_roleChangeTime.count() > 0) {
       OrderRoles(service);
@@ -68,8 +67,9 @@
                    .m_holder = m_options.m_peerAddress,
                    .m_fence = NewFence() };
   for (const UpstreamPtr& engine :
-       ChooseForDecode(m_upstreams.All(), aService.m_name, share)) {
+       ChooseForDecode(m_upstreams.All(), aService.m_name, share, m_ordered)) {
     const UpstreamEntry& entry = engine->m_entry;
+    m_ordered.insert(entry.m_key);
     m_errands.Send(entry,
                    m_dialect.RoleCall(entry, order),
                    [this, id = entry.m_key.m_id, share](int aStatus) {
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -120,7 +120,7 @@
   std::unique_ptr<HttpServerI> m_operatorServer;
   std::unique_ptr<HttpServerI> m_metricsServer;
 
-  bool m_rolesSet{ false };
+  std::set<UpstreamKey> m_ordered; ///< engines, to change their role
   bool m_sourceUp{ false };
   TimePoint m_sourceHeard{};
   bool m_gossiping{ false };
--- a/tests/route_roles_test.cpp
+++ b/tests/route_roles_test.cpp
@@ -138,6 +138,12 @@
   // The first domain has two of the four.
   BOOST_TEST(chosen.front()->m_entry.m_failureDomain == "z0");
   BOOST_TEST(ChooseForDecode(MakeEngines(4, 8), "other", 0.2).empty());
+  // What was ordered before isn't ordered again, nor another one instead.
+  BOOST_TEST(ChooseForDecode(MakeEngines(4, 8),
+                             "model",
+                             PrefillShare(kCapacity, kShape),
+                             { chosen.front()->m_entry.m_key })
+               .empty());
 }
 
 BOOST_AUTO_TEST_CASE(enough_prefill_engines_are_left)
