Add a fault soak of real daemons between stand-ins

Daemons run as processes; store, servers, engines and the proxies on every link run in the soak, which delays, resets and silences links, stops, pauses, kills and restarts daemons, changes settings and configuration, and spoils store and servers, while it checks what clients and servers see.

--- a/makefile
+++ b/makefile
@@ -3,7 +3,7 @@
 JOBS ?= $(shell nproc)
 
 .PHONY: all install build format check-format lint test quick demo clean \
-	bench-relay bench-faults bench-policy bench-control day score hunt
+	soak bench-relay bench-faults bench-policy bench-control day score hunt
 
 all: build
 
@@ -28,13 +28,18 @@
 
 test: install build check-format lint quick  ## everything CI runs
 
+SEED ?= 1
+SEEDS ?= 10
+soak: build         ## faults around real daemons, from seed SEED on
+	python3 -B scripts/soak.py $(BUILD) --seed $(SEED) --seeds $(SEEDS)
+	python3 -B scripts/soak.py $(BUILD) --seed $(SEED) --seeds $(SEEDS) --planned
+
 demo: install build ## start a small fleet on loopback and send requests
 	scripts/demo.sh $(BUILD)
 
 bench-relay: build  ## time added by the daemon and tokens relayed
 	scripts/bench-relay.sh $(BUILD)
 
-SEED ?= 1
 bench-faults: build ## nine daemons under kills, pauses and stalls
 	scripts/bench-faults.sh $(BUILD) $(SEED)
 
--- /dev/null
+++ b/scripts/soak_checks.py
@@ -0,0 +1,126 @@
+"""Tests of the soak's checks: each one sees the fault that it is for."""
+
+import asyncio
+import time
+import types
+import unittest
+
+from soak import Answer, Soak
+from soak_world import SIGNATURE, sign, stream_event, stream_length
+
+
+def make_soak():
+    options = types.SimpleNamespace(
+        seconds=0, planned=False, build="", daemons=1)
+    return Soak(options, 1)
+
+
+class Checks(unittest.TestCase):
+    def setUp(self):
+        self.soak = make_soak()
+        self.world = self.soak.world
+
+    def send(self, request_id, prefix="/once/", may_repeat=False,
+             service="plain"):
+        self.world.sent[request_id] = (
+            "POST", prefix + request_id, b"x", may_repeat, service)
+
+    def run_at(self, request_id, service="plain", fields=None):
+        server = types.SimpleNamespace(id="i-1", service=service)
+        self.world.on_run(request_id, server, fields or {})
+
+    def judge(self, request_id, status=200, body="", fields=None, whole=True,
+              outcome=None):
+        answer = Answer()
+        answer.status, answer.body, answer.whole = status, body, whole
+        answer.fields = fields or {}
+
+        async def judge():
+            self.soak.judge(request_id, answer, outcome or str(status),
+                            time.monotonic())
+        asyncio.run(judge())
+
+    def rules(self):
+        return {p.split(":")[0] for p in self.world.problems}
+
+    def test_sound_answers_break_nothing(self):
+        self.send("r")
+        self.run_at("r")
+        self.judge("r", body="b", fields={SIGNATURE.lower(): sign("r", "b")})
+        self.send("s")
+        self.judge("s", status=503)
+        self.send("t", may_repeat=True)
+        self.run_at("t")
+        self.run_at("t")
+        whole = "".join(stream_event("t", n)
+                        for n in range(1, stream_length("t") + 1))
+        self.judge("t", body=whole, fields={"transfer-encoding": "chunked"})
+        self.assertEqual(self.world.problems, [])
+
+    def test_a_second_run(self):
+        self.send("r")
+        self.run_at("r")
+        self.run_at("r")
+        self.assertEqual(self.rules(), {"TWICE"})
+
+    def test_a_run_at_another_service(self):
+        self.send("r")
+        self.run_at("r", service="model")
+        self.assertEqual(self.rules(), {"ROUTE"})
+
+    def test_a_changed_or_unknown_request(self):
+        self.send("r")
+        self.world.check_unchanged("r", "POST", "/once/r", b"y")
+        self.world.check_unchanged("u", "POST", "/once/u", b"x")
+        self.assertEqual(len(self.world.problems), 2)
+        self.assertEqual(self.rules(), {"UNASKED"})
+
+    def test_anothers_handle(self):
+        self.send("r")
+        handle = self.world.new_handle("other")
+        self.run_at("r", fields={"x-shallotford-kv-source": f"a:1/{handle}"})
+        self.assertEqual(self.rules(), {"MIXED"})
+
+    def test_a_forged_or_foreign_answer(self):
+        self.send("r")
+        self.run_at("r")
+        self.judge("r", body="b", fields={SIGNATURE.lower(): "wrong"})
+        self.judge("r", body="b", fields={
+            SIGNATURE.lower(): sign("r", "b"),
+            "x-shallotford-request-id": "s"})
+        self.assertEqual(len(self.world.problems), 2)
+        self.assertEqual(self.rules(), {"MIXED"})
+
+    def test_a_refusal_that_ran(self):
+        self.send("r")
+        self.run_at("r")
+        self.judge("r", status=503)
+        self.assertEqual(self.rules(), {"REFUSED"})
+        self.send("s")
+        self.run_at("s")
+        self.world.problems.clear()
+        self.soak.check_never_runs("s", 0)
+        self.assertEqual(self.rules(), {"REFUSED"})
+
+    def test_a_stream_with_a_gap_or_an_early_end(self):
+        self.send("r", "/stream/", True, "model")
+        self.run_at("r", "model")
+        chunked = {"transfer-encoding": "chunked"}
+        self.judge("r", body=stream_event("r", 2), fields=chunked,
+                   whole=False)
+        self.judge("r", body=stream_event("r", 1), fields=chunked)
+        self.assertEqual(len(self.world.problems), 2)
+        self.assertEqual(self.rules(), {"ORDER"})
+
+    def test_a_denied_and_a_lost_request(self):
+        self.send("r")
+        self.judge("r", status=404)
+        self.assertEqual(self.rules(), {"DENIED"})
+        self.world.problems.clear()
+        self.run_at("r")
+        self.judge("r", status=0, whole=False, outcome="closed")
+        self.assertEqual(self.rules(), {"LOST"})
+
+
+if __name__ == "__main__":
+    unittest.main()
