Give up prefills at dark engines in time; ask only living engines for memory

Patience with a prefill is 350 ms beside twice what prefills usually take, and after a prefill that went wrong the decode engine reads. Engines that don't answer no longer count among the three that are full.

The soak starts no daemon twice any more when its watch meets a restart.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -353,6 +353,9 @@
   void OnPrefill(double aPromptTokens, Duration aTook, TimePoint aNow);
   /// The expected wait of a prompt; fades with time.
   Duration Expected(TimePoint aNow) const;
+  /// Returns how long to wait for a prefill of aPromptTokens.
+  std::chrono::milliseconds Patience(double aPromptTokens,
+                                     TimePoint aNow) const;
   /// Returns whether a decode engine should read a request's prompt.
   /// @param aHash  of the request's id
   bool LeavesToDecode(std::uint64_t aHash, TimePoint aNow) const;
--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -86,11 +86,12 @@
 
     async def start(self):
         self.starts += 1
-        self.stopping = False
+        self.stopping = True  # until there is a process to watch
         with open(f"{self.file}.{self.starts}.log", "wb") as log:
             self.process = await asyncio.create_subprocess_exec(
                 os.path.join(self.soak.build, "shallotfordd"), "--config",
                 self.file, stdout=log, stderr=log)
+        self.stopping = False
 
     def is_up(self):
         return self.process is not None and self.process.returncode is None
--- a/src/config.h
+++ b/src/config.h
@@ -193,11 +193,11 @@
 constexpr std::chrono::milliseconds kSuspicionTime = 300ms;
 /// Shortest time that a repeatable request waits before it goes elsewhere.
 constexpr std::chrono::milliseconds kLeastPatience = 250ms;
-/// Prompt tokens that a prefill engine reads in a millisecond, at least.
-constexpr double kPromptTokensPerMs = 20.0;
-/// Beside reading: a prefill that waits in an engine's queue is served there
-/// sooner than elsewhere, where it would have to be read again.
-constexpr std::chrono::milliseconds kPrefillPatience = 1'500ms;
+/// Patience with a prefill, beside so many times what prefills usually take: a
+/// prompt that a dark engine swallowed is then read elsewhere within a usual
+/// latency target, and one that only waits longer isn't read twice.
+constexpr std::chrono::milliseconds kPrefillPatience = 350ms;
+constexpr int kPrefillPatienceFactor = 2;
 /// A stream without a first event goes elsewhere after so long; an engine that
 /// has preempted it still serves it sooner than one that reads it anew.
 constexpr std::chrono::milliseconds kFirstEventPatience = 1'500ms;
@@ -207,7 +207,8 @@
 constexpr std::chrono::milliseconds kStreamPatience = 1'500ms;
 /// An attempt's own timers end after the request's, if that is to decide.
 constexpr std::chrono::milliseconds kBeyondDeadline = 1'000ms;
-constexpr std::uint32_t kMaxPrefills = 2; // of one request
+/// Prefill engines that one request tries to reach.
+constexpr std::uint32_t kMaxPrefills = 2;
 /// Longest idle time of a connection that a request uses again: one that may
 /// run once only, and others.
 constexpr std::chrono::milliseconds kFreshForRunOnce = 1'000ms;
@@ -220,8 +221,10 @@
 constexpr std::chrono::milliseconds kLeavingRetryAfter = 100ms;
 /// Share of the time left that a caller waits at most before it asks again.
 constexpr double kRetryAfterShare = 0.3;
-/// Engines that one request asks for memory before it waits.
+/// Full engines that one request asks for memory before it waits, and engines
+/// that don't answer at all.
 constexpr std::uint32_t kReserveTries = 3;
+constexpr std::uint32_t kMaxLostReserves = 8;
 constexpr std::chrono::milliseconds kReserveTimeout = 200ms;
 constexpr std::chrono::milliseconds kErrandTimeout = 500ms;
 /// Time between two looks at the requests that wait for memory.
--- a/src/route_roles.cpp
+++ b/src/route_roles.cpp
@@ -30,13 +30,23 @@
   return std::max(static_cast<std::size_t>(wanted), kLeastPrefillEngines);
 }
 
+namespace {
+
+Duration
+ReadingTime(double aPromptTokens)
+{
+  std::chrono::duration<double, std::milli> time(aPromptTokens /
+                                                 kTypicalPromptTokensPerMs);
+  return std::chrono::duration_cast<Duration>(time);
+}
+
+} // namespace
+
 void
 PrefillDelay::OnPrefill(double aPromptTokens, Duration aTook, TimePoint aNow)
 {
-  std::chrono::duration<double, std::milli> reading(aPromptTokens /
-                                                    kTypicalPromptTokensPerMs);
-  Duration wait = std::max(
-    aTook - std::chrono::duration_cast<Duration>(reading), Duration::zero());
+  Duration wait =
+    std::max(aTook - ReadingTime(aPromptTokens), Duration::zero());
   Duration before = Expected(aNow);
   m_wait = before + std::chrono::duration_cast<Duration>(kPrefillDelayBlend *
                                                          (wait - before));
@@ -51,6 +61,14 @@
   return std::chrono::duration_cast<Duration>(m_wait * std::exp2(-age));
 }
 
+std::chrono::milliseconds
+PrefillDelay::Patience(double aPromptTokens, TimePoint aNow) const
+{
+  Duration usual = ReadingTime(aPromptTokens) + Expected(aNow);
+  return std::chrono::duration_cast<std::chrono::milliseconds>(
+    kPrefillPatience + kPrefillPatienceFactor * usual);
+}
+
 bool
 PrefillDelay::LeavesToDecode(std::uint64_t aHash, TimePoint aNow) const
 {
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -272,9 +272,9 @@
 {
   std::chrono::milliseconds left = TimeLeft();
   if (aPhase == Phase::Prefill) {
-    std::chrono::milliseconds reading(
-      static_cast<std::int64_t>(m_facts.m_promptTokens / kPromptTokensPerMs));
-    return std::min(left, kPrefillPatience + reading);
+    return std::min(left,
+                    m_shared.m_prefillDelays[m_service].Patience(
+                      m_facts.m_promptTokens, m_shared.m_loop.Now()));
   }
   if (!HasAttemptsLeft()) {
     return left + kBeyondDeadline; // the request's own timer ends it
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -164,9 +164,10 @@
   bool m_streaming{ false }; ///< bytes are passed on as they come
 
   // Memory of a decode engine.
-  std::uint64_t m_waiting{ 0 }; ///< number in the admission queue, or 0
-  std::uint32_t m_reserveTries{ 0 };
-  std::set<UpstreamKey> m_full; ///< engines without room, in this turn
+  std::uint64_t m_waiting{ 0 };      ///< number in the admission queue, or 0
+  std::uint32_t m_fullEngines{ 0 };  ///< asked for memory in this turn
+  std::uint32_t m_lostReserves{ 0 }; ///< in this turn, without an answer
+  std::set<UpstreamKey> m_full;      ///< engines without room, in this turn
   UpstreamPtr m_reservedAt;
   std::string m_reservation;
   TimePoint m_reservedSince{};
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -21,7 +21,8 @@
 RoutedRequest::OnTurn()
 {
   m_waiting = 0;
-  m_reserveTries = 0;
+  m_fullEngines = 0;
+  m_lostReserves = 0;
   m_full.clear();
   Reserve();
 }
@@ -30,12 +31,13 @@
 RoutedRequest::Reserve()
 {
   UpstreamPtr engine =
-    m_reserveTries < kReserveTries ? Pick(EngineStage::Decode, {}) : nullptr;
+    m_fullEngines < kReserveTries && m_lostReserves < kMaxLostReserves
+      ? Pick(EngineStage::Decode, {})
+      : nullptr;
   if (engine == nullptr) {
     WaitForMemory();
     return;
   }
-  ++m_reserveTries;
   Send(engine, Phase::Reserve);
 }
 
@@ -73,6 +75,7 @@
     Finish(DecideEnd(Progress()));
     return;
   }
+  m_shared.m_metrics.Count("waits_for_memory_total", "");
   m_waiting =
     m_shared.m_admission.Enter(m_service, *this, GoodUntil(), GiveUpAt());
 }
@@ -111,9 +114,7 @@
     m_skipPrefill || delay.LeavesToDecode(StableHash(m_facts.m_id), now);
   UpstreamPtr upstream =
     m_skipPrefill ? nullptr : Pick(EngineStage::Prefill, near);
-  bool allowed = upstream != nullptr && m_prefillTries < kMaxPrefills &&
-                 (m_prefills == 0 || TakeRetryBudget());
-  if (!allowed) {
+  if (upstream == nullptr || m_prefillTries >= kMaxPrefills) {
     StartRun(); // the decode engine reads the prompt itself
     return;
   }
@@ -125,6 +126,7 @@
 RoutedRequest::AfterReserve(AttemptEnd aEnd)
 {
   if (aEnd != AttemptEnd::Answered) {
+    ++(aEnd == AttemptEnd::Refused ? m_fullEngines : m_lostReserves);
     Reserve();
     return;
   }
@@ -132,6 +134,7 @@
     m_reservation = m_shared.m_dialect.ReadReservation(m_held.m_body);
   } catch (const Error& error) {
     LogAttempt(AttemptEnd::Broken, error.what());
+    ++m_lostReserves;
     Reserve();
     return;
   }
@@ -152,8 +155,10 @@
       m_facts.m_promptTokens, now - m_sentAt, now);
   }
   m_prefills += arrived ? 1 : 0;
-  // Only a prefill that an engine accepted is free of the retry budget.
+  // Only a prefill that an engine accepted is free of the retry budget. After
+  // one that went wrong the decode engine reads: one send instead of two.
   m_arrivals += arrived && aEnd != AttemptEnd::Answered ? 1 : 0;
+  m_skipPrefill = m_skipPrefill || arrived;
   if (aEnd == AttemptEnd::Answered) {
     try {
       m_handle = m_shared.m_dialect.ReadPrefill(m_held.m_body);
--- a/tests/route_roles_test.cpp
+++ b/tests/route_roles_test.cpp
@@ -3,6 +3,7 @@
 #define BOOST_TEST_MODULE route_roles
 #include <boost/test/unit_test.hpp>
 
+#include "config.h"
 #include "shallotford/route.h"
 
 #include <algorithm>
@@ -199,3 +200,19 @@
   BOOST_TEST(delay.LeavesToDecode(UINT64_MAX, now));
   BOOST_TEST(!delay.LeavesToDecode(0, now + 10s));
 }
+
+BOOST_AUTO_TEST_CASE(patience_with_a_prefill_follows_the_others)
+{
+  // A prompt that a dark engine swallowed can still be read elsewhere in time.
+  TimePoint now{ 1h };
+  PrefillDelay delay;
+  constexpr std::chrono::milliseconds kTarget = 900ms;
+  constexpr std::chrono::milliseconds kElsewhere = 250ms;
+  BOOST_TEST((delay.Patience(5'200, now) < kTarget - kElsewhere));
+  // Not so short that usual ones are given up.
+  BOOST_TEST((delay.Patience(5'200, now) > 2 * 94ms + kGoodPrefillDelay));
+  for (int i = 0; i < 20; ++i) {
+    delay.OnPrefill(5'200, 594ms, now);
+  }
+  BOOST_TEST((delay.Patience(5'200, now) > 1'000ms));
+}
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -327,6 +327,52 @@
   BOOST_TEST(answer.ends_with("\r\n\r\nwhy"));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_silent_prefill_is_read_by_the_decode_engine, Engines)
+{
+  // Another prefill would be one more send, and one more engine to wait for.
+  StreamAll(*m_decode, 2);
+  StreamAll(*m_other, 2);
+  PublishedServer& second = AddServer("i-q", "model", "prefill");
+  WaitFor([this] { return Knows(6); });
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_prefill, &second }) {
+      engine->SetScript([this](const PublishedCall& aCall) {
+        m_held.push_back(aCall.m_exchange);
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/stream/x", "r1");
+  BOOST_TEST(Has(answer, Event(2)));
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+  BOOST_TEST(m_loop.Do([&] {
+    return m_prefill->Received().size() + second.Received().size();
+  }) == 1U);
+  m_loop.Do([this] { m_held.clear(); });
+}
+
+BOOST_FIXTURE_TEST_CASE(dead_engines_do_not_use_up_the_tries_for_memory,
+                        Engines)
+{
+  // Four decode engines have ended. The one that is alive is further away, so
+  // that it is the last choice.
+  StreamAll(*m_decode, 1);
+  m_loop.Do([this] {
+    std::string entry = m_decode->Entry("model", "decode");
+    entry.replace(entry.find("z1"), 2, "z2");
+    m_store->Put("servers/i-d", entry);
+    m_other->Close();
+  });
+  for (int i = 0; i < 3; ++i) {
+    PublishedServer& dead =
+      AddServer("i-dead" + std::to_string(i), "model", "decode");
+    m_loop.Do([&] { dead.Close(); });
+  }
+  WaitFor([this] { return Knows(8); });
+  BOOST_TEST(Has(Ask("/fixed/x", "r1"), Event(1)));
+  BOOST_TEST(!Has(Metrics(), "shallotford_waits_for_memory_total"));
+}
+
 namespace {
 
 /// A first start with four prefill engines and eight decode engines.
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -160,6 +160,16 @@
     return socket.ReadToEnd();
   }
 
+  /// Returns the text of the metrics page.
+  std::string Metrics()
+  {
+    HttpResult result = FetchAndWait(
+      m_loop,
+      { .m_address = "127.0.0.1:" + std::to_string(m_router->OperatorPort()),
+        .m_path = "/metrics" });
+    return result.m_reply ? result.m_reply->m_body : "";
+  }
+
   /// Returns how many lines of the log hold aPart.
   std::size_t LinesOf(const std::string& aPart)
   {
@@ -206,12 +216,7 @@
   /// Returns whether the router knows so many upstreams.
   bool Knows(std::size_t aUpstreams)
   {
-    HttpResult result = FetchAndWait(
-      m_loop,
-      { .m_address = "127.0.0.1:" + std::to_string(m_router->OperatorPort()),
-        .m_path = "/metrics" });
-    return result.m_reply &&
-           Has(result.m_reply->m_body,
+    return Has(Metrics(),
                "shallotford_upstreams " + std::to_string(aUpstreams) + "\n");
   }
   void ScriptBoth(const PublishedServer::Script& aScript)
