Revert watches that wait as long as the bounds allow

A watch that an outage swallowed ends 5.5 s and its answer's time later, though the VM counts as in touch after 4 s; what was acknowledged in between came too late. The bound that the wait was made from (notice and settling together) was wrong: an acknowledgement may come before the VM is in touch.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -32,11 +32,6 @@
   double m_retrySlack{ 10.0 };  ///< further extra sends, over all VMs
   double m_retryWindow{ 10.0 }; ///< seconds
   double m_drainTime{ 8.0 };    ///< seconds from the stop signal to the end
-  /// Within these times a change must be known; an outage of the source adds
-  /// the last one.
-  std::chrono::milliseconds m_upstreamNotice{ 2'500 };
-  std::chrono::milliseconds m_configurationNotice{ 2'500 };
-  std::chrono::milliseconds m_settleTime{ 2'500 };
   /// The whole system starts for the first time, without requests yet.
   bool m_firstStart{ false };
   /// Mean tokens of a request's prompt and answer, by which engines' roles are
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -4,7 +4,6 @@
 #include "shallotford/fleet.h"
 
 #include <array>
-#include <cmath>
 
 namespace shallotford {
 
@@ -61,18 +60,6 @@
 constexpr Range<double> kSlack{ 0.0, 1e6 };
 constexpr Range<double> kSeconds{ 0.1, 3600.0 };
 constexpr Range<double> kTokens{ 0.0, 1e7 };
-constexpr Range<double> kMilliseconds{ 100.0, 3.6e6 };
-
-/// Reads a number that may have a fraction.
-void
-ReadMilliseconds(ObjectReader& aReader,
-                 const char* aField,
-                 std::chrono::milliseconds& aOut)
-{
-  auto time = static_cast<double>(aOut.count());
-  aReader.Read(aField, time, kMilliseconds);
-  aOut = std::chrono::milliseconds(std::llround(time));
-}
 
 void
 ReadRouting(ObjectReader& aReader, Settings& aSettings)
@@ -84,10 +71,6 @@
   aReader.Read("retry_slack", routing.m_retrySlack, kSlack);
   aReader.Read("retry_window_s", routing.m_retryWindow, kSeconds);
   aReader.Read("drain_s", routing.m_drainTime, kSeconds);
-  ReadMilliseconds(aReader, "upstream_notice_ms", routing.m_upstreamNotice);
-  ReadMilliseconds(
-    aReader, "configuration_notice_ms", routing.m_configurationNotice);
-  ReadMilliseconds(aReader, "settle_ms", routing.m_settleTime);
   aReader.Read("first_start", routing.m_firstStart);
   aReader.Read("typical_prompt_tokens", routing.m_typicalPrompt, kTokens);
   aReader.Read("typical_output_tokens", routing.m_typicalOutput, kTokens);
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -47,13 +47,6 @@
                                  .m_outputTokens = routing.m_typicalOutput } };
 }
 
-std::chrono::milliseconds
-KnownWithin(const RoutingSettings& aRouting)
-{
-  return aRouting.m_settleTime +
-         std::min(aRouting.m_upstreamNotice, aRouting.m_configurationNotice);
-}
-
 /// Applies the settings file to a running router when its text has changed.
 class SettingsWatch
 {
@@ -136,11 +129,7 @@
     MakeLoop({ .m_name = "router",
                .m_maxSockets = aSettings.m_maxConnections + kOtherSockets });
   auto source = platform::MakeStoreSource(
-    *loop,
-    *log,
-    *random,
-    { .m_address = aSettings.m_platformAddress,
-      .m_knownWithin = KnownWithin(*aSettings.m_routing) });
+    *loop, *log, *random, { .m_address = aSettings.m_platformAddress });
   auto decoder = platform::MakeDecoder();
   auto dialect = platform::MakeDialect();
   auto router =
