Remove connection counts and other members that nothing calls

ConnectionPool::Count() has no caller, so the counts behind it were state that nobody read. Gone with them, for the same reason: RetryBudget::Count(), UpstreamTable::Where() and StreamI::PeerIp(), for which each accepted connection's address was turned into text.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -230,7 +230,7 @@
   virtual void CancelTimer(TimerId aTimer) = 0;
 };
 
-/// Receives the events of one byte stream. After OnClosed() none follows.
+/// Receives the events of one byte stream. After OnBroken() none follows.
 class StreamHandlerI
 {
 public:
@@ -263,8 +263,6 @@
   virtual void FinishWriting() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
-  /// Returns the peer's IP address.
-  virtual const std::string& PeerIp() const = 0;
 };
 
 struct StreamOptions
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -292,7 +292,6 @@
   bool Serves(const std::string& aService) const;
   std::size_t Size() const { return m_upstreams.size(); }
   std::vector<UpstreamPtr> All() const;
-  const Location& Where() const { return m_location; }
 
 private:
   void Add(const UpstreamEntry& aEntry);
@@ -424,8 +423,6 @@
   /// Returns whether one more extra send is allowed, and counts it.
   /// @param aVms  VMs that share the budget, at least 1
   bool Take(std::size_t aVms, TimePoint aNow);
-  /// Counts an extra send that could not be prevented.
-  void Count(TimePoint aNow) { m_extra.push_back(aNow); }
 
 private:
   void Expire(TimePoint aNow);
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -85,14 +85,6 @@
   return socket;
 }
 
-std::string
-IpText(const sockaddr_in& aAddress)
-{
-  std::array<char, INET_ADDRSTRLEN> text{};
-  ::inet_ntop(AF_INET, &aAddress.sin_addr, text.data(), text.size());
-  return text.data();
-}
-
 } // namespace
 
 PolledDescriptor::PolledDescriptor(Loop& aLoop,
@@ -169,11 +161,9 @@
 
 Stream::Stream(Loop& aLoop,
                int aDescriptor,
-               std::string aPeerIp,
                bool aConnecting,
                StreamHandlerI* aHandler)
   : m_loop(aLoop)
-  , m_peerIp(std::move(aPeerIp))
   , m_connecting(aConnecting)
   , m_handler(aHandler)
   , m_descriptor(std::make_unique<PolledDescriptor>(aLoop,
@@ -446,11 +436,9 @@
 StreamListener::AcceptAll()
 {
   for (std::size_t i = 0; i < kAcceptsPerTurn; ++i) {
-    sockaddr_in peer{};
-    socklen_t length = sizeof peer;
     SocketGuard guard(::accept4(m_descriptor->Descriptor(),
-                                reinterpret_cast<sockaddr*>(&peer),
-                                &length,
+                                nullptr,
+                                nullptr,
                                 SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (guard.Get() < 0) {
       return;
@@ -458,8 +446,7 @@
     SetTcpOptions(guard.Get(), m_options.m_silenceTimeout);
     std::unique_ptr<StreamI> stream;
     try {
-      stream = std::make_unique<Stream>(
-        m_loop, guard.Get(), IpText(peer), false, nullptr);
+      stream = std::make_unique<Stream>(m_loop, guard.Get(), false, nullptr);
     } catch (const Error&) {
       return; // no room: the peer's connection is closed
     }
@@ -478,8 +465,7 @@
   bool failed =
     ::connect(guard.Get(), plain, sizeof address) != 0 && errno != EINPROGRESS;
   int error = failed ? errno : 0;
-  auto stream = std::make_unique<Stream>(
-    m_loop, guard.Get(), IpText(address), true, &aHandler);
+  auto stream = std::make_unique<Stream>(m_loop, guard.Get(), true, &aHandler);
   guard.Release();
   if (failed) {
     stream->BreakLater(error);
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -58,7 +58,6 @@
   /// @param aDescriptor  a connected or connecting non-blocking socket
   Stream(Loop& aLoop,
          int aDescriptor,
-         std::string aPeerIp,
          bool aConnecting,
          StreamHandlerI* aHandler);
   ~Stream() override;
@@ -80,7 +79,6 @@
   void BreakLater(int aError);
   void PauseReading() override;
   void ResumeReading() override;
-  const std::string& PeerIp() const override { return m_peerIp; }
 
 private:
   void OnReadable();
@@ -94,7 +92,6 @@
   void Break(int aError);
 
   Loop& m_loop;
-  std::string m_peerIp;
   bool m_connecting;
   StreamHandlerI* m_handler;
   std::unique_ptr<PolledDescriptor> m_descriptor;
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -15,25 +15,16 @@
   UpstreamConnection(ConnectionPool& aPool, const UpstreamEntry& aUpstream)
     : m_pool(aPool)
     , m_loop(aPool.m_loop)
-    , m_open(aPool.m_open)
     , m_key(aUpstream.m_key)
     , m_stream(
         aPool.m_loop.Streams().Connect({ .m_address = aUpstream.m_address,
                                          .m_silenceTimeout = kUpstreamSilence },
                                        *this))
   {
-    ++(*m_open)[m_key];
   }
 
   /// The pool may be gone: what is destroyed later can outlive it.
-  ~UpstreamConnection() override
-  {
-    m_loop.CancelTimer(m_idleTimer);
-    auto open = m_open->find(m_key);
-    if (--open->second == 0) {
-      m_open->erase(open);
-    }
-  }
+  ~UpstreamConnection() override { m_loop.CancelTimer(m_idleTimer); }
 
   UpstreamConnection(const UpstreamConnection&) = delete;
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
@@ -82,7 +73,6 @@
 private:
   ConnectionPool& m_pool; ///< used by events only
   LoopI& m_loop;
-  std::shared_ptr<OpenConnections> m_open;
   UpstreamKey m_key;
   bool m_connected{ false };
   StreamHandlerI* m_user{ nullptr };
@@ -409,13 +399,6 @@
   }
 }
 
-std::size_t
-ConnectionPool::Count(const UpstreamKey& aKey) const
-{
-  auto found = m_open->find(aKey);
-  return found == m_open->end() ? 0 : found->second;
-}
-
 void
 ConnectionPool::CloseIdle(const UpstreamKey& aKey)
 {
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -57,8 +57,6 @@
 };
 
 class UpstreamConnection;
-/// Number of connections to each upstream, in use and idle.
-using OpenConnections = std::map<UpstreamKey, std::size_t>;
 
 /// Connections to all upstreams. Used by one task only.
 class ConnectionPool
@@ -72,8 +70,6 @@
   std::unique_ptr<UpstreamCallI> Start(const UpstreamEntry& aUpstream,
                                        UpstreamCallOptions aOptions,
                                        UpstreamCallHandlerI& aHandler);
-  /// Returns the connections to aKey, in use and idle.
-  std::size_t Count(const UpstreamKey& aKey) const;
   /// Closes the idle connections to aKey.
   void CloseIdle(const UpstreamKey& aKey);
   const ConnectionPoolCounts& Counts() const { return m_counts; }
@@ -93,9 +89,6 @@
   LoopI& m_loop;
   std::map<UpstreamKey, std::vector<std::unique_ptr<UpstreamConnection>>>
     m_idle;
-  std::shared_ptr<OpenConnections> m_open{
-    std::make_shared<OpenConnections>()
-  };
   ConnectionPoolCounts m_counts;
 };
 
