Let one piece of code serve where the router had written it twice or more

What said the same in several places now stands once: FadingAverage in UpstreamHealth and PrefillDelay; UnitOf() for the upper bits of a hash, four times; ReadingTime() in PrefillShare(); Loop::TakePosted() for running and for dropping what was posted; DetachExchange() for a caller's connection that ends, is left or goes; in tests GoldenFleet(), three times, and OtherVm, a further router beside a fixture's, twice. A role order's log line takes the role from the order.

Behaviour stays. The wait of a prefill is kept in seconds instead of whole nanoseconds.

--- a/include/shallotford/base.h
+++ b/include/shallotford/base.h
@@ -187,6 +187,13 @@
   virtual WallTime WallNow() const = 0;
 };
 
+/// Returns a number in [0, 1) made of a hash's or a generator's upper bits.
+inline double
+UnitOf(std::uint64_t aBits)
+{
+  return static_cast<double>(aBits >> 11) * 0x1.0p-53;
+}
+
 /// Source of random numbers. Tests use a seeded one.
 class RandomI
 {
@@ -197,7 +204,7 @@
   /// Returns a number in [0, aBound). @param aBound at least 1
   std::uint64_t Below(std::uint64_t aBound) { return Next() % aBound; }
   /// Returns a number in [0, 1).
-  double Unit() { return static_cast<double>(Next() >> 11) * 0x1.0p-53; }
+  double Unit() { return UnitOf(Next()); }
 };
 
 std::unique_ptr<ClockI>
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -194,10 +194,31 @@
 std::string_view
 ToString(AttemptEnd aEnd);
 
+/// A moving average that fades to 0 while nothing is added.
+class FadingAverage
+{
+public:
+  /// @param aWeight  of the newest value, 0 to 1
+  FadingAverage(Duration aHalfLife, double aWeight)
+    : m_halfLife(aHalfLife)
+    , m_weight(aWeight)
+  {
+  }
+  void Add(double aValue, TimePoint aNow);
+  double At(TimePoint aNow) const;
+
+private:
+  Duration m_halfLife;
+  double m_weight;
+  double m_value{ 0 };
+  TimePoint m_addedAt{};
+};
+
 /// What this VM has seen of one upstream.
 class UpstreamHealth
 {
 public:
+  UpstreamHealth();
   void OnStart(TimePoint aNow);
   /// @param aSentAt  start of the attempt that has ended
   void OnEnd(AttemptEnd aEnd, TimePoint aSentAt, TimePoint aNow);
@@ -210,10 +231,10 @@
   /// Requests there, own ones or those of a recent report, over aPlaces.
   double Use(double aPlaces, TimePoint aNow) const;
   /// Share of recent requests that failed, 0 to 1; fades with time.
-  double FailureShare(TimePoint aNow) const;
+  double FailureShare(TimePoint aNow) const { return m_failures.At(aNow); }
   bool RefusedLately(TimePoint aNow) const;
   /// The result of a prefill there was gone when it was fetched.
-  void OnHandleLost(TimePoint aNow) { Blend(1, aNow); }
+  void OnHandleLost(TimePoint aNow) { m_failures.Add(1, aNow); }
   /// A request sent at aSentAt has been without a sign of life for long. That
   /// says something of the upstream only if it answered no other since.
   /// @return whether it was ejected
@@ -223,14 +244,12 @@
 
 private:
   void Eject(TimePoint aNow);
-  void Blend(double aFailure, TimePoint aNow);
 
   std::uint32_t m_inFlight{ 0 };
   std::uint32_t m_consecutiveBreaks{ 0 };
   std::uint32_t m_ejections{ 0 }; ///< in a row
   TimePoint m_ejectedUntil{};
-  double m_failureShare{ 0 };
-  TimePoint m_failureAt{};
+  FadingAverage m_failures; ///< 1 for each failure, 0 for other answers
   std::optional<TimePoint> m_refusedAt;
   std::optional<TimePoint> m_answeredAt;
   UpstreamLoad m_load;
@@ -348,6 +367,7 @@
 class PrefillDelay
 {
 public:
+  PrefillDelay();
   /// A prefill of aPromptTokens was answered, or given up, after aTook.
   void OnPrefill(double aPromptTokens, Duration aTook, TimePoint aNow);
   /// The expected wait of a prompt; fades with time.
@@ -360,8 +380,7 @@
   bool LeavesToDecode(std::uint64_t aHash, TimePoint aNow) const;
 
 private:
-  Duration m_wait{ 0 };
-  TimePoint m_waitAt{};
+  FadingAverage m_wait; ///< seconds
 };
 
 // --------------------------------------------------------------- requests
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -71,7 +71,9 @@
 
 Loop::~Loop()
 {
-  DropPosted();
+  // What is destroyed with a function may post another one.
+  while (!TakePosted().empty()) {
+  }
   m_client->Shutdown();
   for (HttpServer* server : std::set<HttpServer*>(m_servers)) {
     server->Detach();
@@ -164,26 +166,18 @@
   return !m_posted.empty();
 }
 
-void
-Loop::RunPosted()
+std::vector<std::function<void()>>
+Loop::TakePosted()
 {
-  std::vector<std::function<void()>> posted;
-  {
-    std::lock_guard lock(m_mutex);
-    posted.swap(m_posted);
-  }
-  for (std::function<void()>& function : posted) {
-    function();
-  }
+  std::lock_guard lock(m_mutex);
+  return std::exchange(m_posted, {});
 }
 
 void
-Loop::DropPosted()
+Loop::RunPosted()
 {
-  // What is destroyed with a function may post another one.
-  for (std::vector<std::function<void()>> posted; HasPosted(); posted.clear()) {
-    std::lock_guard lock(m_mutex);
-    posted.swap(m_posted);
+  for (std::function<void()>& function : TakePosted()) {
+    function();
   }
 }
 
--- a/src/net_loop.h
+++ b/src/net_loop.h
@@ -59,9 +59,8 @@
   /// Calls aOnReadable whenever aDescriptor is readable.
   void WatchDescriptor(int aDescriptor,
                        const std::function<void()>& aOnReadable);
+  std::vector<std::function<void()>> TakePosted();
   void RunPosted();
-  /// Destroys what was posted without running it.
-  void DropPosted();
   bool HasPosted();
 
   LoopOptions m_options;
--- a/src/route_health.cpp
+++ b/src/route_health.cpp
@@ -32,6 +32,26 @@
   return "?";
 }
 
+void
+FadingAverage::Add(double aValue, TimePoint aNow)
+{
+  double before = At(aNow);
+  m_value = before + m_weight * (aValue - before);
+  m_addedAt = aNow;
+}
+
+double
+FadingAverage::At(TimePoint aNow) const
+{
+  using Seconds = std::chrono::duration<double>;
+  return m_value * std::exp2(-Seconds(aNow - m_addedAt) / Seconds(m_halfLife));
+}
+
+UpstreamHealth::UpstreamHealth()
+  : m_failures(kFailureHalfLife, kFailureBlend)
+{
+}
+
 void
 UpstreamHealth::OnStart(TimePoint aNow)
 {
@@ -52,20 +72,20 @@
       m_answeredAt = aNow;
       m_consecutiveBreaks = 0;
       m_ejections = 0;
-      Blend(aEnd == AttemptEnd::Failed ? 1 : 0, aNow);
+      m_failures.Add(aEnd == AttemptEnd::Failed ? 1 : 0, aNow);
       return;
     case AttemptEnd::Refused:
       m_refusedAt = aNow;
       return;
     case AttemptEnd::NotConnected:
-      Blend(1, aNow);
+      m_failures.Add(1, aNow);
       Eject(aNow);
       return;
     case AttemptEnd::Silent:
       OnSilence(aSentAt, aNow);
       return;
     case AttemptEnd::Broken:
-      Blend(1, aNow);
+      m_failures.Add(1, aNow);
       if (++m_consecutiveBreaks >= kBreaksForEjection) {
         Eject(aNow);
       }
@@ -83,7 +103,7 @@
   if (alive || aNow - aSentAt < kSuspicionTime) {
     return false; // the request itself takes long
   }
-  Blend(1, aNow);
+  m_failures.Add(1, aNow);
   Eject(aNow);
   return true;
 }
@@ -122,26 +142,10 @@
   return requests / aPlaces;
 }
 
-double
-UpstreamHealth::FailureShare(TimePoint aNow) const
-{
-  using Seconds = std::chrono::duration<double>;
-  double age = Seconds(aNow - m_failureAt).count();
-  return m_failureShare * std::exp2(-age / Seconds(kFailureHalfLife).count());
-}
-
 bool
 UpstreamHealth::RefusedLately(TimePoint aNow) const
 {
   return m_refusedAt && aNow - *m_refusedAt < kRefusalMemory;
 }
 
-void
-UpstreamHealth::Blend(double aFailure, TimePoint aNow)
-{
-  double share = FailureShare(aNow);
-  m_failureShare = share + kFailureBlend * (aFailure - share);
-  m_failureAt = aNow;
-}
-
 } // namespace shallotford
--- a/src/route_roles.cpp
+++ b/src/route_roles.cpp
@@ -8,6 +8,19 @@
 
 namespace shallotford {
 
+namespace {
+
+using Seconds = std::chrono::duration<double>;
+
+Seconds
+ReadingTime(double aPromptTokens)
+{
+  return std::chrono::duration<double, std::milli>(aPromptTokens /
+                                                   kTypicalPromptTokensPerMs);
+}
+
+} // namespace
+
 double
 PrefillShare(const EngineCapacity& aCapacity, const RequestShape& aShape)
 {
@@ -15,9 +28,8 @@
   double atOnce = std::clamp(aCapacity.m_memoryTokens / std::max(held, 1.0),
                              1.0,
                              static_cast<double>(aCapacity.m_slots));
-  using Milliseconds = std::chrono::duration<double, std::milli>;
-  Milliseconds prefill(aShape.m_promptTokens / kTypicalPromptTokensPerMs);
-  Milliseconds decode = kTypicalStep + kTypicalStepPerRequest * atOnce;
+  Seconds prefill = ReadingTime(aShape.m_promptTokens);
+  Seconds decode = kTypicalStep + kTypicalStepPerRequest * atOnce;
   decode *= aShape.m_outputTokens / atOnce;
   return prefill / (prefill + decode);
 }
@@ -30,41 +42,28 @@
   return std::max(static_cast<std::size_t>(wanted), kLeastPrefillEngines);
 }
 
-namespace {
-
-Duration
-ReadingTime(double aPromptTokens)
+PrefillDelay::PrefillDelay()
+  : m_wait(kPrefillDelayHalfLife, kPrefillDelayBlend)
 {
-  std::chrono::duration<double, std::milli> time(aPromptTokens /
-                                                 kTypicalPromptTokensPerMs);
-  return std::chrono::duration_cast<Duration>(time);
 }
 
-} // namespace
-
 void
 PrefillDelay::OnPrefill(double aPromptTokens, Duration aTook, TimePoint aNow)
 {
-  Duration wait =
-    std::max(aTook - ReadingTime(aPromptTokens), Duration::zero());
-  Duration before = Expected(aNow);
-  m_wait = before + std::chrono::duration_cast<Duration>(kPrefillDelayBlend *
-                                                         (wait - before));
-  m_waitAt = aNow;
+  Seconds wait = aTook - ReadingTime(aPromptTokens);
+  m_wait.Add(std::max(wait.count(), 0.0), aNow);
 }
 
 Duration
 PrefillDelay::Expected(TimePoint aNow) const
 {
-  using Seconds = std::chrono::duration<double>;
-  double age = Seconds(aNow - m_waitAt) / Seconds(kPrefillDelayHalfLife);
-  return std::chrono::duration_cast<Duration>(m_wait * std::exp2(-age));
+  return std::chrono::duration_cast<Duration>(Seconds(m_wait.At(aNow)));
 }
 
 std::chrono::milliseconds
 PrefillDelay::Patience(double aPromptTokens, TimePoint aNow) const
 {
-  Duration usual = ReadingTime(aPromptTokens) + Expected(aNow);
+  Seconds usual = ReadingTime(aPromptTokens) + Expected(aNow);
   return std::chrono::duration_cast<std::chrono::milliseconds>(
     kPrefillPatience + kPrefillPatienceFactor * usual);
 }
@@ -72,10 +71,9 @@
 bool
 PrefillDelay::LeavesToDecode(std::uint64_t aHash, TimePoint aNow) const
 {
-  using Seconds = std::chrono::duration<double>;
   double excess = Seconds(Expected(aNow) - kGoodPrefillDelay) /
                   Seconds(kBadPrefillDelay - kGoodPrefillDelay);
-  return static_cast<double>(aHash >> 11) * 0x1.0p-53 < excess;
+  return UnitOf(aHash) < excess;
 }
 
 namespace {
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -71,7 +71,7 @@
   for (const RouteTarget& target : aRoute.m_targets) {
     total += target.m_weight;
   }
-  double point = static_cast<double>(aHash >> 11) * 0x1.0p-53 * total;
+  double point = UnitOf(aHash) * total;
   for (const RouteTarget& target : aRoute.m_targets) {
     point -= target.m_weight;
     if (point < 0) {
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -50,8 +50,7 @@
 double
 RandomCost(const UpstreamEntry& aEntry, std::uint64_t aSalt)
 {
-  std::uint64_t hash = StableHash(aEntry.m_key.m_id, aSalt);
-  return kRandomCost * static_cast<double>(hash >> 11) * 0x1.0p-53;
+  return kRandomCost * UnitOf(StableHash(aEntry.m_key.m_id, aSalt));
 }
 
 /// Without a sound upstream, a doubtful one serves better than a refusal.
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -95,9 +95,7 @@
   {
     m_loop.CancelTimer(m_timer);
     ReleaseBody();
-    if (m_exchange != nullptr) {
-      m_exchange->Detach(true);
-    }
+    DetachExchange(true);
   }
 
   bool IsIdle() const
@@ -178,7 +176,7 @@
 
   void Abort()
   {
-    DetachExchange();
+    DetachExchange(false);
     CloseGently();
   }
 
@@ -273,16 +271,17 @@
     }
   }
 
-  void DetachExchange()
+  /// @param aGone  the caller has left before the answer's end
+  void DetachExchange(bool aGone)
   {
     if (m_exchange != nullptr) {
-      std::exchange(m_exchange, nullptr)->Detach(false);
+      std::exchange(m_exchange, nullptr)->Detach(aGone);
     }
   }
 
   void EndAnswer()
   {
-    DetachExchange();
+    DetachExchange(false);
     if (!m_keepAlive) {
       CloseGently();
       return;
@@ -349,9 +348,7 @@
   /// The caller has left; the object is destroyed after this event.
   void Gone()
   {
-    if (m_exchange != nullptr) {
-      std::exchange(m_exchange, nullptr)->Detach(true);
-    }
+    DetachExchange(true);
     m_closing = true;
     m_stream->PauseReading();
     m_listener.Remove(this);
--- a/src/router_roles.cpp
+++ b/src/router_roles.cpp
@@ -70,15 +70,16 @@
        ChooseForDecode(m_upstreams.All(), aService.m_name, share, m_ordered)) {
     const UpstreamEntry& entry = engine->m_entry;
     m_ordered.insert(entry.m_key);
-    m_errands.Send(entry,
-                   m_dialect.RoleCall(entry, order),
-                   [this, id = entry.m_key.m_id, share](int aStatus) {
-                     m_log.Write(LogEvent("role_ordered")
-                                   .Add("upstream", id)
-                                   .Add("role", "decode")
-                                   .Add("prefill_work_percent", Percent(share))
-                                   .Add("status", std::int64_t{ aStatus }));
-                   });
+    m_errands.Send(
+      entry,
+      m_dialect.RoleCall(entry, order),
+      [this, id = entry.m_key.m_id, role = order.m_role, share](int aStatus) {
+        m_log.Write(LogEvent("role_ordered")
+                      .Add("upstream", id)
+                      .Add("role", ToString(role))
+                      .Add("prefill_work_percent", Percent(share))
+                      .Add("status", std::int64_t{ aStatus }));
+      });
   }
 }
 
--- a/tests/forwarded_call_test.cpp
+++ b/tests/forwarded_call_test.cpp
@@ -6,9 +6,7 @@
 
 #include "daemon_worker.h"
 #include "fake_engine.h"
-
-#include <fstream>
-#include <sstream>
+#include "golden_fleet.h"
 
 using namespace shallotford;
 using namespace std::chrono_literals;
@@ -21,16 +19,6 @@
   void Write(const LogEvent&) override {}
 };
 
-FleetPtr
-GoldenFleet()
-{
-  std::string name = std::string(TEST_DATA_DIR) + "/golden/fleet.json";
-  std::ifstream file(name);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseFleetText(text.str(), name);
-}
-
 } // namespace
 
 BOOST_AUTO_TEST_CASE(answer_is_posted_to_the_owner_of_the_socket)
--- /dev/null
+++ b/tests/golden_fleet.h
@@ -0,0 +1,25 @@
+#ifndef SHALLOTFORD_TESTS_GOLDEN_FLEET_H
+#define SHALLOTFORD_TESTS_GOLDEN_FLEET_H
+
+/// The fleet text of the golden sessions.
+
+#include "shallotford/fleet.h"
+
+#include <fstream>
+#include <sstream>
+
+namespace shallotford {
+
+inline FleetPtr
+GoldenFleet()
+{
+  std::string name = std::string(TEST_DATA_DIR) + "/golden/fleet.json";
+  std::ifstream file(name);
+  std::ostringstream text;
+  text << file.rdbuf();
+  return ParseFleetText(text.str(), name);
+}
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_TESTS_GOLDEN_FLEET_H
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -435,21 +435,8 @@
   RouterOptions later = FirstOptions("127.0.0.1:0");
   later.m_firstStart = false;
   for (const RouterOptions& options : { FirstOptions("127.0.0.0:1"), later }) {
-    std::unique_ptr<DirectorySourceI> source;
-    std::unique_ptr<RouterI> router;
-    m_loop.Do([&] {
-      source = platform::MakeStoreSource(
-        *m_loop, m_log, *m_random, { .m_address = m_store->Address() });
-      router = MakeRouter(
-        options,
-        { *m_loop, *source, *m_decoder, *m_dialect, m_log, *m_random });
-      router->Start();
-    });
+    OtherVm other(*this, options, m_store->Address());
     std::this_thread::sleep_for(kRolesUntil + kRouterTick);
     BOOST_TEST(Orders().empty());
-    m_loop.Do([&] {
-      router.reset();
-      source.reset();
-    });
   }
 }
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -201,6 +201,48 @@
   std::unique_ptr<RouterI> m_router;
 };
 
+/// A further router on a fixture's loop, with a store of its own or the same.
+class OtherVm
+{
+public:
+  OtherVm(RouterFixture& aFixture,
+          const RouterOptions& aOptions,
+          const std::string& aStoreAddress)
+    : m_fixture(aFixture)
+  {
+    m_fixture.m_loop.Do([&] {
+      m_source = platform::MakeStoreSource(*m_fixture.m_loop,
+                                           m_fixture.m_log,
+                                           *m_fixture.m_random,
+                                           { .m_address = aStoreAddress });
+      m_router = MakeRouter(aOptions,
+                            { *m_fixture.m_loop,
+                              *m_source,
+                              *m_fixture.m_decoder,
+                              *m_fixture.m_dialect,
+                              m_fixture.m_log,
+                              *m_fixture.m_random });
+      m_router->Start();
+    });
+  }
+  ~OtherVm()
+  {
+    m_fixture.m_loop.Do([this] {
+      m_router.reset();
+      m_source.reset();
+    });
+  }
+  OtherVm(const OtherVm&) = delete;
+  OtherVm& operator=(const OtherVm&) = delete;
+
+  std::uint16_t Port() { return m_router->CallerPort(); }
+
+private:
+  RouterFixture& m_fixture;
+  std::unique_ptr<DirectorySourceI> m_source;
+  std::unique_ptr<RouterI> m_router;
+};
+
 /// Two plain servers.
 struct Plain : RouterFixture
 {
--- a/tests/router_vms_test.cpp
+++ b/tests/router_vms_test.cpp
@@ -84,26 +84,16 @@
   options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
   auto store =
     m_loop.Do([this] { return std::make_unique<PublishedStore>(*m_loop); });
-  std::unique_ptr<DirectorySourceI> source;
-  std::unique_ptr<RouterI> other;
-  m_loop.Do([&] {
-    store->SetMood(StoreMood::Unavailable);
-    source = platform::MakeStoreSource(
-      *m_loop, m_log, *m_random, { .m_address = store->Address() });
-    other = MakeRouter(
-      options, { *m_loop, *source, *m_decoder, *m_dialect, m_log, *m_random });
-    other->Start();
-  });
+  m_loop.Do([&] { store->SetMood(StoreMood::Unavailable); });
+  std::optional<OtherVm> other;
+  other.emplace(*this, options, store->Address());
   BOOST_TEST(WaitFor([&] {
-    RawSocket socket(other->CallerPort());
+    RawSocket socket(other->Port());
     socket.Send(Request("/safe/", "r1", "body", "Connection: close\r\n"));
     return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
   }));
-  m_loop.Do([&] {
-    other.reset();
-    source.reset();
-    store.reset();
-  });
+  other.reset();
+  m_loop.Do([&] { store.reset(); });
 }
 
 namespace {
--- a/tests/session_test.cpp
+++ b/tests/session_test.cpp
@@ -6,6 +6,7 @@
 
 #include "daemon_worker.h"
 #include "fake_engine.h"
+#include "golden_fleet.h"
 
 #include <cstdlib>
 #include <fstream>
@@ -74,8 +75,7 @@
     };
     m_worker.SetControlSink([](const WorkerMessage&) {});
     m_worker.Start();
-    std::string name = std::string(TEST_DATA_DIR) + "/golden/fleet.json";
-    m_worker.OnMessage(FleetInForce{ ParseFleetText(ReadText(name), name) });
+    m_worker.OnMessage(FleetInForce{ GoldenFleet() });
     m_worker.OnMessage(MembershipView{ { "10.9.0.1:70" }, { "10.9.0.1:70" } });
     m_worker.OnMessage(PlatformReady{ true });
     m_loop.RunFor(500ms);
--- a/tests/suspects_test.cpp
+++ b/tests/suspects_test.cpp
@@ -5,11 +5,9 @@
 
 #include "daemon_worker.h"
 #include "fake_engine.h"
+#include "golden_fleet.h"
 #include "shallotford/rpc.h"
 
-#include <fstream>
-#include <sstream>
-
 using namespace shallotford;
 using namespace std::chrono_literals;
 
@@ -41,16 +39,6 @@
   }
 }
 
-FleetPtr
-GoldenFleet()
-{
-  std::string name = std::string(TEST_DATA_DIR) + "/golden/fleet.json";
-  std::ifstream file(name);
-  std::ostringstream text;
-  text << file.rdbuf();
-  return ParseFleetText(text.str(), name);
-}
-
 /// A worker, and another VM that coordinates.
 struct Fixture
 {
