Log the framing and the incomplete event with which a stream ended

Change: `request_end` of an answer that has begun, and `attempt_failed` of a stream, give `framing` and `incomplete_event` (bytes). No decision changes.

--- a/include/shallotford/http1.h
+++ b/include/shallotford/http1.h
@@ -17,6 +17,8 @@
   Chunked,    ///< transfer-encoding: chunked
   UntilClose, ///< end of the connection; answers only
 };
+std::string_view
+ToString(BodyFraming aFraming);
 
 /// The request line and header fields of a request.
 struct RequestHead
--- a/src/http1_fields.cpp
+++ b/src/http1_fields.cpp
@@ -38,6 +38,22 @@
 
 } // namespace
 
+std::string_view
+ToString(BodyFraming aFraming)
+{
+  switch (aFraming) {
+    case BodyFraming::None:
+      return "none";
+    case BodyFraming::Length:
+      return "length";
+    case BodyFraming::Chunked:
+      return "chunked";
+    case BodyFraming::UntilClose:
+      return "until_close";
+  }
+  return "?";
+}
+
 bool
 SameFieldName(std::string_view aLeft, std::string_view aRight)
 {
--- a/src/router_events.h
+++ b/src/router_events.h
@@ -21,7 +21,8 @@
   std::string TakeRest();
   /// Returns the id of the last complete event that had one.
   const std::string& LastId() const { return m_lastId; }
-  bool HasRest() const { return !m_rest.empty(); }
+  /// Returns the bytes of the incomplete event.
+  const std::string& Rest() const { return m_rest; }
 
 private:
   void ReadIds(std::string_view aEvents);
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -27,9 +27,8 @@
 void
 RoutedRequest::FinishStream()
 {
-  std::string rest = m_events.TakeRest();
-  if (!rest.empty()) {
-    m_exchange->Write(rest);
+  if (!m_events.Rest().empty()) {
+    m_exchange->Write(m_events.Rest());
   }
   m_exchange->End();
   End("answered", m_heldAnswer.m_head.m_status);
@@ -157,6 +156,9 @@
   if (m_upstream != nullptr) {
     event.Add("upstream", m_upstream->m_entry.m_key.m_id);
   }
+  if (m_answerBegun) {
+    AddBodyState(event);
+  }
   if (m_reservedEngine != nullptr) {
     event.Add("reserved", m_reservedSince - m_received)
       .Add("prompt", static_cast<std::int64_t>(m_facts.m_promptTokens))
@@ -182,22 +184,32 @@
   m_onEnd();
 }
 
+void
+RoutedRequest::AddBodyState(LogEvent& aEvent) const
+{
+  aEvent.Add("framing", shallotford::ToString(m_heldAnswer.m_head.m_framing))
+    .Add("incomplete_event", static_cast<std::int64_t>(m_events.Rest().size()));
+}
+
 void
 RoutedRequest::LogAttempt(AttemptEnd aEnd, const std::string& aReason) const
 {
-  m_shared.m_log.Write(
-    LogEvent("attempt_failed", LogLevel::Warning)
-      .Add("request", m_facts.m_id)
-      .Add("phase", ToString(m_phase))
-      .Add("upstream", m_upstream->m_entry.m_key.m_id)
-      .Add("address", m_upstream->m_entry.m_address)
-      .Add("end", shallotford::ToString(aEnd))
-      .Add("reason", aReason)
-      .Add("status", static_cast<std::int64_t>(m_heldAnswer.m_head.m_status))
-      .Add("in_flight",
-           static_cast<std::int64_t>(m_upstream->m_health.InFlight()))
-      .Add("took", m_shared.m_loop.Now() - m_sentAt)
-      .Add("time_left", Duration(TimeLeft())));
+  LogEvent event("attempt_failed", LogLevel::Warning);
+  event.Add("request", m_facts.m_id)
+    .Add("phase", ToString(m_phase))
+    .Add("upstream", m_upstream->m_entry.m_key.m_id)
+    .Add("address", m_upstream->m_entry.m_address)
+    .Add("end", shallotford::ToString(aEnd))
+    .Add("reason", aReason)
+    .Add("status", static_cast<std::int64_t>(m_heldAnswer.m_head.m_status))
+    .Add("in_flight",
+         static_cast<std::int64_t>(m_upstream->m_health.InFlight()))
+    .Add("took", m_shared.m_loop.Now() - m_sentAt)
+    .Add("time_left", Duration(TimeLeft()));
+  if (m_streaming) {
+    AddBodyState(event);
+  }
+  m_shared.m_log.Write(event);
 }
 
 } // namespace shallotford
