Add a failing test for streams that are cut inside an event

An upstream's answer that ends inside an event has been broken off, but its caller gets a complete answer. Result: fails on the current code for an answer that ends with its connection, for chunks and for a length: the caller's answer has its last chunk.

--- a/tests/net_fixture.h
+++ b/tests/net_fixture.h
@@ -257,6 +257,7 @@
 
   std::string Address() const { return "127.0.0.1:" + std::to_string(m_port); }
   std::uint16_t Port() const { return m_port; }
+  int Descriptor() const { return m_fd; }
   std::unique_ptr<RawSocket> Accept()
   {
     pollfd item{ m_fd, POLLIN, 0 };
--- /dev/null
+++ b/tests/router_stream_end_test.cpp
@@ -0,0 +1,157 @@
+/// Tests of how streams end, with upstreams that send raw bytes: framing, the
+/// end of the connection, and events that are cut.
+
+#define BOOST_TEST_MODULE router_stream_end
+#include <boost/test/unit_test.hpp>
+
+#include "router_fixture.h"
+
+#include <boost/test/data/test_case.hpp>
+
+using namespace shallotford;
+using namespace shallotford::test;
+
+namespace {
+
+/// How an upstream frames its answer.
+const std::array<std::string, 3> kFramings = { "until_close",
+                                               "chunked",
+                                               "length" };
+
+/// How an upstream closes its connection.
+enum class Close
+{
+  Finish,
+  Reset,
+};
+
+std::string
+Event(int aNumber)
+{
+  std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: token" + number + "\n\n";
+}
+
+const std::string kCutEvent = "id: 3\ndata: tok";
+
+/// Routes "/resumed/" and "/fixed/" to two upstreams that the test answers byte
+/// by byte; only streams of the first route may be resumed.
+struct RawUpstreams : RouterFixture
+{
+  RawUpstreams()
+  {
+    const std::string stream =
+      R"("host":"h","kind":"streaming","timeout-ms":8000,)"
+      R"("target-latency-ms":900,"service":"raw",)";
+    Publish(ConfigText(1,
+                       R"(,{"name":"resumed","prefix":"/resumed/",)" + stream +
+                         R"("max-attempts":2,"resumable":true},)" +
+                         R"({"name":"whole","prefix":"/whole/",)" + stream +
+                         R"("max-attempts":1})"));
+    for (std::size_t i = 0; i < m_listeners.size(); ++i) {
+      PublishUpstream("i-" + std::to_string(i), m_listeners[i].Address());
+    }
+    Start();
+    WaitFor([this] { return Has(Metrics(), "shallotford_upstreams 2\n"); });
+  }
+
+  void PublishUpstream(const std::string& aId, const std::string& aAddress)
+  {
+    std::string entry = R"({"service":"raw","address":")" + aAddress +
+                        R"(","zone":"z1","slots":8,"state":"ready",)" +
+                        R"("born":1,"seq":1})";
+    m_loop.Do([&] { m_store->Put("servers/" + aId, entry); });
+  }
+
+  /// Begins a caller's request.
+  std::unique_ptr<RawSocket> Call(const std::string& aPath)
+  {
+    auto caller = std::make_unique<RawSocket>(Port());
+    caller->Send(Request(aPath, "r1", "body", "Connection: close\r\n"));
+    return caller;
+  }
+
+  /// Accepts the connection of the router's next attempt, at either upstream,
+  /// and returns it once it has received the request.
+  std::unique_ptr<RawSocket> NextAttempt(std::string* aRequest = nullptr)
+  {
+    std::array<pollfd, 2> items{};
+    for (std::size_t i = 0; i < items.size(); ++i) {
+      items[i] = { m_listeners[i].Descriptor(), POLLIN, 0 };
+    }
+    if (::poll(items.data(), items.size(), 10'000) <= 0) {
+      return nullptr;
+    }
+    RawListener& asked = m_listeners[items[0].revents != 0 ? 0 : 1];
+    std::unique_ptr<RawSocket> attempt = asked.Accept();
+    std::string request = attempt->ReadUntil("\r\n\r\nbody");
+    if (aRequest != nullptr) {
+      *aRequest = request;
+    }
+    return attempt;
+  }
+
+  /// Answers an attempt with a complete message, framed as named.
+  static void Answer(RawSocket& aAttempt,
+                     const std::string& aFraming,
+                     const std::string& aBody,
+                     Close aClose = Close::Finish)
+  {
+    std::string head = "HTTP/1.1 200 OK\r\nX-Shallotford-Request-Id: r1\r\n"
+                       "X-Shallotford-Response-Signature: mark-r1\r\n"
+                       "Content-Type: text/event-stream\r\n";
+    if (aFraming == "length") {
+      head += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
+    }
+    if (aFraming == "chunked") {
+      head += "Transfer-Encoding: chunked\r\n";
+    }
+    bool chunked = aFraming == "chunked";
+    aAttempt.Send(
+      head + "\r\n" +
+      (chunked ? WriteChunk(aBody) + std::string(kLastChunk) : aBody));
+    if (aClose == Close::Reset) {
+      linger reset{ .l_onoff = 1, .l_linger = 0 };
+      ::setsockopt(
+        aAttempt.Descriptor(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    }
+    aAttempt.Close();
+  }
+
+  /// Returns whether an answer to a caller has its last chunk.
+  static bool IsComplete(const std::string& aAnswer)
+  {
+    return aAnswer.ends_with(std::string("\r\n") + std::string(kLastChunk));
+  }
+
+  /// Returns the body of an answer to a caller.
+  static std::string Body(const std::string& aAnswer)
+  {
+    struct Sink : MessageSinkI
+    {
+      void OnBody(std::string_view aBytes) override { m_body += aBytes; }
+      void OnEnd() override {}
+      std::string m_body;
+    } sink;
+    MakeAnswerReader(4'096)->Feed(aAnswer, sink);
+    return sink.m_body;
+  }
+
+  std::array<RawListener, 2> m_listeners;
+};
+
+} // namespace
+
+namespace data = boost::unit_test::data;
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_stream_cut_inside_an_event_is_not_ended_as_complete,
+                       data::make(kFramings),
+                       framing)
+{
+  auto caller = Call("/whole/x");
+  Answer(*NextAttempt(), framing, Event(1) + Event(2) + kCutEvent);
+  std::string answer = caller->ReadToEnd();
+  BOOST_TEST(Has(answer, Event(2)));
+  BOOST_TEST(!IsComplete(answer));
+}
