Treat a stream that ends inside an event as broken off

Cause: the router took the end of the upstream's HTTP message for the end of the stream. An answer without a length and chunks ends with its connection, so an upstream's crash completes the message; the cut event was passed on as the stream's rest, followed by the last chunk. Change: a stream is complete only if its message ends and no event is incomplete, whatever the framing and whichever upstream sent its last part. Else the attempt is broken: it resumes elsewhere after the last whole event, or the answer to the caller ends without its last chunk. Empty lines of mixed line ends end an event as well, and a 200 answer of another content type on a streaming route is delivered as a plain answer.

--- a/src/router_events.cpp
+++ b/src/router_events.cpp
@@ -15,8 +15,9 @@
 std::size_t
 EndOfEvents(std::string_view aBytes)
 {
+  // An empty line: "\n\r\n" also ends "\r\n\r\n".
   constexpr std::array<std::string_view, 3> kEnds = { "\n\n",
-                                                      "\r\n\r\n",
+                                                      "\n\r\n",
                                                       "\r\r" };
   std::size_t end = 0;
   for (std::string_view mark : kEnds) {
@@ -50,6 +51,12 @@
   return events;
 }
 
+bool
+EventSplitter::IsInsideEvent() const
+{
+  return m_rest.find_first_not_of("\r\n") != std::string::npos;
+}
+
 std::string
 EventSplitter::TakeRest()
 {
--- a/src/router_events.h
+++ b/src/router_events.h
@@ -21,8 +21,10 @@
   std::string TakeRest();
   /// Returns the id of the last complete event that had one.
   const std::string& LastId() const { return m_lastId; }
-  /// Returns the bytes of the incomplete event.
+  /// Returns the bytes after the last complete event.
   const std::string& Rest() const { return m_rest; }
+  /// Returns whether an event has begun and isn't complete.
+  bool IsInsideEvent() const;
 
 private:
   void ReadIds(std::string_view aEvents);
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -15,6 +15,15 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
 }
 
+/// Returns whether an answer's body consists of events. Upstreams may omit the
+/// content type of a stream.
+bool
+IsEventStream(const AnswerHead& aHead)
+{
+  const std::string* type = FindField(aHead.m_fields, "content-type");
+  return type == nullptr || type->starts_with("text/event-stream");
+}
+
 /// Returns the attempt's end for a signed answer with this status.
 AttemptEnd
 EndOfStatus(int aStatus)
@@ -346,7 +355,8 @@
     return;
   }
   m_pendingEnd = EndOfStatus(aHead.m_status);
-  m_streaming = m_phase == Phase::Run && IsStream() && aHead.m_status == 200;
+  m_streaming = m_phase == Phase::Run && IsStream() && aHead.m_status == 200 &&
+                IsEventStream(aHead);
   if (m_answerBegun && !m_streaming) {
     EndAttempt(AttemptEnd::Broken,
                "the stream was not resumed; the answer has status " +
@@ -419,6 +429,10 @@
 void
 RoutedRequest::OnAnswerEnd()
 {
+  if (m_streaming && m_events.IsInsideEvent()) {
+    EndAttempt(AttemptEnd::Broken, "the stream ended inside an event");
+    return;
+  }
   EndAttempt(m_pendingEnd, {});
 }
 
--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -95,11 +95,13 @@
   static void Answer(RawSocket& aAttempt,
                      const std::string& aFraming,
                      const std::string& aBody,
-                     Close aClose = Close::Finish)
+                     Close aClose = Close::Finish,
+                     const std::string& aType = "text/event-stream")
   {
     std::string head = "HTTP/1.1 200 OK\r\nX-Shallotford-Request-Id: r1\r\n"
                        "X-Shallotford-Response-Signature: mark-r1\r\n"
-                       "Content-Type: text/event-stream\r\n";
+                       "Content-Type: " +
+                       aType + "\r\n";
     if (aFraming == "length") {
       head += "Content-Length: " + std::to_string(aBody.size()) + "\r\n";
     }
@@ -155,3 +157,63 @@
   BOOST_TEST(Has(answer, Event(2)));
   BOOST_TEST(!IsComplete(answer));
 }
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_stream_cut_inside_an_event_is_resumed_elsewhere,
+                       data::make(kFramings),
+                       framing)
+{
+  auto caller = Call("/resumed/x");
+  Answer(*NextAttempt(), framing, Event(1) + Event(2) + kCutEvent);
+  std::string second;
+  Answer(*NextAttempt(&second), framing, Event(3) + Event(4));
+  BOOST_TEST(Has(second, "Last-Event-Id: 2\r\n"));
+  std::string answer = caller->ReadToEnd();
+  BOOST_TEST(Body(answer) == Event(1) + Event(2) + Event(3) + Event(4));
+  BOOST_TEST(IsComplete(answer));
+}
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_resumed_stream_cut_again_is_not_ended_as_complete,
+                       data::make(kFramings),
+                       framing)
+{
+  auto caller = Call("/resumed/x");
+  Answer(*NextAttempt(), "chunked", Event(1) + Event(2) + kCutEvent);
+  Answer(*NextAttempt(), framing, Event(3) + "id: 4\n");
+  std::string answer = caller->ReadToEnd();
+  BOOST_TEST(Has(answer, Event(3)));
+  BOOST_TEST(!IsComplete(answer));
+}
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_whole_stream_is_ended_as_complete,
+                       data::make(kFramings),
+                       framing)
+{
+  const std::string body = ": ready\r\n\r\n" + Event(1) + "id: 2\ndata: a\n" +
+                           "\r\n" + Event(3) + "\n";
+  auto caller = Call("/whole/x");
+  Answer(*NextAttempt(), framing, body);
+  std::string answer = caller->ReadToEnd();
+  BOOST_TEST(Body(answer) == body);
+  BOOST_TEST(IsComplete(answer));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_ended_by_a_reset_is_not_ended_as_complete,
+                        RawUpstreams)
+{
+  auto caller = Call("/whole/x");
+  Answer(*NextAttempt(), "until_close", Event(1) + Event(2), Close::Reset);
+  BOOST_TEST(!IsComplete(caller->ReadToEnd()));
+}
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_plain_answer_on_a_stream_route_is_passed_on,
+                       data::make(kFramings),
+                       framing)
+{
+  auto caller = Call("/whole/x");
+  Answer(*NextAttempt(), framing, "{}", Close::Finish, "application/json");
+  BOOST_TEST(caller->ReadToEnd().ends_with("\r\n\r\n{}"));
+}
