Do not take a close before the first event for a stream's end

An answer without a length that closes before any event carries no sign of completeness: a run that resumes a stream and crashes at once ended the caller's answer as complete. Change: such an attempt is broken, like one that is cut inside an event. Result: a_close_before_any_event_is_not_taken_for_the_end failed before (the caller's answer had its last chunk) and passes, with the rest of router_stream_end_test and router_engines_test.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -215,6 +215,7 @@
   m_heldAnswer = {};
   m_pendingEnd = AttemptEnd::Broken;
   m_streaming = false;
+  m_hasEvents = false;
   m_sentAt = m_shared.m_loop.Now();
   aUpstream->m_health.OnStart(m_sentAt);
   m_lastBytesAt = m_sentAt;
@@ -403,6 +404,7 @@
   if (aEvents.empty()) {
     return;
   }
+  m_hasEvents = true;
   if (!m_answerBegun) {
     BeginAnswer(m_heldAnswer.m_head);
   }
@@ -433,6 +435,12 @@
     EndAttempt(AttemptEnd::Broken, "the stream ended inside an event");
     return;
   }
+  bool onlyClosed =
+    m_heldAnswer.m_head.m_framing == BodyFraming::UntilClose && !m_hasEvents;
+  if (m_streaming && onlyClosed) {
+    EndAttempt(AttemptEnd::Broken, "the stream closed before its first event");
+    return;
+  }
   EndAttempt(m_pendingEnd, {});
 }
 
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -174,6 +174,7 @@
   /// The attempt's end if its answer completes.
   AttemptEnd m_pendingEnd{ AttemptEnd::Broken };
   bool m_streaming{ false }; ///< events are passed on as they arrive
+  bool m_hasEvents{ false }; ///< the attempt has brought a complete event
 
   // Memory of a decode engine. A round of reservations ends when the request
   // gets memory or enters the queue.
--- a/tests/net_fixture.h
+++ b/tests/net_fixture.h
@@ -214,6 +214,14 @@
     }
   }
 
+  /// Closes the connection with a reset.
+  void Reset()
+  {
+    linger reset{ .l_onoff = 1, .l_linger = 0 };
+    ::setsockopt(m_fd, SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+    Close();
+  }
+
 private:
   bool ReadSome()
   {
--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -113,9 +113,7 @@
       head + "\r\n" +
       (chunked ? WriteChunk(aBody) + std::string(kLastChunk) : aBody));
     if (aClose == Close::Reset) {
-      linger reset{ .l_onoff = 1, .l_linger = 0 };
-      ::setsockopt(
-        aAttempt.Descriptor(), SOL_SOCKET, SO_LINGER, &reset, sizeof reset);
+      aAttempt.Reset();
     }
     aAttempt.Close();
   }
@@ -208,6 +206,17 @@
   BOOST_TEST(!IsComplete(caller->ReadToEnd()));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_close_before_any_event_is_not_taken_for_the_end,
+                        RawUpstreams)
+{
+  auto caller = Call("/resumed/x");
+  Answer(*NextAttempt(), "until_close", Event(1) + kCutEvent);
+  Answer(*NextAttempt(), "until_close", "");
+  std::string answer = caller->ReadToEnd();
+  BOOST_TEST(Has(answer, Event(1)));
+  BOOST_TEST(!IsComplete(answer));
+}
+
 BOOST_DATA_TEST_CASE_F(RawUpstreams,
                        a_plain_answer_on_a_stream_route_is_passed_on,
                        data::make(kFramings),
