Do not take a reset for the end of an answer without a length

Change: the client looks for a socket error before each read and at the close of such an answer; a reset fails the call.

--- a/src/net_client.h
+++ b/src/net_client.h
@@ -48,6 +48,8 @@
   void OnDestroyed();
 
 private:
+  /// Sets m_reset if the connection of an answer without a length was reset.
+  void DetectReset();
   void Connect();
   std::string Problem() const;
   std::string HeaderText() const;
@@ -72,6 +74,7 @@
   std::size_t m_bodySent{ 0 };
   std::optional<std::size_t> m_bodyLeft; ///< of an answer with a length
   bool m_untilClose{ false }; ///< the answer ends with the connection
+  bool m_reset{ false }; ///< the connection was reset inside such an answer
   /// While libwebsockets reads: where it is, and where it began.
   char** m_readAt{ nullptr };
   const char* m_readStart{ nullptr };
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -220,9 +220,25 @@
   return m_handler == nullptr ? -1 : 0;
 }
 
+void
+ClientCall::DetectReset()
+{
+  if (!m_untilClose || m_wsi == nullptr) {
+    return;
+  }
+  char byte = 0;
+  ssize_t count =
+    ::recv(lws_get_socket_fd(m_wsi), &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+  bool failed = count < 0 && errno != EAGAIN && errno != EINTR;
+  m_reset = m_reset || failed;
+}
+
 int
 ClientCall::OnReadable()
 {
+  // libwebsockets reports a reset and the end of a connection alike, and its
+  // own read clears the socket's error.
+  DetectReset();
   static thread_local std::string sBuffer(kServiceBufferBytes, '\0');
   char* at = sBuffer.data();
   int room = static_cast<int>(sBuffer.size());
@@ -254,7 +270,8 @@
   // closes inside it. Only when it has just moved over bytes was the last of
   // them the end of the last chunk.
   bool moved = m_readAt != nullptr && *m_readAt != m_readStart;
-  bool whole = m_bodyLeft ? *m_bodyLeft == 0 : m_untilClose || moved;
+  bool ended = m_untilClose ? !m_reset : moved;
+  bool whole = m_bodyLeft ? *m_bodyLeft == 0 : ended;
   if (!whole) {
     Fail("the connection closed inside the answer");
   } else {
@@ -272,7 +289,8 @@
 void
 ClientCall::OnClosed()
 {
-  if (m_untilClose || (m_bodyLeft && *m_bodyLeft == 0)) {
+  DetectReset();
+  if ((m_untilClose && !m_reset) || (m_bodyLeft && *m_bodyLeft == 0)) {
     End();
   } else {
     Fail("the connection closed before the answer's end");
--- a/tests/net_client_test.cpp
+++ b/tests/net_client_test.cpp
@@ -221,6 +221,20 @@
   BOOST_TEST((stalled->m_progress == CallProgress::Answered));
 }
 
+BOOST_AUTO_TEST_CASE(a_reset_does_not_end_an_answer_without_a_length)
+{
+  LoopThread loop;
+  RawListener listener;
+  RecordedCall call(loop, CallTo(listener.Address()));
+  auto socket = listener.Accept();
+  socket->ReadUntil("\r\n\r\n");
+  socket->Send("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello");
+  BOOST_TEST(call->Next() == "headers 200");
+  BOOST_TEST(call->Next() == "body hello");
+  socket->Reset();
+  BOOST_TEST(call->Next() == "failure");
+}
+
 BOOST_AUTO_TEST_CASE(cancelling_closes_the_socket_without_events)
 {
   LoopThread loop;
