--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -155,6 +155,9 @@
   bool m_draining{ false };
   EngineStage m_stage{ EngineStage::None };
   std::uint64_t m_sequence{ 0 }; ///< of its reports; a lower number is older
+  /// Version of its software, not of the model's weights. Output of different
+  /// versions can't be joined.
+  std::string m_softwareVersion;
 };
 
 /// Load that an upstream reported with an answer.
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -154,7 +154,11 @@
     event.Add("prefill", m_prefillUpstream->m_entry.m_key.m_id);
   }
   if (m_upstream != nullptr) {
-    event.Add("upstream", m_upstream->m_entry.m_key.m_id);
+    event.Add("upstream", m_upstream->m_entry.m_key.m_id)
+      .Add("software", m_upstream->m_entry.m_softwareVersion);
+  }
+  if (!m_facts.m_resumedId.empty()) {
+    event.Add("resumes", m_facts.m_resumedId);
   }
   if (m_answerBegun) {
     AddBodyState(event);
@@ -199,6 +203,7 @@
     .Add("phase", ToString(m_phase))
     .Add("upstream", m_upstream->m_entry.m_key.m_id)
     .Add("address", m_upstream->m_entry.m_address)
+    .Add("software", m_upstream->m_entry.m_softwareVersion)
     .Add("end", shallotford::ToString(aEnd))
     .Add("reason", aReason)
     .Add("status", static_cast<std::int64_t>(m_heldAnswer.m_head.m_status))
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -328,6 +328,7 @@
       .Add("service", aEntry.m_service)
       .Add("address", aEntry.m_address)
       .Add("stage", ToString(aEntry.m_stage))
+      .Add("software", aEntry.m_softwareVersion)
       .Add("draining", aEntry.m_draining ? "yes" : "no")
       .Add("from", aFrom));
 }
