Add failing tests for streams that change their software version

Streams went on at engines of another software version within one answer, and when their callers took them up at another VM. Entries of the stand-in's servers carry a software version.

--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -91,10 +91,12 @@
 
   PublishedServer& AddServer(const std::string& aId,
                              const std::string& aService,
-                             const std::string& aStage = "")
+                             const std::string& aStage = "",
+                             const std::string& aSoftware = "v1")
   {
     PublishedServer* added = m_loop.Do([&] {
       auto server = std::make_unique<PublishedServer>(*m_loop, aId);
+      server->SetSoftwareVersion(aSoftware);
       m_store->Put("servers/" + aId, server->Entry(aService, aStage));
       m_servers.push_back(std::move(server));
       return m_servers.back().get();
@@ -237,6 +239,7 @@
   OtherVm& operator=(const OtherVm&) = delete;
 
   std::uint16_t Port() { return m_router->CallerPort(); }
+  std::uint16_t PeerPort() { return m_router->PeerPort(); }
 
 private:
   RouterFixture& m_fixture;
--- /dev/null
+++ b/tests/router_versions_test.cpp
@@ -0,0 +1,126 @@
+/// Tests of streams while engines of several software versions serve side by
+/// side: a stream stays at the version that began it.
+
+#define BOOST_TEST_MODULE router_versions
+#include <boost/test/unit_test.hpp>
+
+#include "router_fixture.h"
+
+using namespace shallotford;
+using namespace shallotford::test;
+
+namespace {
+
+constexpr int kStreams = 8;
+
+std::string
+Event(int aNumber)
+{
+  std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: token" + number + "\n\n";
+}
+
+/// Two engines of each of two software versions. The first run of a stream
+/// breaks off after event 1; a run with Last-Event-Id sends event 2 and ends.
+struct TwoVersions : Plain
+{
+  TwoVersions()
+  {
+    AddEngine("i-1a", "v1");
+    AddEngine("i-1b", "v1");
+    AddEngine("i-2a", "v2");
+    AddEngine("i-2b", "v2");
+    WaitFor([this] { return Knows(6); });
+  }
+
+  void AddEngine(const std::string& aId, const std::string& aSoftware)
+  {
+    PublishedServer& engine = AddServer(aId, "model", "decode", aSoftware);
+    m_loop.Do([&] {
+      engine.SetScript([this, &engine, aSoftware](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        const HttpHeaders& fields = aCall.m_request.m_head.m_fields;
+        bool resumed = FindField(fields, "Last-Event-Id") != nullptr;
+        m_versions[aCall.m_id].push_back(aSoftware);
+        engine.BeginStream(aCall);
+        aCall.m_exchange->Write(Event(resumed ? 2 : 1));
+        if (resumed) {
+          aCall.m_exchange->End();
+        } else {
+          aCall.m_exchange->Abort();
+        }
+        return true;
+      });
+    });
+  }
+
+  /// Returns the software versions that ran a request, in order.
+  std::vector<std::string> Versions(const std::string& aId)
+  {
+    return m_loop.Do([&] { return m_versions[aId]; });
+  }
+
+  /// Sends a request that continues the stream of request aFirst after event 1.
+  static std::string TakeUp(std::uint16_t aPort,
+                            const std::string& aId,
+                            const std::string& aFirst)
+  {
+    RawSocket socket(aPort);
+    socket.Send(Request(
+      "/stream/x",
+      aId,
+      "body",
+      "Connection: close\r\nLast-Event-Id: 1\r\nResumes: " + aFirst + "\r\n"));
+    return socket.ReadToEnd();
+  }
+
+  /// On the loop's thread.
+  std::map<std::string, std::vector<std::string>> m_versions;
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_broken_stream_is_resumed_at_its_software_version,
+                        TwoVersions)
+{
+  for (int i = 0; i < kStreams; ++i) {
+    std::string id = "r" + std::to_string(i);
+    BOOST_TEST(Has(Ask("/stream/x", id), Event(2)));
+    std::vector<std::string> versions = Versions(id);
+    BOOST_TEST(versions.size() == 2U);
+    BOOST_TEST(versions.front() == versions.back());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(
+  a_stream_taken_up_at_another_vm_stays_at_its_software_version,
+  TwoVersions)
+{
+  RouterOptions options = Options();
+  options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+  OtherVm other(*this, options, m_store->Address());
+  BOOST_TEST(WaitFor([&] {
+    RawSocket socket(other.Port());
+    socket.Send(Request("/safe/", "s", "body", "Connection: close\r\n"));
+    return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
+  }));
+  for (int i = 0; i < kStreams; ++i) {
+    std::string first = "f" + std::to_string(i);
+    std::string next = "n" + std::to_string(i);
+    BOOST_TEST(Has(Ask("/fixed/x", first), Event(1)));
+    BOOST_TEST(Has(TakeUp(other.Port(), next, first), Event(2)));
+    BOOST_TEST(Versions(first).front() == Versions(next).front());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(
+  a_stream_of_unknown_origin_is_refused_while_versions_differ,
+  TwoVersions)
+{
+  std::string answer = TakeUp(Port(), "n", "unknown");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(Has(answer, "\"run\":\"no\""));
+  BOOST_TEST(Versions("n").empty());
+}
--- a/tools/standin_published.cpp
+++ b/tools/standin_published.cpp
@@ -195,6 +195,7 @@
   entry["state"] = aDraining ? "draining" : "ready";
   entry["born"] = static_cast<Json::UInt64>(m_startedMs);
   entry["seq"] = 1;
+  entry["version"] = m_softwareVersion;
   if (!aStage.empty()) {
     entry["stage"] = aStage;
   }
--- a/tools/standin_published.h
+++ b/tools/standin_published.h
@@ -101,6 +101,11 @@
   std::string Entry(const std::string& aService,
                     const std::string& aStage,
                     bool aDraining = false) const;
+  /// Sets the software version of later entries.
+  void SetSoftwareVersion(std::string aVersion)
+  {
+    m_softwareVersion = std::move(aVersion);
+  }
   void SetScript(Script aScript) { m_script = std::move(aScript); }
   const std::string& Id() const { return m_id; }
   /// Returns how often the server ran each request, by request id.
@@ -120,6 +125,7 @@
 
 private:
   std::string m_id;
+  std::string m_softwareVersion{ "v1" };
   std::uint64_t m_startedMs{ 1 };
   Script m_script;
   std::map<std::string, int> m_runs;
