Serve the raw upstreams of the stream end test from a configured service

Cause: their service was not in the configuration's list of services, so the router never became ready and each case waited 20 s for it. Change: they belong to service "plain". No check changes.

--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -42,7 +42,7 @@
   {
     const std::string stream =
       R"("host":"h","kind":"streaming","timeout-ms":8000,)"
-      R"("target-latency-ms":900,"service":"raw",)";
+      R"("target-latency-ms":900,"service":"plain",)";
     Publish(ConfigText(1,
                        R"(,{"name":"resumed","prefix":"/resumed/",)" + stream +
                          R"("max-attempts":2,"resumable":true},)" +
@@ -57,7 +57,7 @@
 
   void PublishUpstream(const std::string& aId, const std::string& aAddress)
   {
-    std::string entry = R"({"service":"raw","address":")" + aAddress +
+    std::string entry = R"({"service":"plain","address":")" + aAddress +
                         R"(","zone":"z1","slots":8,"state":"ready",)" +
                         R"("born":1,"seq":1})";
     m_loop.Do([&] { m_store->Put("servers/" + aId, entry); });
