Keep a stream at the software version that began it

Cause: neither the choice of an engine for a resumed run nor the handling of a stream that its caller takes up again knew a software version; and the VM that gets the caller's next request is mostly another one. Change: the first event fixes a stream's software version, and only engines of it may resume. A VM leaves each stream's version with four others, chosen by a rendezvous hash, before the first event can come; a VM that gets a stream from elsewhere asks eight. If nobody knows the version, the request goes on only if all known engines of the service have the same one; else it is refused at once, as not run.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -291,6 +291,8 @@
   std::string m_fromDomain;
   std::set<UpstreamKey> m_excluded;
   std::uint64_t m_salt{ 0 }; ///< varies the choice among equals
+  /// Only upstreams of this software version; any if not set.
+  std::optional<std::string> m_softwareVersion;
 };
 
 /// All known upstreams, by incarnation.
@@ -322,7 +324,13 @@
   /// @return nullptr if no ready upstream meets aRequest's criteria
   UpstreamPtr Pick(const PickRequest& aRequest, TimePoint aNow) const;
   /// Returns whether any ready upstream of aService is known.
-  bool Serves(const std::string& aService) const;
+  /// @param aSoftwareVersion  only upstreams of this version; any if not set
+  bool Serves(const std::string& aService,
+              const std::optional<std::string>& aSoftwareVersion = {}) const;
+  /// Returns the software version of all known upstreams of aService, draining
+  /// ones included, or nothing if they differ or none is known.
+  std::optional<std::string> OnlySoftwareVersion(
+    const std::string& aService) const;
   std::size_t Size() const { return m_upstreams.size(); }
   std::vector<UpstreamPtr> All() const;
 
@@ -573,6 +581,12 @@
   std::string Next(RandomI& aRandom, TimePoint aNow);
   /// Returns the number of VMs with a recent contact, this one included.
   std::size_t LiveCount(TimePoint aNow) const;
+  /// Returns up to aCount peers in the order of a rendezvous hash of aKey, so
+  /// that all VMs that know the same peers choose the same ones. Seeds and
+  /// peers with a recent contact are eligible.
+  std::vector<std::string> Closest(std::string_view aKey,
+                                   std::size_t aCount,
+                                   TimePoint aNow) const;
   /// Returns the peers with a recent contact and the age of each contact.
   std::vector<std::pair<std::string, Duration>> ContactAges(
     TimePoint aNow) const;
--- a/src/config.h
+++ b/src/config.h
@@ -310,6 +310,18 @@
 /// The same during a planned stop.
 constexpr std::chrono::milliseconds kLeavingTick = 100ms;
 constexpr std::chrono::milliseconds kGossipPeriod = 1'000ms;
+/// Other VMs that keep a stream's origin.
+constexpr std::size_t kOriginReplicas = 4;
+/// Other VMs that are asked for a stream's origin: more than kOriginReplicas,
+/// since VMs may know different peers.
+constexpr std::size_t kOriginLookups = 8;
+/// Time after which a stream's origin is taken for unknown: several round trips
+/// between regions.
+constexpr std::chrono::milliseconds kOriginLookupTimeout = 300ms;
+/// Time for which a stream's origin is kept: longer than callers wait.
+constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
+/// Streams whose origins are kept at most.
+constexpr std::size_t kMaxOrigins = 50'000;
 /// Time without an answer of the directory's source after which this VM asks
 /// its peers for changes.
 constexpr std::chrono::milliseconds kSourceTimeout = 1'500ms;
--- a/src/route_peers.cpp
+++ b/src/route_peers.cpp
@@ -3,6 +3,8 @@
 #include "config.h"
 #include "shallotford/route.h"
 
+#include <algorithm>
+
 namespace shallotford {
 
 PeerList::PeerList(std::string aSelf, const std::vector<std::string>& aSeeds)
@@ -86,6 +88,28 @@
   return live;
 }
 
+std::vector<std::string>
+PeerList::Closest(std::string_view aKey,
+                  std::size_t aCount,
+                  TimePoint aNow) const
+{
+  std::uint64_t seed = StableHash(aKey);
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (const auto& [address, peer] : m_peers) {
+    bool recent =
+      peer.m_lastContact && aNow - *peer.m_lastContact < kPeerLiveTime;
+    if (peer.m_seed || recent) {
+      ranked.emplace_back(StableHash(address, seed), address);
+    }
+  }
+  std::sort(ranked.begin(), ranked.end());
+  std::vector<std::string> closest;
+  for (std::size_t i = 0; i < std::min(aCount, ranked.size()); ++i) {
+    closest.push_back(std::move(ranked[i].second));
+  }
+  return closest;
+}
+
 std::vector<std::pair<std::string, Duration>>
 PeerList::ContactAges(TimePoint aNow) const
 {
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -53,6 +53,13 @@
   return kMaxRandomCost * UnitOf(StableHash(aEntry.m_key.m_id, aSalt));
 }
 
+bool
+IsOfVersion(const UpstreamEntry& aEntry,
+            const std::optional<std::string>& aSoftwareVersion)
+{
+  return !aSoftwareVersion || aEntry.m_softwareVersion == *aSoftwareVersion;
+}
+
 /// Returns an extra cost for an upstream that is ejected or has no entry, so
 /// that it is chosen only if no other is left. It may still serve a request
 /// that would be refused otherwise.
@@ -229,6 +236,7 @@
   const UpstreamEntry& entry = aUpstream.m_entry;
   return !entry.m_draining && entry.m_service == aRequest.m_service &&
          entry.m_stage == aRequest.m_stage &&
+         IsOfVersion(entry, aRequest.m_softwareVersion) &&
          !aRequest.m_excluded.contains(entry.m_key);
 }
 
@@ -273,17 +281,36 @@
 }
 
 bool
-UpstreamTable::Serves(const std::string& aService) const
+UpstreamTable::Serves(const std::string& aService,
+                      const std::optional<std::string>& aSoftwareVersion) const
 {
   for (const auto& [key, upstream] : m_upstreams) {
-    if (upstream->m_entry.m_service == aService &&
-        !upstream->m_entry.m_draining) {
+    const UpstreamEntry& entry = upstream->m_entry;
+    if (entry.m_service == aService && !entry.m_draining &&
+        IsOfVersion(entry, aSoftwareVersion)) {
       return true;
     }
   }
   return false;
 }
 
+std::optional<std::string>
+UpstreamTable::OnlySoftwareVersion(const std::string& aService) const
+{
+  std::optional<std::string> only;
+  for (const auto& [key, upstream] : m_upstreams) {
+    const UpstreamEntry& entry = upstream->m_entry;
+    if (entry.m_service != aService) {
+      continue;
+    }
+    if (!IsOfVersion(entry, only)) {
+      return std::nullopt;
+    }
+    only = entry.m_softwareVersion;
+  }
+  return only;
+}
+
 std::vector<UpstreamPtr>
 UpstreamTable::All() const
 {
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -77,6 +77,22 @@
   });
   m_deadlineTimer =
     m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
+  if (!IsStream() || m_facts.m_resumedId.empty()) {
+    Begin();
+    return;
+  }
+  m_shared.m_origins.Find(m_facts.m_resumedId,
+                          [this, alive = std::weak_ptr<bool>(m_alive)](
+                            const std::optional<std::string>& aVersion) {
+                            if (!alive.expired() && !m_ended) {
+                              ContinueStream(aVersion);
+                            }
+                          });
+}
+
+void
+RoutedRequest::Begin()
+{
   if (ServedByEngines()) {
     StartAtEngines();
   } else {
@@ -84,6 +100,27 @@
   }
 }
 
+void
+RoutedRequest::ContinueStream(const std::optional<std::string>& aVersion)
+{
+  m_softwareVersion =
+    aVersion ? aVersion : m_shared.m_upstreams.OnlySoftwareVersion(m_service);
+  if (!m_softwareVersion) {
+    // Any choice might join the output of two versions.
+    Finish(DecideEnd(Progress()));
+    return;
+  }
+  Begin();
+}
+
+void
+RoutedRequest::PinSoftwareVersion()
+{
+  if (IsStream() && !m_softwareVersion) {
+    m_softwareVersion = m_upstream->m_entry.m_softwareVersion;
+  }
+}
+
 // --------------------------------------------------------------- queries
 
 std::chrono::milliseconds
@@ -146,7 +183,11 @@
                        .m_stage = aStage,
                        .m_fromDomain = aFromDomain,
                        .m_excluded = m_enginesWithoutRoom,
-                       .m_salt = StableHash(m_facts.m_id) };
+                       .m_salt = StableHash(m_facts.m_id),
+                       .m_softwareVersion = {} };
+  if (aStage != EngineStage::Prefill) {
+    request.m_softwareVersion = m_softwareVersion;
+  }
   request.m_excluded.insert(m_excluded.begin(), m_excluded.end());
   for (;;) {
     UpstreamPtr upstream =
@@ -242,6 +283,14 @@
       .m_headTimeout = HeadTimeout(aPhase),
       .m_bodyTimeout = BodyTimeout() },
     *this);
+  if (aPhase == Phase::Run && IsStream() && m_facts.m_resumedId.empty()) {
+    // Before the first event, so that a VM that stops right after it has left
+    // the stream's origin with others.
+    m_shared.m_origins.Publish(
+      { .m_requestId = m_facts.m_id,
+        .m_softwareVersion = aUpstream->m_entry.m_softwareVersion,
+        .m_attempt = m_runs + m_refusals + 1 });
+  }
   if (aPhase == Phase::Run && !m_reservation.empty()) {
     --m_reservedEngine->m_reserved;
     m_reservation.clear();
@@ -424,6 +473,7 @@
     }
   }
   m_answerBegun = true;
+  PinSoftwareVersion();
   m_firstEventAt = m_shared.m_loop.Now();
   m_exchange->Begin(aHead.m_status, aHead.m_reason, std::move(fields));
 }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -9,6 +9,7 @@
 #include "router_caller.h"
 #include "router_engine_calls.h"
 #include "router_events.h"
+#include "router_origins.h"
 #include "router_upstream.h"
 #include "shallotford/router.h"
 
@@ -30,6 +31,7 @@
   std::size_t m_liveVms{ 1 };
   Admission& m_admission;
   EngineCalls& m_engineCalls;
+  StreamOrigins& m_origins;
 
   RetryBudget& BudgetOf(const std::string& aService);
 };
@@ -86,6 +88,13 @@
   bool ServedByEngines() const;
   bool IsStream() const;
 
+  /// Sends the request to its first upstream.
+  void Begin();
+  /// Continues a stream that another request began.
+  /// @param aVersion  the software version that began it, if it is known
+  void ContinueStream(const std::optional<std::string>& aVersion);
+  /// The stream's next events must come from the version that began it.
+  void PinSoftwareVersion();
   void StartAtEngines();
   void Reserve();
   void WaitForMemory();
@@ -164,6 +173,10 @@
   /// NextStep::PassOn sends to the caller.
   std::optional<HeldAnswer> m_failure;
 
+  /// Set once the stream has begun: only this version may continue it.
+  std::optional<std::string> m_softwareVersion;
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
+
   // The attempt under way.
   Phase m_phase{ Phase::Run };
   UpstreamPtr m_upstream;
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -73,7 +73,7 @@
 RoutedRequest::WaitForMemory()
 {
   m_enginesWithoutRoom.clear();
-  if (!m_shared.m_upstreams.Serves(m_service)) {
+  if (!m_shared.m_upstreams.Serves(m_service, m_softwareVersion)) {
     Finish(DecideEnd(Progress()));
     return;
   }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -51,9 +51,11 @@
               .m_prefillDelays = {},
               .m_liveVms = 1,
               .m_admission = m_admission,
-              .m_engineCalls = m_engineCalls }
+              .m_engineCalls = m_engineCalls,
+              .m_origins = m_origins }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
+  , m_origins({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
   , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
     aExchange.Respond(200,
                       { { "content-type", "application/json" } },
@@ -67,6 +69,12 @@
   m_rpc.AddMethod("directory", [this](const Json::Value& aParams) {
     return OnGossip(aParams);
   });
+  m_rpc.AddMethod("stream_begun", [this](const Json::Value& aParams) {
+    return m_origins.OnPublished(aParams);
+  });
+  m_rpc.AddMethod("stream_origin", [this](const Json::Value& aParams) {
+    return m_origins.OnAsked(aParams);
+  });
 }
 
 RouterTask::~RouterTask()
@@ -351,6 +359,7 @@
     m_lastGossip = now;
     Gossip();
   }
+  m_origins.Expire();
   SetRoles();
   LogReadiness();
   if (m_leaving) {
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -125,6 +125,7 @@
   RouteTable m_routes;
   PeerList m_peers;
   HttpPeer m_peerCalls;
+  StreamOrigins m_origins;
   RpcServer m_rpc;
   Handler m_peerHandler;
   Handler m_operatorHandler;
