--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -510,6 +510,23 @@
 
 // ----------------------------------------------------------------- peers
 
+BOOST_AUTO_TEST_CASE(vms_with_the_same_peers_choose_the_same_ones_for_a_key)
+{
+  const std::vector<std::string> all = { "a:1", "b:1", "c:1", "d:1", "e:1" };
+  PeerList one("x:1", all);
+  PeerList two("y:1", { all.rbegin(), all.rend() });
+  std::set<std::string> chosen;
+  for (int i = 0; i < 50; ++i) {
+    std::string key = "r" + std::to_string(i);
+    std::vector<std::string> peers = one.Closest(key, 2, TimePoint{});
+    BOOST_TEST(peers.size() == 2U);
+    BOOST_TEST((peers == two.Closest(key, 2, TimePoint{})));
+    chosen.insert(peers.begin(), peers.end());
+  }
+  BOOST_TEST(chosen.size() == all.size());
+  BOOST_TEST(one.Closest("r", 9, TimePoint{}).size() == all.size());
+}
+
 BOOST_AUTO_TEST_CASE(peers_are_learnt_from_reports_and_expire_unless_seeds)
 {
   auto random = MakeSeededRandom(1);
--- a/tests/router_versions_test.cpp
+++ b/tests/router_versions_test.cpp
@@ -115,6 +115,43 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(a_stream_keeps_its_software_version_if_its_vm_stops,
+                        TwoVersions)
+{
+  OtherVm other(*this, Options(), m_store->Address());
+  BOOST_TEST(WaitFor([&] {
+    RawSocket socket(other.Port());
+    socket.Send(Request("/safe/", "s", "body", "Connection: close\r\n"));
+    return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
+  }));
+  RouterOptions seeded = Options();
+  seeded.m_seeds = { "127.0.0.1:" + std::to_string(other.PeerPort()) };
+  m_loop.Do([&] { m_router->Reload(seeded); });
+  for (int i = 0; i < kStreams; ++i) {
+    BOOST_TEST(Has(Ask("/fixed/x", "f" + std::to_string(i)), Event(1)));
+  }
+  m_loop.Do([this] { m_router.reset(); });
+  for (int i = 0; i < kStreams; ++i) {
+    std::string first = "f" + std::to_string(i);
+    std::string next = "n" + std::to_string(i);
+    BOOST_TEST(Has(TakeUp(other.Port(), next, first), Event(2)));
+    BOOST_TEST(Versions(first).front() == Versions(next).front());
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stream_whose_software_version_has_left_is_refused,
+                        TwoVersions)
+{
+  BOOST_TEST(Has(Ask("/fixed/x", "f"), Event(1)));
+  std::string left = Versions("f").front();
+  for (const char* id : { "a", "b" }) {
+    m_loop.Do([&] { m_store->Remove("servers/i-" + left.substr(1) + id); });
+  }
+  BOOST_TEST(WaitFor([this] { return Knows(4); }));
+  BOOST_TEST(TakeUp(Port(), "n", "f").starts_with("HTTP/1.1 503 "));
+  BOOST_TEST(Versions("n").empty());
+}
+
 BOOST_FIXTURE_TEST_CASE(
   a_stream_of_unknown_origin_is_refused_while_versions_differ,
   TwoVersions)
