Cut a pinned stream at once if no engine can continue it

Cause: a broken stream waited for memory as long as its service had any ready engine, although only engines of its software version may continue it: its caller was kept until the wait expired. Change: a stream that has begun waits only if a decode engine of its version is known that has not failed it.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -324,9 +324,7 @@
   /// @return nullptr if no ready upstream meets aRequest's criteria
   UpstreamPtr Pick(const PickRequest& aRequest, TimePoint aNow) const;
   /// Returns whether any ready upstream of aService is known.
-  /// @param aSoftwareVersion  only upstreams of this version; any if not set
-  bool Serves(const std::string& aService,
-              const std::optional<std::string>& aSoftwareVersion = {}) const;
+  bool Serves(const std::string& aService) const;
   /// Returns the software version of all known upstreams of aService, draining
   /// ones included, or nothing if they differ or none is known.
   std::optional<std::string> OnlySoftwareVersion(
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -281,13 +281,11 @@
 }
 
 bool
-UpstreamTable::Serves(const std::string& aService,
-                      const std::optional<std::string>& aSoftwareVersion) const
+UpstreamTable::Serves(const std::string& aService) const
 {
   for (const auto& [key, upstream] : m_upstreams) {
-    const UpstreamEntry& entry = upstream->m_entry;
-    if (entry.m_service == aService && !entry.m_draining &&
-        IsOfVersion(entry, aSoftwareVersion)) {
+    if (upstream->m_entry.m_service == aService &&
+        !upstream->m_entry.m_draining) {
       return true;
     }
   }
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -21,7 +21,9 @@
 IsEventStream(const AnswerHead& aHead)
 {
   const std::string* type = FindField(aHead.m_fields, "content-type");
-  return type == nullptr || type->starts_with("text/event-stream");
+  constexpr std::string_view kEvents = "text/event-stream";
+  return type == nullptr ||
+         SameFieldName(type->substr(0, kEvents.size()), kEvents);
 }
 
 /// Returns the attempt's end for a signed answer with this status.
@@ -283,9 +285,11 @@
       .m_headTimeout = HeadTimeout(aPhase),
       .m_bodyTimeout = BodyTimeout() },
     *this);
-  if (aPhase == Phase::Run && IsStream() && m_facts.m_resumedId.empty()) {
-    // Before the first event, so that a VM that stops right after it has left
-    // the stream's origin with others.
+  bool begins =
+    IsStream() && m_facts.m_resumedId.empty() && !m_facts.m_id.empty();
+  if (aPhase == Phase::Run && begins) {
+    // Published before the first event, so that other VMs know the origin even
+    // if this one is lost right after it.
     m_shared.m_origins.Publish(
       { .m_requestId = m_facts.m_id,
         .m_softwareVersion = aUpstream->m_entry.m_softwareVersion,
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -97,6 +97,8 @@
   void PinSoftwareVersion();
   void StartAtEngines();
   void Reserve();
+  /// Returns whether an engine that may run the request is known, full or not.
+  bool MayGetMemory() const;
   void WaitForMemory();
   std::uint32_t TokensToReserve(const Upstream& aEngine) const;
   /// Returns the latest time for a reservation that still meets the latency
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -69,11 +69,25 @@
   return from + m_route->m_callerTimeout - kReserveToFirstEventTime;
 }
 
+bool
+RoutedRequest::MayGetMemory() const
+{
+  if (!m_softwareVersion) {
+    return m_shared.m_upstreams.Serves(m_service);
+  }
+  PickRequest request{ .m_service = m_service,
+                       .m_stage = EngineStage::Decode,
+                       .m_fromDomain = {},
+                       .m_excluded = m_excluded,
+                       .m_softwareVersion = m_softwareVersion };
+  return m_shared.m_upstreams.Pick(request, m_shared.m_loop.Now()) != nullptr;
+}
+
 void
 RoutedRequest::WaitForMemory()
 {
   m_enginesWithoutRoom.clear();
-  if (!m_shared.m_upstreams.Serves(m_service, m_softwareVersion)) {
+  if (!MayGetMemory()) {
     Finish(DecideEnd(Progress()));
     return;
   }
--- a/tests/router_versions_test.cpp
+++ b/tests/router_versions_test.cpp
@@ -152,6 +152,22 @@
   BOOST_TEST(Versions("n").empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(
+  a_broken_stream_is_cut_at_once_if_no_engine_of_its_version_is_left,
+  TwoVersions)
+{
+  m_loop.Do([&] {
+    m_store->Remove("servers/i-1b");
+    m_store->Remove("servers/i-2b");
+  });
+  BOOST_TEST(WaitFor([this] { return Knows(4); }));
+  std::string answer = Ask("/stream/x", "r");
+  BOOST_TEST(Has(answer, Event(1)));
+  BOOST_TEST(!answer.ends_with("0\r\n\r\n"));
+  BOOST_TEST(Versions("r").size() == 1U);
+  BOOST_TEST(!Has(Metrics(), "shallotford_waits_for_memory_total"));
+}
+
 BOOST_FIXTURE_TEST_CASE(
   a_stream_of_unknown_origin_is_refused_while_versions_differ,
   TwoVersions)
