--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -34,7 +34,7 @@
 
 const std::string kCutEvent = "id: 3\ndata: tok";
 
-/// Routes "/resumed/" and "/fixed/" to two upstreams that the test answers byte
+/// Routes "/resumed/" and "/whole/" to two upstreams that the test answers byte
 /// by byte; only streams of the first route may be resumed.
 struct RawUpstreams : RouterFixture
 {
