Reset a connection whose end would complete a cut answer

An HTTP/1.0 caller gets a streamed answer without chunks, which ends with its connection; an aborted answer closed the connection in order and so looked complete. Change: the server of peers, operators and OpenAI callers closes such a connection with a reset, also at its end and after a timeout. Result: an_aborted_answer_to_an_old_client_does_not_look_complete failed before (an orderly end) and passes, with net_client_test, net_http_test, net_sse_test and session_test.

--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -48,10 +48,17 @@
 } // namespace
 
 void
-CloseSocket(lws* aWsi)
-{
-  // Without the shutdown libwebsockets may linger for the peer's own close.
-  ::shutdown(lws_get_socket_fd(aWsi), SHUT_RDWR);
+CloseSocket(lws* aWsi, SocketEnd aEnd)
+{
+  if (aEnd == SocketEnd::Reset) {
+    // Dissolving the association sends the reset at once. A reset on close
+    // would come after the end, since libwebsockets shuts the socket down.
+    sockaddr none{ .sa_family = AF_UNSPEC, .sa_data = {} };
+    ::connect(lws_get_socket_fd(aWsi), &none, sizeof none);
+  } else {
+    // Without the shutdown libwebsockets may linger for the peer's own close.
+    ::shutdown(lws_get_socket_fd(aWsi), SHUT_RDWR);
+  }
   lws_set_timeout(aWsi, PENDING_TIMEOUT_USER_OK, LWS_TO_KILL_SYNC);
 }
 
--- a/src/net_loop.h
+++ b/src/net_loop.h
@@ -80,9 +80,16 @@
   std::unique_ptr<class Streams> m_streams;
 };
 
+/// How a connection ends for its peer.
+enum class SocketEnd
+{
+  Finish, ///< an orderly end, which completes an answer without a length
+  Reset,
+};
+
 /// Closes aWsi at once. Never called from inside one of its own callbacks.
 void
-CloseSocket(lws* aWsi);
+CloseSocket(lws* aWsi, SocketEnd aEnd = SocketEnd::Finish);
 
 } // namespace shallotford
 
--- a/src/net_server.cpp
+++ b/src/net_server.cpp
@@ -115,7 +115,7 @@
   }
   m_loop.CancelTimer(m_sweep);
   for (auto [id, connection] : std::unordered_map(m_connections)) {
-    CloseSocket(connection->Wsi());
+    connection->Close();
   }
   for (auto [id, connection] : std::unordered_map(m_connections)) {
     // libwebsockets ends this one later.
@@ -187,7 +187,7 @@
     }
     auto found = server->m_connections.find(aId);
     if (found != server->m_connections.end()) {
-      CloseSocket(found->second->Wsi());
+      found->second->Close();
     }
   });
 }
--- a/src/net_server.h
+++ b/src/net_server.h
@@ -79,6 +79,9 @@
   void QueueBody(std::string_view aBytes, bool aChunked);
   void QueueEnd(bool aChunked);
   void Abort();
+  /// Closes the socket, with a reset where its end would complete an answer
+  /// that is not whole.
+  void Close();
   std::size_t Buffered() const { return m_out.size() - m_taken + m_inSocket; }
   HttpServer& Server() { return m_server; }
   bool IsAnswering() const { return m_exchange != nullptr; }
--- a/src/net_server_connection.cpp
+++ b/src/net_server_connection.cpp
@@ -385,6 +385,14 @@
   m_server.CloseLater(m_id);
 }
 
+void
+ServerConnection::Close()
+{
+  // HTTP/1.0 has no chunks: a streamed answer ends with the connection.
+  bool completes = m_oldVersion && IsAnswering();
+  CloseSocket(m_wsi, completes ? SocketEnd::Reset : SocketEnd::Finish);
+}
+
 void
 ServerConnection::CheckTimeouts(TimePoint aNow)
 {
@@ -407,7 +415,7 @@
   if (late && !handshaking) {
     RefuseLate();
   }
-  CloseSocket(m_wsi);
+  Close();
 }
 
 } // namespace shallotford
--- a/tests/net_fixture.h
+++ b/tests/net_fixture.h
@@ -206,6 +206,8 @@
   }
   /// Returns whether the peer closed, after ReadToEnd().
   bool IsClosedByPeer() const { return m_closed; }
+  /// Returns whether the peer reset the connection, after ReadToEnd().
+  bool IsResetByPeer() const { return m_reset; }
 
   void Close()
   {
@@ -232,6 +234,7 @@
     char buffer[4096];
     ssize_t got = ::recv(m_fd, buffer, sizeof buffer, 0);
     if (got <= 0) {
+      m_reset = got < 0;
       m_closed = true;
       return false;
     }
@@ -242,6 +245,7 @@
   int m_fd;
   bool m_connected{ false };
   bool m_closed{ false };
+  bool m_reset{ false };
   std::string m_read;
 };
 
--- a/tests/net_server_test.cpp
+++ b/tests/net_server_test.cpp
@@ -193,6 +193,20 @@
   BOOST_TEST(answer.find("chunked") == std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(an_aborted_answer_to_an_old_client_does_not_look_complete)
+{
+  LoopThread loop;
+  TestServer server(loop, [&](const auto& aExchange, const auto&) {
+    aExchange->Begin(200, {});
+    aExchange->Write("first");
+    loop->RunAfter(20ms, [aExchange] { aExchange->Abort(); });
+  });
+  RawSocket socket(server.Port());
+  socket.Send("GET /a HTTP/1.0\r\n\r\n");
+  BOOST_TEST(socket.ReadToEnd().ends_with("first"));
+  BOOST_TEST(socket.IsResetByPeer());
+}
+
 BOOST_AUTO_TEST_CASE(a_taken_port_is_refused_with_its_remedy)
 {
   LoopThread loop;
