Require the close notification at the end of an answer over TLS

An answer without a length over TLS counted as complete when its connection closed without a close notification. Change: such an answer is complete only after the notification. Result: a_close_without_notification_does_not_end_an_answer failed before ("hello" instead of a failure) and passes, with its case of a proper end and the rest of net_tls_test and net_client_test.

--- a/src/net_client.h
+++ b/src/net_client.h
@@ -50,6 +50,8 @@
 private:
   /// Sets m_reset if the connection of an answer without a length was reset.
   void DetectReset();
+  /// Returns whether the connection's end completes an answer without a length.
+  bool HasProperEnd() const;
   void Connect();
   std::string Problem() const;
   std::string HeaderText() const;
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -3,6 +3,7 @@
 #include "net_client.h"
 
 #include "net_headers.h"
+#include "net_tls.h"
 
 #include <sys/socket.h>
 
@@ -233,6 +234,14 @@
   m_reset = m_reset || failed;
 }
 
+bool
+ClientCall::HasProperEnd() const
+{
+  bool notified =
+    !m_call.m_tls.IsSet() || (m_wsi != nullptr && HasCloseNotification(m_wsi));
+  return !m_reset && notified;
+}
+
 int
 ClientCall::OnReadable()
 {
@@ -270,7 +279,7 @@
   // closes inside it. Only when it has just moved over bytes was the last of
   // them the end of the last chunk.
   bool moved = m_readAt != nullptr && *m_readAt != m_readStart;
-  bool ended = m_untilClose ? !m_reset : moved;
+  bool ended = m_untilClose ? HasProperEnd() : moved;
   bool whole = m_bodyLeft ? *m_bodyLeft == 0 : ended;
   if (!whole) {
     Fail("the connection closed inside the answer");
@@ -290,7 +299,7 @@
 ClientCall::OnClosed()
 {
   DetectReset();
-  if ((m_untilClose && !m_reset) || (m_bodyLeft && *m_bodyLeft == 0)) {
+  if ((m_untilClose && HasProperEnd()) || (m_bodyLeft && *m_bodyLeft == 0)) {
     End();
   } else {
     Fail("the connection closed before the answer's end");
--- a/src/net_tls.cpp
+++ b/src/net_tls.cpp
@@ -123,4 +123,11 @@
   return name;
 }
 
+bool
+HasCloseNotification(lws* aWsi)
+{
+  SSL* ssl = lws_get_ssl(aWsi);
+  return ssl != nullptr && (SSL_get_shutdown(ssl) & SSL_RECEIVED_SHUTDOWN) != 0;
+}
+
 } // namespace shallotford
--- a/src/net_tls.h
+++ b/src/net_tls.h
@@ -41,6 +41,11 @@
 std::optional<std::string>
 VerifiedPeerName(lws* aWsi);
 
+/// Returns whether the peer of aWsi has announced the end of its bytes. Without
+/// that, a closed connection may have been cut by anyone.
+bool
+HasCloseNotification(lws* aWsi);
+
 } // namespace shallotford
 
 #endif // SHALLOTFORD_SRC_NET_TLS_H
--- a/tests/net_tls_test.cpp
+++ b/tests/net_tls_test.cpp
@@ -6,6 +6,8 @@
 #include "net_certificates.h"
 #include "net_fixture.h"
 
+#include <openssl/ssl.h>
+
 using namespace shallotford;
 using namespace shallotford::test;
 
@@ -44,6 +46,28 @@
   return aIssued;
 }
 
+/// Answers a TLS client with a body that has neither a length nor chunks.
+void
+AnswerUnframed(RawSocket& aSocket, const TlsFiles& aFiles, bool aNotifyClose)
+{
+  SSL_CTX* context = SSL_CTX_new(TLS_server_method());
+  SSL_CTX_use_certificate_chain_file(context, aFiles.m_certificate.c_str());
+  SSL_CTX_use_PrivateKey_file(context, aFiles.m_key.c_str(), SSL_FILETYPE_PEM);
+  SSL* ssl = SSL_new(context);
+  SSL_set_fd(ssl, aSocket.Descriptor());
+  SSL_accept(ssl);
+  std::array<char, 4'096> request{};
+  SSL_read(ssl, request.data(), static_cast<int>(request.size()));
+  const std::string answer =
+    "HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello";
+  SSL_write(ssl, answer.data(), static_cast<int>(answer.size()));
+  if (aNotifyClose) {
+    SSL_shutdown(ssl);
+  }
+  SSL_free(ssl);
+  SSL_CTX_free(context);
+}
+
 } // namespace
 
 BOOST_AUTO_TEST_CASE(clients_check_the_server_s_authority_and_address)
@@ -95,6 +119,32 @@
   BOOST_TEST(served.Size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(a_close_without_notification_does_not_end_an_answer)
+{
+  LoopThread loop;
+  TestAuthority authority("ours");
+  TlsFiles server = authority.Issue("server", "127.0.0.1");
+  for (bool notify : { true, false }) {
+    RawListener listener;
+    Inbox<HttpResult> results;
+    std::unique_ptr<HttpClientCallI> call = loop.Do([&] {
+      HttpCall fetch{ .m_address = listener.Address(),
+                      .m_path = "/",
+                      .m_tls = Trusting({}, authority) };
+      return loop->Client().FetchWhole(std::move(fetch), [&](HttpResult aOne) {
+        results.Put(std::move(aOne));
+      });
+    });
+    auto socket = listener.Accept();
+    AnswerUnframed(*socket, server, notify);
+    socket->Close();
+    std::optional<HttpResult> result = results.Take();
+    BOOST_TEST_REQUIRE(result.has_value());
+    BOOST_TEST(BodyOf(*result) == (notify ? "hello" : "failed"));
+    loop.Do([&] { call.reset(); });
+  }
+}
+
 BOOST_AUTO_TEST_CASE(plain_and_encrypted_do_not_mix)
 {
   LoopThread loop;
