Stream to HTTP/1.0 callers without chunks, and reset cut answers

A caller of HTTP/1.0 got chunks, which it can't read, and took the orderly close of a cut answer for its end. Change: its streams end with the connection, which is reset if the answer is cut or not written whole. Streams in chunks are cut as before. Result: a_cut_stream_to_an_old_caller_does_not_look_complete and a_whole_stream_to_an_old_caller_ends_with_a_close failed before (chunks, and an orderly end) and pass, with router_test, router_vms_test and http1_test.

--- a/include/shallotford/http1.h
+++ b/include/shallotford/http1.h
@@ -30,6 +30,7 @@
   std::uint64_t m_length{ 0 }; ///< bytes, for BodyFraming::Length
   bool m_keepAlive{ true };
   bool m_expectsContinue{ false };
+  bool m_oldVersion{ false }; ///< HTTP/1.0: its sender can't read chunks
 };
 
 /// The status line and header fields of an answer.
--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -261,6 +261,8 @@
   virtual std::uint64_t BytesSent() const = 0;
   /// Sends the end after all queued bytes; reading goes on.
   virtual void FinishWriting() = 0;
+  /// Destroying it will reset the connection instead of ending it in order.
+  virtual void ResetOnDestroy() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
 };
--- a/src/http1_reader.cpp
+++ b/src/http1_reader.cpp
@@ -277,8 +277,8 @@
           .m_framing = m_framing,
           .m_length = length,
           .m_keepAlive = m_parser->keep_alive(),
-          .m_expectsContinue =
-            expect && SameFieldName(*expect, "100-continue") });
+          .m_expectsContinue = expect && SameFieldName(*expect, "100-continue"),
+          .m_oldVersion = parsed.m_version == kHttp10 });
     } else {
       if (parsed.m_status < 200) {
         m_parser.reset();
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -118,7 +118,7 @@
   AllowReading(false);
   m_loop.Post([slot = m_slot] {
     if (slot->m_wsi != nullptr) {
-      CloseSocket(slot->m_wsi);
+      CloseSocket(slot->m_wsi, slot->m_end);
     }
   });
 }
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -38,6 +38,7 @@
   int Descriptor() const { return m_descriptor; }
   void WantWritable();
   void AllowReading(bool aAllowed);
+  void ResetOnDestroy() { m_slot->m_end = SocketEnd::Reset; }
 
 private:
   /// Shared with libwebsockets, which may close the descriptor by itself.
@@ -45,6 +46,7 @@
   {
     lws* m_wsi{ nullptr };
     void* m_owner{ nullptr };
+    SocketEnd m_end{ SocketEnd::Finish };
   };
 
   Loop& m_loop;
@@ -75,6 +77,7 @@
   std::size_t Buffered() const override { return m_queued.size() - m_offset; }
   std::uint64_t BytesSent() const override { return m_sent; }
   void FinishWriting() override;
+  void ResetOnDestroy() override { m_descriptor->ResetOnDestroy(); }
   /// Reports a connection that failed at once, in a later turn of the loop.
   void BreakLater(int aError);
   void PauseReading() override;
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -96,6 +96,9 @@
   ~CallerConnection() override
   {
     m_loop.CancelTimer(m_timer);
+    if (m_untilClose && (m_exchange != nullptr || m_stream->Buffered() > 0)) {
+      m_stream->ResetOnDestroy(); // its end would complete the answer
+    }
     ReleaseBody();
     DetachExchange(true);
   }
@@ -164,23 +167,43 @@
 
   void Begin(int aStatus, const std::string& aReason, HttpHeaders aFields)
   {
+    m_untilClose = m_oldVersion;
+    m_keepAlive = m_keepAlive && !m_untilClose;
     AddConnectionField(aFields);
-    aFields.push_back({ "Transfer-Encoding", "chunked" });
+    if (!m_untilClose) {
+      aFields.push_back({ "Transfer-Encoding", "chunked" });
+    }
     m_stream->Write(WriteAnswerHead(aStatus, aReason, aFields));
   }
 
-  void Write(std::string_view aBytes) { m_stream->Write(WriteChunk(aBytes)); }
+  void Write(std::string_view aBytes)
+  {
+    if (m_untilClose) {
+      m_stream->Write(aBytes);
+    } else {
+      m_stream->Write(WriteChunk(aBytes));
+    }
+  }
 
   void End()
   {
-    m_stream->Write(kLastChunk);
+    if (!m_untilClose) {
+      m_stream->Write(kLastChunk);
+    }
     EndAnswer();
   }
 
   void Abort()
   {
     DetachExchange(false);
-    LingeringClose();
+    if (!m_untilClose) {
+      LingeringClose();
+      return;
+    }
+    m_closing = true;
+    m_stream->PauseReading();
+    m_stream->ResetOnDestroy();
+    m_listener.Remove(this);
   }
 
   std::size_t Buffered() const { return m_stream->Buffered(); }
@@ -193,6 +216,7 @@
       ThrowBodyTooLarge(limits.m_maxBody);
     }
     m_keepAlive = aHead.m_keepAlive;
+    m_oldVersion = aHead.m_oldVersion;
     m_toHead = aHead.m_method == "HEAD";
     if (aHead.m_expectsContinue && aHead.m_framing != BodyFraming::None) {
       m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
@@ -370,6 +394,9 @@
   bool m_complete{ false };
   bool m_keepAlive{ true };
   bool m_toHead{ false };
+  bool m_oldVersion{ false }; ///< the request came by HTTP/1.0
+  /// The answer being sent ends with the connection.
+  bool m_untilClose{ false };
   bool m_closing{ false };
   std::string m_pipelined; ///< bytes after the request that is being answered
   std::shared_ptr<CallerExchange> m_exchange;
--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -71,6 +71,16 @@
     return caller;
   }
 
+  /// Begins a request of a caller that speaks HTTP/1.0.
+  std::unique_ptr<RawSocket> CallAsOldVersion(const std::string& aPath)
+  {
+    std::string request = Request(aPath, "r1");
+    request.replace(request.find("HTTP/1.1"), 8, "HTTP/1.0");
+    auto caller = std::make_unique<RawSocket>(Port());
+    caller->Send(request);
+    return caller;
+  }
+
   /// Accepts the connection of the router's next attempt, at either upstream,
   /// and returns it once it has received the request.
   std::unique_ptr<RawSocket> NextAttempt(std::string* aRequest = nullptr)
@@ -206,6 +216,30 @@
   BOOST_TEST(!IsComplete(caller->ReadToEnd()));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_cut_stream_to_an_old_caller_does_not_look_complete,
+                        RawUpstreams)
+{
+  auto caller = CallAsOldVersion("/whole/x");
+  auto attempt = NextAttempt();
+  attempt->Send("HTTP/1.1 200 OK\r\n"
+                "X-Shallotford-Response-Signature: mark-r1\r\n\r\n" +
+                Event(1));
+  caller->ReadUntil(Event(1));
+  attempt->Send(kCutEvent);
+  attempt->Close();
+  BOOST_TEST(caller->ReadToEnd().ends_with("\r\n\r\n" + Event(1)));
+  BOOST_TEST(caller->IsResetByPeer());
+}
+
+BOOST_FIXTURE_TEST_CASE(a_whole_stream_to_an_old_caller_ends_with_a_close,
+                        RawUpstreams)
+{
+  auto caller = CallAsOldVersion("/whole/x");
+  Answer(*NextAttempt(), "chunked", Event(1) + Event(2));
+  BOOST_TEST(caller->ReadToEnd().ends_with("\r\n\r\n" + Event(1) + Event(2)));
+  BOOST_TEST(!caller->IsResetByPeer());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_close_before_any_event_is_not_taken_for_the_end,
                         RawUpstreams)
 {
