Treat a stream with a last event id as continued, whoever began it

A caller that takes a stream up by its last event id without naming the request that began it counted as a new stream, and went on at any software version. Change: its origin is unknown: it goes on if all known engines have one version, else it is refused at once as not run. Result: a_stream_of_unknown_origin_is_refused_while_versions_differ, with a request without `Resumes`, failed before (it was run) and passes, with platform_test and router_engines_test.

--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -21,8 +21,9 @@
   std::optional<std::chrono::milliseconds> m_deadline; ///< from its receipt
   std::uint32_t m_promptTokens{ 0 }; ///< 0 if it isn't for a model
   std::uint32_t m_outputTokens{ 0 }; ///< upper bound
-  /// Id of the attempt that brought the first event of the stream that this
-  /// request continues; empty for a new stream.
+  bool m_resumes{ false }; ///< continues a stream that another request began
+  /// Id of the attempt that brought that stream's first event; empty if the
+  /// caller doesn't name it.
   std::string m_resumedId;
 };
 
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -79,10 +79,14 @@
   });
   m_deadlineTimer =
     m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
-  if (!IsStream() || m_facts.m_resumedId.empty()) {
+  if (!IsStream() || !m_facts.m_resumes) {
     Begin();
     return;
   }
+  if (m_facts.m_resumedId.empty()) {
+    ContinueStream({});
+    return;
+  }
   m_shared.m_origins.Find(m_facts.m_resumedId,
                           [this, alive = std::weak_ptr<bool>(m_alive)](
                             const std::optional<std::string>& aVersion) {
@@ -285,8 +289,7 @@
       .m_headTimeout = HeadTimeout(aPhase),
       .m_bodyTimeout = BodyTimeout() },
     *this);
-  bool begins =
-    IsStream() && m_facts.m_resumedId.empty() && !m_facts.m_id.empty();
+  bool begins = IsStream() && !m_facts.m_resumes && !m_facts.m_id.empty();
   if (aPhase == Phase::Run && begins) {
     // Published before the first event, so that other VMs know the origin even
     // if this one is lost right after it.
--- a/tests/router_versions_test.cpp
+++ b/tests/router_versions_test.cpp
@@ -66,13 +66,20 @@
   static std::string TakeUp(std::uint16_t aPort,
                             const std::string& aId,
                             const std::string& aFirst)
+  {
+    return TakeUpWith(aPort, aId, "Resumes: " + aFirst + "\r\n");
+  }
+
+  /// @param aFields  further header fields
+  static std::string TakeUpWith(std::uint16_t aPort,
+                                const std::string& aId,
+                                const std::string& aFields)
   {
     RawSocket socket(aPort);
-    socket.Send(Request(
-      "/stream/x",
-      aId,
-      "body",
-      "Connection: close\r\nLast-Event-Id: 1\r\nResumes: " + aFirst + "\r\n"));
+    socket.Send(Request("/stream/x",
+                        aId,
+                        "body",
+                        "Connection: close\r\nLast-Event-Id: 1\r\n" + aFields));
     return socket.ReadToEnd();
   }
 
@@ -172,8 +179,10 @@
   a_stream_of_unknown_origin_is_refused_while_versions_differ,
   TwoVersions)
 {
-  std::string answer = TakeUp(Port(), "n", "unknown");
-  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
-  BOOST_TEST(Has(answer, "\"run\":\"no\""));
+  for (const char* fields : { "Resumes: unknown\r\n", "" }) {
+    std::string answer = TakeUpWith(Port(), "n", fields);
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(Has(answer, "\"run\":\"no\""));
+  }
   BOOST_TEST(Versions("n").empty());
 }
