Log streams that are continued without a named request

Cause: the logs could not show which requests count as continued streams. Change: `request_end` gives `resumes=unnamed` for them.

--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -157,8 +157,9 @@
     event.Add("upstream", m_upstream->m_entry.m_key.m_id)
       .Add("software", m_upstream->m_entry.m_softwareVersion);
   }
-  if (!m_facts.m_resumedId.empty()) {
-    event.Add("resumes", m_facts.m_resumedId);
+  if (m_facts.m_resumes) {
+    event.Add("resumes",
+              m_facts.m_resumedId.empty() ? "unnamed" : m_facts.m_resumedId);
   }
   if (m_answerBegun) {
     AddBodyState(event);
