Move the reading of answers out of router_request.cpp

Cause: the file had grown to 616 lines, and the checks of a stream's end stood in the middle of a handler. Change: router_request_answer.cpp holds the reading of answers; FindTruncation() says in one place why an answer that ended in order is not whole. No decision changes.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -1,5 +1,4 @@
-/// RoutedRequest: the choice of upstreams, the attempts at them, and the
-/// reading of their answers.
+/// RoutedRequest: the choice of upstreams, and the attempts at them.
 
 #include "router_request.h"
 
@@ -15,25 +14,6 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
 }
 
-/// Returns whether an answer's body consists of events. Upstreams may omit the
-/// content type of a stream.
-bool
-IsEventStream(const AnswerHead& aHead)
-{
-  const std::string* type = FindField(aHead.m_fields, "content-type");
-  constexpr std::string_view kEvents = "text/event-stream";
-  return type == nullptr ||
-         SameFieldName(type->substr(0, kEvents.size()), kEvents);
-}
-
-/// Returns the attempt's end for a signed answer with this status.
-AttemptEnd
-EndOfStatus(int aStatus)
-{
-  constexpr int kFirstFailure = 500;
-  return aStatus >= kFirstFailure ? AttemptEnd::Failed : AttemptEnd::Answered;
-}
-
 } // namespace
 
 RetryBudget&
@@ -372,143 +352,7 @@
   }
 }
 
-// --------------------------------------------------------------- answers
-
-void
-RoutedRequest::OnAnswerHead(const AnswerHead& aHead)
-{
-  m_shared.m_loop.CancelTimer(m_noResponseTimer);
-  m_heldAnswer.m_head = aHead;
-  ClassifyHead(aHead);
-}
-
-void
-RoutedRequest::ClassifyHead(const AnswerHead& aHead)
-{
-  AnswerFacts facts = m_shared.m_dialect.ReadAnswer(aHead);
-  if (facts.m_load) {
-    m_upstream->m_health.OnLoad(*facts.m_load, m_shared.m_loop.Now());
-  }
-  if (facts.m_replaced) {
-    m_pendingEnd = AttemptEnd::Replaced;
-    return;
-  }
-  if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
-    EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
-    return;
-  }
-  if (facts.m_notExecuted) {
-    m_pendingEnd = AttemptEnd::Refused;
-    return;
-  }
-  if (m_phase == Phase::Reserve) {
-    m_pendingEnd =
-      aHead.m_status == 200 ? AttemptEnd::Answered : AttemptEnd::Refused;
-    return;
-  }
-  if (m_phase == Phase::Run && !facts.m_isSigned) {
-    EndAttempt(AttemptEnd::Broken,
-               "unsigned answer with status " + std::to_string(aHead.m_status));
-    return;
-  }
-  m_pendingEnd = EndOfStatus(aHead.m_status);
-  m_streaming = m_phase == Phase::Run && IsStream() && aHead.m_status == 200 &&
-                IsEventStream(aHead);
-  if (m_answerBegun && !m_streaming) {
-    EndAttempt(AttemptEnd::Broken,
-               "the stream was not resumed; the answer has status " +
-                 std::to_string(aHead.m_status));
-  }
-}
-
-void
-RoutedRequest::OnAnswerBody(std::string_view aBytes)
-{
-  m_lastBytesAt = m_shared.m_loop.Now();
-  if (m_streaming) {
-    std::string events;
-    try {
-      events = m_events.Feed(aBytes);
-    } catch (const Error& error) {
-      EndAttempt(AttemptEnd::Broken, error.what());
-      return;
-    }
-    ForwardEvents(events);
-    return;
-  }
-  if (m_phase == Phase::Run && m_answerBegun &&
-      m_pendingEnd == AttemptEnd::Answered) {
-    m_exchange->Write(aBytes); // an answer too long to be held
-    return;
-  }
-  m_heldAnswer.m_body.append(aBytes);
-  if (m_heldAnswer.m_body.size() <= kMaxHeldAnswerBytes) {
-    return;
-  }
-  if (m_phase != Phase::Run || m_pendingEnd != AttemptEnd::Answered ||
-      m_answerBegun) {
-    EndAttempt(AttemptEnd::Broken, "the answer is too long to be held");
-    return;
-  }
-  BeginAnswer(m_heldAnswer.m_head);
-  m_exchange->Write(std::exchange(m_heldAnswer.m_body, {}));
-}
-
-void
-RoutedRequest::ForwardEvents(const std::string& aEvents)
-{
-  if (aEvents.empty()) {
-    return;
-  }
-  m_hasEvents = true;
-  if (!m_answerBegun) {
-    BeginAnswer(m_heldAnswer.m_head);
-  }
-  m_exchange->Write(aEvents);
-  if (m_exchange->Buffered() > kMaxCallerQueueBytes) {
-    m_call->PauseReading();
-  }
-}
-
-void
-RoutedRequest::BeginAnswer(const AnswerHead& aHead)
-{
-  HttpHeaders fields;
-  for (const HttpHeader& field : aHead.m_fields) {
-    if (!IsConnectionField(aHead.m_fields, field.m_name)) {
-      fields.push_back(field);
-    }
-  }
-  m_answerBegun = true;
-  PinSoftwareVersion();
-  m_firstEventAt = m_shared.m_loop.Now();
-  m_exchange->Begin(aHead.m_status, aHead.m_reason, std::move(fields));
-}
-
-void
-RoutedRequest::OnAnswerEnd()
-{
-  if (m_streaming && m_events.IsInsideEvent()) {
-    EndAttempt(AttemptEnd::Broken, "the stream ended inside an event");
-    return;
-  }
-  bool onlyClosed =
-    m_heldAnswer.m_head.m_framing == BodyFraming::UntilClose && !m_hasEvents;
-  if (m_streaming && onlyClosed) {
-    EndAttempt(AttemptEnd::Broken, "the stream closed before its first event");
-    return;
-  }
-  EndAttempt(m_pendingEnd, {});
-}
-
-void
-RoutedRequest::OnCallFailed(AttemptEnd aEnd, const std::string& aReason)
-{
-  // A refusal counts as one even if the rest of its answer is missing.
-  bool notRun =
-    m_pendingEnd == AttemptEnd::Refused || m_pendingEnd == AttemptEnd::Replaced;
-  EndAttempt(notRun ? m_pendingEnd : aEnd, aReason);
-}
+// ------------------------------------------------------ end of an attempt
 
 void
 RoutedRequest::EndAttempt(AttemptEnd aEnd, const std::string& aReason)
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -126,6 +126,9 @@
   void ClassifyHead(const AnswerHead& aHead);
   void ForwardEvents(const std::string& aEvents);
   void BeginAnswer(const AnswerHead& aHead);
+  /// Returns why an answer that ended in order is not whole: its events decide,
+  /// not its framing. Empty if it is whole.
+  std::string FindTruncation() const;
   void EndAttempt(AttemptEnd aEnd, const std::string& aReason);
   void AfterReserve(AttemptEnd aEnd);
   void AfterPrefill(AttemptEnd aEnd);
