--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -45,11 +45,6 @@
       });
     });
   }
-  static std::string Event(int aNumber)
-  {
-    std::string number = std::to_string(aNumber);
-    return "id: " + number + "\ndata: token" + number + "\n\n";
-  }
   PublishedServer* m_prefill;
   PublishedServer* m_decode;
   PublishedServer* m_other;
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -48,6 +48,14 @@
   return aText.find(aPart) != std::string::npos;
 }
 
+/// Returns event aNumber of a stream.
+inline std::string
+Event(int aNumber)
+{
+  std::string number = std::to_string(aNumber);
+  return "id: " + number + "\ndata: token" + number + "\n\n";
+}
+
 /// One router, one store, and servers that a test adds.
 class RouterFixture
 {
--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -25,13 +25,6 @@
   Reset,
 };
 
-std::string
-Event(int aNumber)
-{
-  std::string number = std::to_string(aNumber);
-  return "id: " + number + "\ndata: token" + number + "\n\n";
-}
-
 const std::string kCutEvent = "id: 3\ndata: tok";
 
 /// Routes "/resumed/" and "/whole/" to two upstreams that the test answers byte
--- a/tests/router_versions_test.cpp
+++ b/tests/router_versions_test.cpp
@@ -13,13 +13,6 @@
 
 constexpr int kStreams = 8;
 
-std::string
-Event(int aNumber)
-{
-  std::string number = std::to_string(aNumber);
-  return "id: " + number + "\ndata: token" + number + "\n\n";
-}
-
 /// Two engines of each of two software versions. The first run of a stream
 /// breaks off after event 1; a run with Last-Event-Id sends event 2 and ends.
 struct TwoVersions : Plain
