--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -53,8 +53,9 @@
   if (aEnd == SocketEnd::Reset) {
     // Dissolving the association sends the reset at once. A reset on close
     // would come after the end, since libwebsockets shuts the socket down.
+    // It can't fail unless another thread waits on the socket.
     sockaddr none{ .sa_family = AF_UNSPEC, .sa_data = {} };
-    ::connect(lws_get_socket_fd(aWsi), &none, sizeof none);
+    static_cast<void>(::connect(lws_get_socket_fd(aWsi), &none, sizeof none));
   } else {
     // Without the shutdown libwebsockets may linger for the peer's own close.
     ::shutdown(lws_get_socket_fd(aWsi), SHUT_RDWR);
