Count software versions that have just left as possible origins

A stream of unknown origin went on at the only known software version, also right after another version had left the service; its events then came from both. Change: versions known within the last 120 s, the lifetime of origins, count as well; such a stream is refused as not run. Result: a_software_version_that_has_just_left_may_have_begun_a_stream failed before (v2 although v1 had just left) and passes, with router_versions_test, router_vms_test, router_engines_test and platform_test.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -314,8 +314,9 @@
   /// entries of its service are removed together: then the source has lost the
   /// entries, while the service still runs.
   void OnEntryRemoved(const std::string& aId, TimePoint aNow);
-  /// Removes upstreams that have been without an entry for too long.
-  /// @return their keys
+  /// Removes upstreams that have been without an entry for too long, and
+  /// records which software versions are known. Called regularly.
+  /// @return the keys of the removed upstreams
   std::vector<UpstreamKey> Expire(TimePoint aNow);
   /// Returns whether aService has a usable upstream that isn't draining.
   bool IsReachable(const std::string& aService, TimePoint aNow) const;
@@ -325,8 +326,9 @@
   UpstreamPtr Pick(const PickRequest& aRequest, TimePoint aNow) const;
   /// Returns whether any ready upstream of aService is known.
   bool Serves(const std::string& aService) const;
-  /// Returns the software version of all known upstreams of aService, draining
-  /// ones included, or nothing if they differ or none is known.
+  /// Returns the software version of all upstreams of aService, draining ones
+  /// and those of the last kOriginLifetime included, or nothing if they differ
+  /// or none is known.
   std::optional<std::string> OnlySoftwareVersion(
     const std::string& aService) const;
   std::size_t Size() const { return m_upstreams.size(); }
@@ -343,6 +345,8 @@
 
   Location m_location;
   std::map<UpstreamKey, UpstreamPtr> m_upstreams;
+  /// By service and software version: when an upstream of it was last known.
+  std::map<std::pair<std::string, std::string>, TimePoint> m_versionsSeen;
 };
 
 // ------------------------------------------------------------------ roles
--- a/src/config.h
+++ b/src/config.h
@@ -318,7 +318,9 @@
 /// Time after which a stream's origin is taken for unknown: several round trips
 /// between regions.
 constexpr std::chrono::milliseconds kOriginLookupTimeout = 300ms;
-/// Time for which a stream's origin is kept: longer than callers wait.
+/// Time for which a stream may still be continued: longer than callers wait.
+/// Its origin is kept that long, and so is the last sight of a software
+/// version.
 constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
 /// Streams whose origins are kept at most.
 constexpr std::size_t kMaxOrigins = 50'000;
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -200,6 +200,8 @@
 {
   std::vector<UpstreamKey> expired;
   for (const auto& [key, upstream] : m_upstreams) {
+    const UpstreamEntry& entry = upstream->m_entry;
+    m_versionsSeen[{ entry.m_service, entry.m_softwareVersion }] = aNow;
     if (upstream->m_expiresAt && aNow >= *upstream->m_expiresAt) {
       expired.push_back(key);
     }
@@ -207,6 +209,9 @@
   for (const UpstreamKey& key : expired) {
     Remove(key);
   }
+  std::erase_if(m_versionsSeen, [&](const auto& aSeen) {
+    return aNow - aSeen.second > kOriginLifetime;
+  });
   return expired;
 }
 
@@ -295,18 +300,18 @@
 std::optional<std::string>
 UpstreamTable::OnlySoftwareVersion(const std::string& aService) const
 {
-  std::optional<std::string> only;
+  std::set<std::string> versions;
   for (const auto& [key, upstream] : m_upstreams) {
-    const UpstreamEntry& entry = upstream->m_entry;
-    if (entry.m_service != aService) {
-      continue;
+    if (upstream->m_entry.m_service == aService) {
+      versions.insert(upstream->m_entry.m_softwareVersion);
     }
-    if (!IsOfVersion(entry, only)) {
-      return std::nullopt;
+  }
+  for (const auto& [serviceAndVersion, at] : m_versionsSeen) {
+    if (serviceAndVersion.first == aService) {
+      versions.insert(serviceAndVersion.second);
     }
-    only = entry.m_softwareVersion;
   }
-  return only;
+  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
 }
 
 std::vector<UpstreamPtr>
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -213,6 +213,27 @@
   BOOST_TEST(table.Size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(
+  a_software_version_that_has_just_left_may_have_begun_a_stream)
+{
+  UpstreamTable table(ThreeDomains());
+  UpstreamEntry old = MakeEntry("old", "a1");
+  old.m_softwareVersion = "v1";
+  table.Put(old);
+  table.Expire(kStart);
+  BOOST_TEST(table.OnlySoftwareVersion("s").value_or("") == "v1");
+
+  UpstreamEntry next = MakeEntry("next", "a1");
+  next.m_softwareVersion = "v2";
+  table.Put(next);
+  BOOST_TEST(!table.OnlySoftwareVersion("s").has_value());
+  table.Remove(old.m_key);
+  table.Expire(kStart + kOriginLifetime);
+  BOOST_TEST(!table.OnlySoftwareVersion("s").has_value());
+  table.Expire(kStart + kOriginLifetime + 1s);
+  BOOST_TEST(table.OnlySoftwareVersion("s").value_or("") == "v2");
+}
+
 BOOST_AUTO_TEST_CASE(upstreams_stay_usable_longer_if_many_lose_their_entries)
 {
   UpstreamTable table(ThreeDomains());
