Remove an unused time from the store of streams' origins

Cause: ages are kept in the queue by age; the entries' own time was never read. Change: the map holds the origins themselves. No decision changes.

--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -21,13 +21,12 @@
 StreamOrigins::Put(const StreamOrigin& aOrigin)
 {
   TimePoint now = m_parts.m_loop.Now();
-  auto [found, added] =
-    m_entries.try_emplace(aOrigin.m_requestId, Entry{ aOrigin, now });
+  auto [found, added] = m_origins.try_emplace(aOrigin.m_requestId, aOrigin);
   if (added) {
     m_byAge.emplace_back(now, aOrigin.m_requestId);
     Expire();
-  } else if (aOrigin.m_attempt > found->second.m_origin.m_attempt) {
-    found->second.m_origin = aOrigin;
+  } else if (aOrigin.m_attempt > found->second.m_attempt) {
+    found->second = aOrigin;
   }
 }
 
@@ -37,7 +36,7 @@
   TimePoint now = m_parts.m_loop.Now();
   while (!m_byAge.empty() && (now - m_byAge.front().first > kOriginLifetime ||
                               m_byAge.size() > kMaxOrigins)) {
-    m_entries.erase(m_byAge.front().second);
+    m_origins.erase(m_byAge.front().second);
     m_byAge.pop_front();
   }
 }
@@ -73,8 +72,8 @@
 void
 StreamOrigins::Find(const std::string& aRequestId, Found aDone)
 {
-  if (auto known = m_entries.find(aRequestId); known != m_entries.end()) {
-    aDone(known->second.m_origin.m_softwareVersion);
+  if (auto known = m_origins.find(aRequestId); known != m_origins.end()) {
+    aDone(known->second.m_softwareVersion);
     return;
   }
   std::vector<std::string> peers =
@@ -160,9 +159,9 @@
 StreamOrigins::OnAsked(const Json::Value& aParams) const
 {
   Json::Value reply(Json::objectValue);
-  auto known = m_entries.find(RpcStringParam(aParams, "request"));
-  if (known != m_entries.end()) {
-    reply["software"] = known->second.m_origin.m_softwareVersion;
+  auto known = m_origins.find(RpcStringParam(aParams, "request"));
+  if (known != m_origins.end()) {
+    reply["software"] = known->second.m_softwareVersion;
   }
   return reply;
 }
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -55,11 +55,6 @@
   Json::Value OnAsked(const Json::Value& aParams) const;
 
 private:
-  struct Entry
-  {
-    StreamOrigin m_origin;
-    TimePoint m_at;
-  };
   struct Lookup;
 
   void Put(const StreamOrigin& aOrigin);
@@ -68,7 +63,7 @@
   void EndLookup(Lookup& aLookup, std::string_view aFrom);
 
   StreamOriginsParts m_parts;
-  std::map<std::string, Entry> m_entries;                ///< by request id
+  std::map<std::string, StreamOrigin> m_origins;         ///< by request id
   std::deque<std::pair<TimePoint, std::string>> m_byAge; ///< ids, oldest first
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
