Describe a version's lifetime without a private constant

Cause: the public header named kOriginLifetime, which only src/config.h has. Change: the comment gives the time and its reason. No code changes.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -326,9 +326,9 @@
   UpstreamPtr Pick(const PickRequest& aRequest, TimePoint aNow) const;
   /// Returns whether any ready upstream of aService is known.
   bool Serves(const std::string& aService) const;
-  /// Returns the software version of all upstreams of aService, draining ones
-  /// and those of the last kOriginLifetime included, or nothing if they differ
-  /// or none is known.
+  /// Returns the software version of all upstreams of aService, or nothing if
+  /// they differ or none is known. Draining ones count, and so do those that
+  /// left less than two minutes ago, since callers may continue their streams.
   std::optional<std::string> OnlySoftwareVersion(
     const std::string& aService) const;
   std::size_t Size() const { return m_upstreams.size(); }
