Log the connection of a failed attempt and the bytes sent on it

Cause: the logs of the incident can't tell a request that left after its attempt was given up from one whose sent bytes were miscounted. Change: a failed call reports whether its connection was reused and how many bytes of the request the socket had taken; attempt_failed logs both. Nothing is decided differently.

--- a/src/router_engine_calls.cpp
+++ b/src/router_engine_calls.cpp
@@ -44,12 +44,12 @@
   }
   void OnAnswerBody(std::string_view) override {}
   void OnAnswerEnd() override { m_owner.Remove(this); }
-  void OnCallFailed(AttemptEnd aEnd, const std::string& aReason) override
+  void OnCallFailed(const CallFailure& aFailure) override
   {
     m_owner.m_log.Write(LogEvent("engine_call_failed")
                           .Add("target", m_target)
-                          .Add("end", ToString(aEnd))
-                          .Add("reason", aReason));
+                          .Add("end", ToString(aFailure.m_end))
+                          .Add("reason", aFailure.m_reason));
     m_owner.Remove(this);
   }
 
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -243,6 +243,7 @@
   m_pendingEnd = AttemptEnd::Broken;
   m_streaming = false;
   m_hasEvents = false;
+  m_callFailure.reset();
   m_sentAt = m_shared.m_loop.Now();
   aUpstream->m_health.OnStart(m_sentAt);
   m_lastBytesAt = m_sentAt;
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -64,7 +64,7 @@
   void OnAnswerHead(const AnswerHead& aHead) override;
   void OnAnswerBody(std::string_view aBytes) override;
   void OnAnswerEnd() override;
-  void OnCallFailed(AttemptEnd aEnd, const std::string& aReason) override;
+  void OnCallFailed(const CallFailure& aFailure) override;
 
 private:
   enum class Phase
@@ -193,6 +193,7 @@
   AttemptEnd m_pendingEnd{ AttemptEnd::Broken };
   bool m_streaming{ false }; ///< events are passed on as they arrive
   bool m_hasEvents{ false }; ///< the attempt has brought a complete event
+  std::optional<CallFailure> m_callFailure; ///< for the log
 
   // Memory of a decode engine. A round of reservations ends when the request
   // gets memory or enters the queue.
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -162,12 +162,13 @@
 }
 
 void
-RoutedRequest::OnCallFailed(AttemptEnd aEnd, const std::string& aReason)
+RoutedRequest::OnCallFailed(const CallFailure& aFailure)
 {
+  m_callFailure = aFailure;
   // A refusal counts as one even if the rest of its answer is missing.
   bool notRun =
     m_pendingEnd == AttemptEnd::Refused || m_pendingEnd == AttemptEnd::Replaced;
-  EndAttempt(notRun ? m_pendingEnd : aEnd, aReason);
+  EndAttempt(notRun ? m_pendingEnd : aFailure.m_end, aFailure.m_reason);
 }
 
 } // namespace shallotford
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -212,6 +212,10 @@
          static_cast<std::int64_t>(m_upstream->m_health.InFlight()))
     .Add("took", m_shared.m_loop.Now() - m_sentAt)
     .Add("time_left", Duration(TimeLeft()));
+  if (m_callFailure) {
+    event.Add("connection", m_callFailure->m_reused ? "reused" : "new")
+      .Add("sent_bytes", static_cast<std::int64_t>(m_callFailure->m_sentBytes));
+  }
   if (m_streaming) {
     AddBodyState(event);
   }
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -155,10 +155,7 @@
       m_lastBytesAt = m_loop.Now();
     }
   }
-  bool WasSent() const override
-  {
-    return IsCancelled() || m_connection->Socket().BytesSent() > m_sentBefore;
-  }
+  bool WasSent() const override { return IsCancelled() || SentBytes() > 0; }
 
   void OnConnected() override
   {
@@ -215,6 +212,10 @@
   void OnEnd() override { m_ended = true; }
 
   bool IsCancelled() const { return m_connection == nullptr; }
+  std::uint64_t SentBytes() const
+  {
+    return m_connection->Socket().BytesSent() - m_sentBefore;
+  }
 
   void Finish()
   {
@@ -238,8 +239,12 @@
       return;
     }
     m_loop.CancelTimer(m_timer);
+    CallFailure failure{ .m_end = aEnd,
+                         .m_reason = aReason,
+                         .m_reused = m_reused,
+                         .m_sentBytes = SentBytes() };
     CloseConnection();
-    m_handler.OnCallFailed(aEnd, aReason);
+    m_handler.OnCallFailed(failure);
   }
 
   /// Closes the connection. It is destroyed later, as its own event may be
@@ -310,7 +315,8 @@
                 &aHandler,
                 pending = std::weak_ptr<bool>(m_pending)] {
       if (!pending.expired()) {
-        aHandler.OnCallFailed(AttemptEnd::NotConnected, reason);
+        aHandler.OnCallFailed(
+          { .m_end = AttemptEnd::NotConnected, .m_reason = reason });
       }
     });
   }
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -9,6 +9,15 @@
 
 namespace shallotford {
 
+/// Why a call failed, and what its connection had done until then.
+struct CallFailure
+{
+  AttemptEnd m_end{ AttemptEnd::Broken }; ///< NotConnected, Broken or TimedOut
+  std::string m_reason;
+  bool m_reused{ false }; ///< an earlier request had used the connection
+  std::uint64_t m_sentBytes{ 0 }; ///< of the request, taken by the socket
+};
+
 /// Receives the events of one request at an upstream. The last event is either
 /// OnAnswerEnd() or OnCallFailed().
 class UpstreamCallHandlerI
@@ -18,8 +27,7 @@
   virtual void OnAnswerHead(const AnswerHead& aHead) = 0;
   virtual void OnAnswerBody(std::string_view aBytes) = 0;
   virtual void OnAnswerEnd() = 0;
-  /// @param aEnd  NotConnected, Broken or TimedOut
-  virtual void OnCallFailed(AttemptEnd aEnd, const std::string& aReason) = 0;
+  virtual void OnCallFailed(const CallFailure& aFailure) = 0;
 };
 
 /// The bytes of a request for an upstream, and its timeouts.
