Close an upstream's connection before judging whether it got the request

Cause: the pool decided from the bytes sent so far whether a request had left, and only then gave up the connection, which was destroyed in the next turn of the loop. When a late timer, a cancel or the deadline met the end of connecting in one turn, the queued request left after it had counted as not sent, and the router sent it to another server or refused it as not run. Evidence: the incident's logs, where a connect timer of 250 ms ends attempts after 382 and 448 ms, in the turn after a large configuration, and router_unsent_test. Change: closing a connection drops its queue and its socket at once and returns the bytes that were sent; the verdict comes from that. UpstreamCallI::Cancel() returns it, and WasSent(), which could be asked too early, is gone. A request of which nothing was sent counts as not sent however its connection ended. Test: one of the cases expected 503 after a late connection. It was wrong: the second connection opens in the turn in which it is tried. The case now expects one answer and exactly one run, which is as strict; the code before ran it twice. The other router and net tests and soak_test pass.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -192,7 +192,7 @@
 {
   Answered,     ///< a complete answer, whatever its status
   Failed,       ///< a complete answer that reports the upstream's own failure
-  NotConnected, ///< no connection; nothing was sent
+  NotConnected, ///< nothing was sent, mostly for want of a connection
   Refused,      ///< the upstream says that it did not run the request
   Replaced,     ///< another upstream has the address; the request did not run
   Broken,       ///< the connection or the answer ended early; may have run
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -451,14 +451,15 @@
   return "?";
 }
 
-void
+bool
 RoutedRequest::ReleaseCall()
 {
   if (m_call == nullptr) {
-    return;
+    return false;
   }
-  m_call->Cancel();
+  bool wasSent = m_call->Cancel();
   m_shared.m_loop.DestroyLater(std::move(m_call));
+  return wasSent;
 }
 
 } // namespace shallotford
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -134,7 +134,9 @@
   void AfterPrefill(AttemptEnd aEnd);
   void AfterRun(AttemptEnd aEnd);
   void TryAgain();
-  void ReleaseCall();
+  /// Gives the call up, if there is one.
+  /// @return whether the upstream may have received a byte of the request
+  bool ReleaseCall();
 
   void Deliver(const HeldAnswer& aAnswer);
   void FinishStream();
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -88,9 +88,8 @@
 RoutedRequest::OnDeadline()
 {
   if (m_call != nullptr) {
-    bool wasSent = m_call->WasSent();
     bool noAnswer = m_heldAnswer.m_head.m_status == 0;
-    ReleaseCall();
+    bool wasSent = ReleaseCall();
     m_shared.m_loop.CancelTimer(m_noResponseTimer);
     AttemptEnd end = noAnswer ? AttemptEnd::TimedOut : AttemptEnd::Abandoned;
     m_upstream->m_health.OnEnd(end, m_sentAt, m_shared.m_loop.Now());
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -30,6 +30,16 @@
   UpstreamConnection& operator=(const UpstreamConnection&) = delete;
 
   void Attach(StreamHandlerI* aUser) { m_user = aUser; }
+  /// Closes the connection at once. Queued bytes are dropped, and no event
+  /// follows.
+  /// @return the bytes that the socket has taken
+  std::uint64_t Close()
+  {
+    m_user = nullptr;
+    std::uint64_t sent = m_stream->BytesSent();
+    m_stream.reset();
+    return sent;
+  }
   StreamI& Socket() { return *m_stream; }
   const UpstreamKey& Key() const { return m_key; }
   bool IsConnected() const { return m_connected; }
@@ -134,10 +144,10 @@
 
   ~UpstreamCall() override { m_loop.CancelTimer(m_timer); }
 
-  void Cancel() override
+  bool Cancel() override
   {
     m_loop.CancelTimer(m_timer);
-    CloseConnection();
+    return CloseConnection() > 0;
   }
 
   void PauseReading() override
@@ -155,8 +165,6 @@
       m_lastBytesAt = m_loop.Now();
     }
   }
-  bool WasSent() const override { return IsCancelled() || SentBytes() > 0; }
-
   void OnConnected() override
   {
     Arm(std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline -
@@ -191,7 +199,7 @@
 
   void OnBroken(const std::string& aReason) override
   {
-    Fail(WasSent() ? AttemptEnd::Broken : AttemptEnd::NotConnected, aReason);
+    Fail(AttemptEnd::Broken, aReason);
   }
 
 private:
@@ -212,10 +220,6 @@
   void OnEnd() override { m_ended = true; }
 
   bool IsCancelled() const { return m_connection == nullptr; }
-  std::uint64_t SentBytes() const
-  {
-    return m_connection->Socket().BytesSent() - m_sentBefore;
-  }
 
   void Finish()
   {
@@ -233,31 +237,33 @@
     m_handler.OnAnswerEnd();
   }
 
+  /// @param aEnd  NotConnected replaces it if nothing was sent
   void Fail(AttemptEnd aEnd, const std::string& aReason)
   {
     if (IsCancelled()) {
       return;
     }
     m_loop.CancelTimer(m_timer);
-    CallFailure failure{ .m_end = aEnd,
-                         .m_reason = aReason,
-                         .m_reused = m_reused,
-                         .m_sentBytes = SentBytes() };
-    CloseConnection();
-    m_handler.OnCallFailed(failure);
+    // Only a closed connection can't send the request any more.
+    std::uint64_t sent = CloseConnection();
+    m_handler.OnCallFailed(
+      { .m_end = sent > 0 ? aEnd : AttemptEnd::NotConnected,
+        .m_reason = aReason,
+        .m_reused = m_reused,
+        .m_sentBytes = sent });
   }
 
-  /// Closes the connection. It is destroyed later, as its own event may be
-  /// running.
-  void CloseConnection()
+  /// Closes the connection. Its handler is destroyed later, as its own event
+  /// may be running.
+  /// @return the bytes of the request that were sent
+  std::uint64_t CloseConnection()
   {
-    if (m_connection == nullptr) {
-      return;
+    if (m_connection != nullptr) {
+      std::shared_ptr<UpstreamConnection> connection = std::move(m_connection);
+      m_sentBytes = connection->Close() - m_sentBefore;
+      m_loop.DestroyLater(std::move(connection));
     }
-    std::shared_ptr<UpstreamConnection> connection = std::move(m_connection);
-    connection->Attach(nullptr);
-    connection->Socket().PauseReading();
-    m_loop.DestroyLater(std::move(connection));
+    return m_sentBytes;
   }
 
   void Arm(std::chrono::milliseconds aDelay)
@@ -276,9 +282,9 @@
                                 [this] { OnTimer(); });
       return;
     }
-    bool sent = WasSent();
-    Fail(sent ? AttemptEnd::TimedOut : AttemptEnd::NotConnected,
-         (sent ? "no bytes received for " : "no connection within ") +
+    Fail(AttemptEnd::TimedOut,
+         (m_connection->IsConnected() ? "no bytes received for "
+                                      : "no connection within ") +
            std::to_string(
              std::chrono::duration_cast<std::chrono::milliseconds>(m_timeout)
                .count()) +
@@ -293,6 +299,7 @@
   std::unique_ptr<MessageReaderI> m_reader;
   bool m_reused;
   std::uint64_t m_sentBefore;
+  std::uint64_t m_sentBytes{ 0 }; ///< set when the connection is closed
   TimePoint m_deadline;
   TimePoint m_lastBytesAt{};
   Duration m_timeout{};
@@ -320,10 +327,13 @@
       }
     });
   }
-  void Cancel() override { m_pending.reset(); }
+  bool Cancel() override
+  {
+    m_pending.reset();
+    return false;
+  }
   void PauseReading() override {}
   void ResumeReading() override {}
-  bool WasSent() const override { return false; }
 
 private:
   std::shared_ptr<bool> m_pending{ std::make_shared<bool>(true) };
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -49,14 +49,12 @@
 {
 public:
   virtual ~UpstreamCallI() = default;
-  /// Closes the connection, which makes the upstream stop working on the
-  /// request. No further event is delivered.
-  virtual void Cancel() = 0;
+  /// Closes the connection at once, which makes the upstream stop working on the
+  /// request. Nothing more is sent, and no further event is delivered.
+  /// @return whether the upstream may have received a byte of the request
+  virtual bool Cancel() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
-  /// Returns whether the socket has taken a byte of the request. True after
-  /// Cancel().
-  virtual bool WasSent() const = 0;
 };
 
 /// Numbers of requests for which a ConnectionPool opened a connection or reused
