Send nothing on a call that has failed before it was sent

Callers would see: a call of the older HTTP client that timed out while it connected was reported as not sent, which lets it be repeated elsewhere or answered as not run, and left in the same turn of the loop. A failing call keeps its socket to the next turn of the loop, and only a cancelled one refused to write. Change: a call that is over writes neither head nor body, and failing ends the connection at once, as cancelling does. Result: net_client_test's new case for a late connection read the whole request before and passes now; the case for a cancelled call passed before, too.

--- a/src/net_client.h
+++ b/src/net_client.h
@@ -59,6 +59,10 @@
   void OnTimer();
   /// Stops the timer and returns the handler, which gets one last event.
   std::shared_ptr<HttpClientHandlerI> TakeHandler();
+  /// Returns whether nothing more may be sent.
+  bool IsOver() const { return m_handler == nullptr || m_failing; }
+  /// Ends the connection at once; the socket is closed in the next round.
+  void CloseConnection();
   void End();
   void Fail(const std::string& aReason);
 
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -146,7 +146,7 @@
 int
 ClientCall::OnAppendHeaders(unsigned char** aAt, std::size_t aRoom)
 {
-  if (m_handler == nullptr) {
+  if (IsOver()) {
     return -1;
   }
   std::string text = HeaderText();
@@ -169,6 +169,9 @@
 int
 ClientCall::OnWritable()
 {
+  if (IsOver()) {
+    return -1;
+  }
   std::size_t size =
     m_sendBuffer.size() - std::min<std::size_t>(m_sendBuffer.size(), LWS_PRE);
   std::size_t bytes = std::min(size - m_bodySent, kMaxWriteBytes);
@@ -332,9 +335,14 @@
 void
 ClientCall::Cancel()
 {
-  if (TakeHandler() == nullptr) {
-    return;
+  if (TakeHandler() != nullptr) {
+    CloseConnection();
   }
+}
+
+void
+ClientCall::CloseConnection()
+{
   if (m_wsi != nullptr) {
     ::shutdown(lws_get_socket_fd(m_wsi), SHUT_RDWR);
   }
@@ -405,8 +413,8 @@
     return;
   }
   m_failing = true;
+  CloseConnection();
   HttpFailure failure{ m_progress, aReason };
-  m_client->RemoveLater(m_id);
   // Posted, since a call may fail inside Fetch().
   m_client->GetLoop().Post([self = shared_from_this(), failure] {
     if (auto handler = self->TakeHandler()) {
--- a/tests/net_client_test.cpp
+++ b/tests/net_client_test.cpp
@@ -115,6 +115,38 @@
   }
 }
 
+BOOST_AUTO_TEST_CASE(a_call_that_failed_to_connect_in_time_never_leaves)
+{
+  LoopThread loop;
+  RawListener listener;
+  HttpCall call = CallTo(listener.Address());
+  call.m_headersTimeout = 5ms;
+  auto recorder = std::make_shared<Recorder>();
+  std::unique_ptr<HttpClientCallI> handle;
+  loop.Do([&] {
+    handle = loop->Client().Fetch(call, recorder);
+    std::this_thread::sleep_for(20ms); // the timer and the connection are due
+  });
+  BOOST_TEST(recorder->Next() == "failure");
+  BOOST_TEST((recorder->m_progress == CallProgress::NotSent));
+  BOOST_TEST(listener.Accept()->ReadToEnd() == "");
+  loop.Do([&] { handle.reset(); });
+}
+
+BOOST_AUTO_TEST_CASE(a_call_cancelled_before_it_is_sent_never_leaves)
+{
+  LoopThread loop;
+  RawListener listener;
+  auto recorder = std::make_shared<Recorder>();
+  loop.Do([&] {
+    auto handle = loop->Client().Fetch(CallTo(listener.Address()), recorder);
+    std::this_thread::sleep_for(20ms);
+    handle->Cancel();
+    BOOST_TEST((handle->Progress() == CallProgress::NotSent));
+  });
+  BOOST_TEST(listener.Accept()->ReadToEnd() == "");
+}
+
 BOOST_AUTO_TEST_CASE(a_connection_that_closes_unanswered_was_sent)
 {
   HttpResult result = FetchFrom("");
