Format a comment of the connection pool

Cause: the comment of Cancel() was wrapped by hand. Change: clang-format's wrapping. No code changes.

--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -49,8 +49,8 @@
 {
 public:
   virtual ~UpstreamCallI() = default;
-  /// Closes the connection at once, which makes the upstream stop working on the
-  /// request. Nothing more is sent, and no further event is delivered.
+  /// Closes the connection at once, which makes the upstream stop working on
+  /// the request. Nothing more is sent, and no further event is delivered.
   /// @return whether the upstream may have received a byte of the request
   virtual bool Cancel() = 0;
   virtual void PauseReading() = 0;
