Log the parts of a prompt and whether an attempt brought events

Cause: the logs of the crashing prompt part can't tell which part the requests share, nor a run that broke before its first event from one that broke later. Change: the dialect reads the ids of a prompt's parts; request_end and attempt_failed name them, and attempt_failed says whether events had come. Nothing is decided differently.

--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -21,6 +21,9 @@
   std::optional<std::chrono::milliseconds> m_deadline; ///< from its receipt
   std::uint32_t m_promptTokens{ 0 }; ///< 0 if it isn't for a model
   std::uint32_t m_outputTokens{ 0 }; ///< upper bound
+  /// Ids of the prompt's parts, in order. Requests share parts, except the last
+  /// one.
+  std::vector<std::string> m_promptParts;
   bool m_resumes{ false }; ///< continues a stream that another request began
   /// Id of the attempt that brought that stream's first event; empty if the
   /// caller doesn't name it.
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -148,6 +148,7 @@
   /// @param aStatus  of the answer, 0 without one
   void End(std::string_view aOutcome, int aStatus);
   void LogAttempt(AttemptEnd aEnd, const std::string& aReason) const;
+  std::string JoinedParts() const;
   /// Adds the answer's framing and the size of its incomplete event in bytes.
   void AddBodyState(LogEvent& aEvent) const;
 
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -156,6 +156,9 @@
     event.Add("upstream", m_upstream->m_entry.m_key.m_id)
       .Add("software", m_upstream->m_entry.m_softwareVersion);
   }
+  if (!m_facts.m_promptParts.empty()) {
+    event.Add("parts", JoinedParts());
+  }
   if (m_facts.m_resumes) {
     event.Add("resumes",
               m_facts.m_resumedId.empty() ? "unnamed" : m_facts.m_resumedId);
@@ -215,10 +218,24 @@
     event.Add("connection", m_callFailure->m_reused ? "reused" : "new")
       .Add("sent_bytes", static_cast<std::int64_t>(m_callFailure->m_sentBytes));
   }
+  if (!m_facts.m_promptParts.empty()) {
+    event.Add("parts", JoinedParts());
+  }
   if (m_streaming) {
+    event.Add("events", m_hasEvents ? "yes" : "no");
     AddBodyState(event);
   }
   m_shared.m_log.Write(event);
 }
 
+std::string
+RoutedRequest::JoinedParts() const
+{
+  std::string joined;
+  for (const std::string& part : m_facts.m_promptParts) {
+    joined += (joined.empty() ? "" : ",") + part;
+  }
+  return joined;
+}
+
 } // namespace shallotford
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -48,6 +48,13 @@
   return value == nullptr ? "(none)" : *value;
 }
 
+RequestFacts
+FactsOfPrompt(const std::string& aParts)
+{
+  return platform::MakeDialect()->ReadRequest(
+    { .m_fields = { { "X-Shallotford-Prompt-Prefix", aParts } } });
+}
+
 RequestHead
 MakeCallerHead()
 {
@@ -222,3 +229,24 @@
   BOOST_CHECK_THROW(dialect->ReadPrefill(R"({"tokens":1})"), Error);
   BOOST_CHECK_THROW(dialect->ReadPrefill("no json"), Error);
 }
+
+BOOST_AUTO_TEST_CASE(the_parts_of_a_prompt_are_read_in_order)
+{
+  std::vector<std::string> expected{ "5c1e07a2", "91bd3f06", "e4402b7d" };
+  RequestFacts facts = FactsOfPrompt("5c1e07a2:800,91bd3f06:410,e4402b7d:250");
+  BOOST_TEST(facts.m_promptParts == expected, boost::test_tools::per_element());
+}
+
+BOOST_AUTO_TEST_CASE(a_malformed_list_of_prompt_parts_names_none)
+{
+  std::string tooMany = "a:1";
+  for (int i = 0; i < 64; ++i) {
+    tooMany += ",a:1";
+  }
+  for (const std::string& text : { std::string("x:1"),
+                                   std::string("5c,,7a:1"),
+                                   std::string(65, 'a') + ":1",
+                                   tooMany }) {
+    BOOST_TEST(FactsOfPrompt(text).m_promptParts.empty(), text);
+  }
+}
