Convict the prompt parts that crash engines from shared evidence

Cause: PoisonTracker compares whole requests and isolates suspects. A prompt part that crashes engines comes in requests of which no two are alike, so nothing was ever convicted, and isolation would hold up sound requests that share a part. Change: with PoisonOptions::m_convictingCrashes, traits are convicted from the crashes that they share, jointly if these are the same. Whole runs and engines that answer withdraw convictions, and withdrawals spread. Without the option nothing changes.

--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -26,13 +26,28 @@
 /// put two suspects on one engine, convict both, and lose further engines. An
 /// engine that crashes for another reason while a suspect runs there convicts
 /// the suspect.
+///
+/// With PoisonOptions::m_convictingCrashes, nothing is isolated, and traits are
+/// convicted from evidence that all VMs share. A fingerprint then stands for
+/// one trait of a request, such as a part of its prompt or the whole of it, and
+/// an engine's name for one incarnation, which crashes at most once. Every VM
+/// sends its reports (SuspectCall::Crash(), RunEnded() and EngineAlive()) to
+/// all others. A trait with many crashes explains each of them, so that traits
+/// that merely ran there are not blamed. Traits with the same crashes are
+/// convicted jointly: only a request that has all of them is refused. A trait
+/// of a run that ended whole is sound and is cleared. Not guaranteed: a trait
+/// that is in more crashes than their cause is refused instead of it while no
+/// request with the trait runs to its end.
 
 #include "shallotford/base.h"
 
 #include <cstddef>
+#include <cstdint>
 #include <map>
+#include <set>
 #include <string>
 #include <string_view>
+#include <utility>
 #include <vector>
 
 namespace shallotford {
@@ -47,9 +62,21 @@
   /// before it has passed, so that no VM still treats it as clear when it is
   /// convicted.
   std::chrono::milliseconds m_gossipTime{ 1'500 };
-  /// Time within which all VMs notice the same crash.
+  /// Time within which all VMs notice the same crash. With m_convictingCrashes,
+  /// a conviction that is withdrawn within this time is in no digest, since the
+  /// other VMs have the same reports.
   std::chrono::milliseconds m_crashWindow{ 2'000 };
   std::size_t m_maxEntries{ 4'096 };
+  /// Crashes that convict the traits which they share. 0: suspects are isolated
+  /// instead.
+  std::uint32_t m_convictingCrashes{ 0 };
+  /// Bounds of the evidence, used with m_convictingCrashes. The oldest crash
+  /// records and sound traits are forgotten first.
+  std::size_t m_maxCrashes{ 256 };
+  std::size_t m_maxBatch{ 512 };     ///< traits in one crash record
+  std::size_t m_maxSound{ 4'096 };   ///< traits known to be sound
+  std::size_t m_maxJoint{ 32 };      ///< traits in one joint conviction
+  std::size_t m_maxNameBytes{ 256 }; ///< of a fingerprint or an engine's name
 };
 
 enum class PoisonStatus
@@ -64,8 +91,13 @@
 /// What one crash changed.
 struct CrashVerdict
 {
-  std::vector<std::string> m_suspects{};  ///< fingerprints, new suspects
-  std::vector<std::string> m_convicted{}; ///< at most one fingerprint
+  std::vector<std::string> m_suspects{}; ///< fingerprints, new suspects
+  /// At most one fingerprint. With PoisonOptions::m_convictingCrashes, any
+  /// number; fingerprints that are convicted jointly are joined by '+'.
+  std::vector<std::string> m_convicted{};
+  /// Members of the batch that are known to be sound here. The other VMs may
+  /// not know it, so that SuspectCall::RunEnded() is sent for them.
+  std::vector<std::string> m_sound{};
 };
 
 /// Parameters of a call to the coordinator.
@@ -82,6 +114,8 @@
   /// Reports a crash. @param aBatch  fingerprints that this VM had there
   static Json::Value Crash(std::string_view aEngine,
                            const std::vector<std::string>& aBatch);
+  /// Reports that an engine answered after its supposed crash.
+  static Json::Value EngineAlive(std::string_view aEngine);
 };
 
 /// The coordinator's reply.
@@ -107,7 +141,8 @@
   PoisonStatus StatusOf(std::string_view aFingerprint, TimePoint aNow) const;
   /// Returns whether aFingerprint may run at aEngine now: always if it is
   /// clear, never if convicted; a suspect only if no other suspect runs there
-  /// and it runs nowhere else.
+  /// and it runs nowhere else. With PoisonOptions::m_convictingCrashes, only
+  /// a conviction of aFingerprint alone forbids it.
   bool MayPlace(std::string_view aFingerprint,
                 std::string_view aEngine,
                 TimePoint aNow) const;
@@ -117,17 +152,33 @@
              std::string_view aEngine,
              TimePoint aNow);
   /// A suspect's run ended without a crash.
-  /// @param aComplete  it ran to its end, which clears it
+  /// @param aComplete  it ran to its end, which clears it. With
+  ///   PoisonOptions::m_convictingCrashes, this holds for any trait of a run,
+  ///   also for one that is in no crash record yet.
   void OnRunEnded(std::string_view aFingerprint,
                   std::string_view aEngine,
                   bool aComplete,
                   TimePoint aNow);
   /// aEngine crashed while it ran aBatch, as far as the reporting VM knows.
   /// Reports by several VMs within PoisonOptions::m_crashWindow count as one
-  /// crash, unless a suspect was granted a run there in between.
+  /// crash, unless a suspect was granted a run there in between. With
+  /// PoisonOptions::m_convictingCrashes, all reports about an engine count as
+  /// one crash.
   CrashVerdict OnCrash(std::string_view aEngine,
                        const std::vector<std::string>& aBatch,
                        TimePoint aNow);
+  /// aEngine answered after its supposed crash, so it was only disconnected.
+  /// Withdraws what is no longer supported.
+  void OnEngineAlive(std::string_view aEngine, TimePoint aNow);
+  /// Returns whether aEngine has a crash record, so that its being alive must
+  /// be reported.
+  bool HasCrashed(std::string_view aEngine) const;
+  /// Returns whether a crash record or a conviction names aFingerprint, so that
+  /// the whole end of a run with it must be reported to the other VMs.
+  bool IsNamed(std::string_view aFingerprint) const;
+  /// Returns whether a request with these traits is refused.
+  bool IsConvicted(const std::vector<std::string>& aFingerprints,
+                   TimePoint aNow) const;
   /// Answers another VM's call, or the coordinator's own.
   /// @param aMaxDigest  maximum size of the digest in the reply, in bytes
   /// @throws Error (InvalidRequest) if it is malformed; nothing is changed
@@ -145,6 +196,7 @@
   void Merge(std::string_view aDigest, TimePoint aNow);
 
   std::size_t Size() const;
+  /// Returns the convicted fingerprints; joint ones are joined by '+'.
   std::vector<std::string> Convicted(TimePoint aNow) const;
 
 private:
@@ -156,14 +208,19 @@
     TimePoint m_expiry{};
     std::string m_engine{}; ///< where the suspect runs; empty if it does not
     TimePoint m_grantExpiry{};
-    TimePoint m_runFrom{}; ///< no run is granted before
+    TimePoint m_runFrom{};  ///< no run is granted before
+    TimePoint m_toldFrom{}; ///< in no digest before
   };
   struct Crash
   {
     TimePoint m_first{};
-    bool m_resolved{ false };           ///< its cause was convicted
-    std::vector<std::string> m_added{}; ///< new suspects of this crash
+    bool m_resolved{ false }; ///< its cause was convicted
+    /// New suspects of this crash. With PoisonOptions::m_convictingCrashes, all
+    /// traits that ran there, sorted, without the sound ones.
+    std::vector<std::string> m_added{};
   };
+  /// Number of crashes that support each conviction.
+  using Support = std::map<std::string, std::size_t>;
 
   const Entry* Find(std::string_view aFingerprint, TimePoint aNow) const;
   Entry& Change(std::string_view aFingerprint,
@@ -179,7 +236,33 @@
   /// Convicts the request that caused a crash and clears the suspects that the
   /// crash added.
   void Resolve(Crash& aCrash, const std::string& aCause, TimePoint aNow);
-  void MergeOne(const std::string& aFingerprint, const Entry& aRemote);
+  void MergeOne(const std::string& aFingerprint,
+                const Entry& aRemote,
+                TimePoint aNow);
+
+  bool UsesEvidence() const { return m_options.m_convictingCrashes > 0; }
+  bool IsSound(std::string_view aFingerprint, TimePoint aNow) const;
+  void RememberSound(std::string_view aFingerprint, TimePoint aNow);
+  CrashVerdict AddEvidence(std::string_view aEngine,
+                           const std::vector<std::string>& aBatch,
+                           TimePoint aNow);
+  void ClearTrait(std::string_view aFingerprint, TimePoint aNow);
+  /// Drops evidence that is too old or too much. Convictions outlive it.
+  /// @param aRoom  number of crash records that are about to be added
+  void ForgetEvidence(TimePoint aNow, std::size_t aRoom = 0);
+  /// Finds the convictions that the crash records support.
+  Support Assess() const;
+  /// Convicts and withdraws after the evidence changed.
+  /// @return the new convictions
+  std::vector<std::string> Reassess(TimePoint aNow);
+  void MergeEvidence(const std::string& aKey,
+                     const Entry& aRemote,
+                     TimePoint aNow);
+  /// Check what a peer sent. @throws Error (InvalidRequest) if it is malformed
+  void CheckName(std::string_view aName) const;
+  void CheckFingerprint(std::string_view aFingerprint) const;
+  void CheckKey(std::string_view aKey) const;
+
   /// Removes the oldest entries above PoisonOptions::m_maxEntries, clear ones
   /// first and convicted ones last.
   void EvictExcess();
@@ -187,6 +270,10 @@
   PoisonOptions m_options;
   std::map<std::string, Entry, std::less<>> m_entries; ///< by fingerprint
   std::map<std::string, Crash, std::less<>> m_crashes; ///< by engine
+  Support m_support; ///< of the crash records as last assessed
+  /// Traits known to be sound, with the end of their last whole run.
+  std::map<std::string, TimePoint, std::less<>> m_sound;
+  std::set<std::pair<TimePoint, std::string>> m_soundByAge;
 };
 
 /// Returns the VM that coordinates the suspects of aService, or "" if there is
--- a/src/ledger_poison.cpp
+++ b/src/ledger_poison.cpp
@@ -65,16 +65,22 @@
                       TimePoint aNow)
 {
   Entry& entry = m_entries[std::string(aFingerprint)];
-  if (entry.m_status != PoisonStatus::Suspect) {
+  if (entry.m_status != PoisonStatus::Suspect && !UsesEvidence()) {
     entry.m_runFrom = aNow + m_options.m_gossipTime;
   }
+  if (UsesEvidence() && entry.m_status != aStatus) {
+    bool convicts = aStatus == PoisonStatus::Convicted;
+    entry.m_toldFrom = convicts ? aNow + m_options.m_crashWindow : TimePoint{};
+  }
   entry.m_status = aStatus;
   ++entry.m_version;
   entry.m_changed = aNow;
   entry.m_engine.clear();
+  // A withdrawal of shared evidence lasts as long as the conviction that
+  // another VM may still hold.
+  bool lasts = aStatus == PoisonStatus::Convicted || UsesEvidence();
   entry.m_expiry =
-    aNow + (aStatus == PoisonStatus::Convicted ? m_options.m_convictLifetime
-                                               : m_options.m_suspectLifetime);
+    aNow + (lasts ? m_options.m_convictLifetime : m_options.m_suspectLifetime);
   return entry;
 }
 
@@ -83,6 +89,9 @@
                         std::string_view aEngine,
                         TimePoint aNow) const
 {
+  if (UsesEvidence()) {
+    return StatusOf(aFingerprint, aNow) != PoisonStatus::Convicted;
+  }
   const Entry* entry = Find(aFingerprint, aNow);
   if (entry == nullptr || entry->m_status == PoisonStatus::Clear) {
     return true;
@@ -122,6 +131,12 @@
                           bool aComplete,
                           TimePoint aNow)
 {
+  if (UsesEvidence()) {
+    if (aComplete) {
+      ClearTrait(aFingerprint, aNow);
+    }
+    return;
+  }
   const Entry* entry = Find(aFingerprint, aNow);
   if (entry == nullptr || entry->m_status != PoisonStatus::Suspect ||
       entry->m_engine != aEngine) {
@@ -178,6 +193,9 @@
                        const std::vector<std::string>& aBatch,
                        TimePoint aNow)
 {
+  if (UsesEvidence()) {
+    return AddEvidence(aEngine, aBatch, aNow);
+  }
   CrashVerdict verdict;
   Crash& crash = CrashOf(aEngine, aNow);
   if (crash.m_resolved) {
@@ -217,6 +235,10 @@
   std::erase_if(m_entries, [aNow](const auto& aEntry) {
     return aEntry.second.m_expiry <= aNow;
   });
+  if (UsesEvidence()) {
+    ForgetEvidence(aNow);
+    return;
+  }
   std::erase_if(m_crashes, [this, aNow](const auto& aCrash) {
     return aNow - aCrash.second.m_first > m_options.m_crashWindow;
   });
--- a/src/ledger_poison_wire.cpp
+++ b/src/ledger_poison_wire.cpp
@@ -1,5 +1,6 @@
 /// JSON messages about suspects: gossip digests and calls to the coordinator.
 
+#include "ledger_poison_key.h"
 #include "shallotford/ledger/poison.h"
 
 #include <algorithm>
@@ -11,6 +12,7 @@
 constexpr const char* kGrant = "grant";
 constexpr const char* kRunEnded = "run_ended";
 constexpr const char* kCrash = "crash";
+constexpr const char* kEngineAlive = "engine_alive";
 
 std::chrono::milliseconds
 TimeUntil(TimePoint aUntil, TimePoint aNow)
@@ -114,6 +116,15 @@
   return call;
 }
 
+Json::Value
+SuspectCall::EngineAlive(std::string_view aEngine)
+{
+  Json::Value call(Json::objectValue);
+  call["call"] = kEngineAlive;
+  call["engine"] = std::string(aEngine);
+  return call;
+}
+
 SuspectReply
 ReadSuspectReply(const Json::Value& aReply)
 {
@@ -128,6 +139,7 @@
       NamesFrom(aReply.get("suspects", Json::arrayValue));
     reply.m_verdict.m_convicted =
       NamesFrom(aReply.get("convicted", Json::arrayValue));
+    reply.m_verdict.m_sound = NamesFrom(aReply.get("sound", Json::arrayValue));
     reply.m_digest = TextFrom(aReply, "digest");
     return reply;
   } catch (const Json::Exception& exception) {
@@ -145,19 +157,25 @@
   }
   std::string name = TextFrom(aCall, "call");
   std::string engine = TextFrom(aCall, "engine");
+  CheckName(engine);
   Json::Value reply(Json::objectValue);
   if (name == kCrash) {
     CrashVerdict verdict;
     try {
-      verdict = OnCrash(engine, NamesFrom(aCall["batch"]), aNow);
+      std::vector<std::string> batch = NamesFrom(aCall["batch"]);
+      for (const std::string& fingerprint : batch) {
+        CheckFingerprint(fingerprint);
+      }
+      verdict = OnCrash(engine, batch, aNow);
     } catch (const Json::Exception& exception) {
       ThrowBadMessage(exception.what());
     }
     reply["suspects"] = ToJson(verdict.m_suspects);
     reply["convicted"] = ToJson(verdict.m_convicted);
+    reply["sound"] = ToJson(verdict.m_sound);
   } else if (name == kGrant) {
     std::string fingerprint = TextFrom(aCall, "request");
-    if (Find(fingerprint, aNow) == nullptr) {
+    if (Find(fingerprint, aNow) == nullptr && !UsesEvidence()) {
       // The calling VM knows of a crash that was not reported to this one.
       Change(fingerprint, PoisonStatus::Suspect, aNow);
     }
@@ -167,8 +185,11 @@
     if (!aCall["complete"].isBool()) {
       ThrowBadMessage("\"complete\" is missing");
     }
-    OnRunEnded(
-      TextFrom(aCall, "request"), engine, aCall["complete"].asBool(), aNow);
+    std::string fingerprint = TextFrom(aCall, "request");
+    CheckFingerprint(fingerprint);
+    OnRunEnded(fingerprint, engine, aCall["complete"].asBool(), aNow);
+  } else if (name == kEngineAlive) {
+    OnEngineAlive(engine, aNow);
   } else {
     ThrowBadMessage("unknown call \"" + name + "\"");
   }
@@ -183,7 +204,7 @@
   using Row = std::pair<const std::string, Entry>;
   std::vector<const Row*> rows;
   for (const Row& row : m_entries) {
-    if (row.second.m_expiry > aNow) {
+    if (row.second.m_expiry > aNow && row.second.m_toldFrom <= aNow) {
       rows.push_back(&row);
     }
   }
@@ -239,22 +260,65 @@
       entry.m_grantExpiry = aNow + std::min(run, m_options.m_grantLifetime);
       std::chrono::milliseconds wait{ item.get("wait_ms", 0).asInt64() };
       entry.m_runFrom = aNow + std::min(wait, m_options.m_gossipTime);
-      rows.emplace_back(item["request"].asString(), std::move(entry));
+      std::string key = item["request"].asString();
+      CheckKey(key);
+      rows.emplace_back(std::move(key), std::move(entry));
     }
   } catch (const Json::Exception& exception) {
     ThrowBadMessage(exception.what());
   }
   for (const auto& [fingerprint, entry] : rows) {
     if (!fingerprint.empty() && entry.m_expiry > aNow) {
-      MergeOne(fingerprint, entry);
+      MergeOne(fingerprint, entry, aNow);
     }
   }
   EvictExcess();
 }
 
 void
-PoisonTracker::MergeOne(const std::string& aFingerprint, const Entry& aRemote)
+PoisonTracker::CheckName(std::string_view aName) const
+{
+  if (UsesEvidence() && aName.size() > m_options.m_maxNameBytes) {
+    ThrowBadMessage("a name is too long");
+  }
+}
+
+void
+PoisonTracker::CheckFingerprint(std::string_view aFingerprint) const
+{
+  CheckName(aFingerprint);
+  bool bad =
+    UsesEvidence() && (aFingerprint.empty() ||
+                       aFingerprint.find(kJoint) != std::string_view::npos);
+  if (bad) {
+    ThrowBadMessage("a fingerprint is empty or joint");
+  }
+}
+
+void
+PoisonTracker::CheckKey(std::string_view aKey) const
+{
+  if (!UsesEvidence()) {
+    return;
+  }
+  std::vector<std::string_view> members = MembersOf(aKey);
+  if (members.size() > m_options.m_maxJoint) {
+    ThrowBadMessage("a conviction has too many fingerprints");
+  }
+  for (std::string_view member : members) {
+    CheckFingerprint(member);
+  }
+}
+
+void
+PoisonTracker::MergeOne(const std::string& aFingerprint,
+                        const Entry& aRemote,
+                        TimePoint aNow)
 {
+  if (UsesEvidence()) {
+    MergeEvidence(aFingerprint, aRemote, aNow);
+    return;
+  }
   auto [found, isNew] = m_entries.emplace(aFingerprint, aRemote);
   if (isNew) {
     return;
