Refuse requests with what crashed upstreams at any VM

Cause: the router kept no record of what ran at a crashed upstream, and what a VM saw of a crash stayed with it. Requests that share only a part had nothing that ties them together. Change: a run whose connection an upstream closes before the answer begins is reported to all VMs with its traits, the parts of its prompt but the last and the whole request. PoisonTracker convicts traits under which three upstreams crashed, at each VM; requests with them are refused as not run before anything is sent, and those that wait are refused at once. Whole answers clear traits; an upstream that answers again has not crashed. Convictions spread by gossip to VMs that start later.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -583,9 +583,11 @@
   std::string Next(RandomI& aRandom, TimePoint aNow);
   /// Returns the number of VMs with a recent contact, this one included.
   std::size_t LiveCount(TimePoint aNow) const;
+  /// Returns the seeds and the peers with a recent contact.
+  std::vector<std::string> Reachable(TimePoint aNow) const;
   /// Returns up to aCount peers in the order of a rendezvous hash of aKey, so
-  /// that all VMs that know the same peers choose the same ones. Seeds and
-  /// peers with a recent contact are eligible.
+  /// that all VMs that know the same peers choose the same ones. Those that
+  /// Reachable() returns are eligible.
   std::vector<std::string> Closest(std::string_view aKey,
                                    std::size_t aCount,
                                    TimePoint aNow) const;
--- a/src/config.h
+++ b/src/config.h
@@ -322,6 +322,26 @@
 /// Its origin is kept that long, and so is the last sight of a software
 /// version.
 constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
+/// Crashed upstreams under which a trait of requests must have run to be
+/// refused.
+constexpr std::uint32_t kConvictingCrashes = 3;
+/// Time for which a crash, or a whole answer, counts as evidence.
+constexpr std::chrono::milliseconds kCrashEvidenceLifetime = 120'000ms;
+/// Time for which requests that crash upstreams are refused. Then one is tried
+/// again, as the upstreams may have been mended.
+constexpr std::chrono::milliseconds kConvictionLifetime = 600'000ms;
+/// Time for which the broken runs of one upstream are collected into one report
+/// to the other VMs.
+constexpr std::chrono::milliseconds kCrashReportDelay = 10ms;
+/// How often a report is sent to a VM that doesn't answer, and the pause
+/// between two tries.
+constexpr std::uint32_t kCrashReportTries = 3;
+constexpr std::chrono::milliseconds kCrashReportRetryDelay = 300ms;
+constexpr std::size_t kMaxCrashDigestBytes = 4'096;
+constexpr const char* kCrashReportMethod = "suspect";
+/// Retry-After of a request that is refused since requests like it crash
+/// upstreams.
+constexpr std::chrono::milliseconds kQuarantineRetryAfter = 60'000ms;
 /// Streams whose origins are kept at most.
 constexpr std::size_t kMaxOrigins = 50'000;
 /// Time without an answer of the directory's source after which this VM asks
--- a/src/route_peers.cpp
+++ b/src/route_peers.cpp
@@ -89,19 +89,30 @@
 }
 
 std::vector<std::string>
-PeerList::Closest(std::string_view aKey,
-                  std::size_t aCount,
-                  TimePoint aNow) const
+PeerList::Reachable(TimePoint aNow) const
 {
-  std::uint64_t seed = StableHash(aKey);
-  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  std::vector<std::string> reachable;
   for (const auto& [address, peer] : m_peers) {
     bool recent =
       peer.m_lastContact && aNow - *peer.m_lastContact < kPeerLiveTime;
     if (peer.m_seed || recent) {
-      ranked.emplace_back(StableHash(address, seed), address);
+      reachable.push_back(address);
     }
   }
+  return reachable;
+}
+
+std::vector<std::string>
+PeerList::Closest(std::string_view aKey,
+                  std::size_t aCount,
+                  TimePoint aNow) const
+{
+  std::uint64_t seed = StableHash(aKey);
+  std::vector<std::pair<std::uint64_t, std::string>> ranked;
+  for (std::string& address : Reachable(aNow)) {
+    std::uint64_t rank = StableHash(address, seed);
+    ranked.emplace_back(rank, std::move(address));
+  }
   std::sort(ranked.begin(), ranked.end());
   std::vector<std::string> closest;
   for (std::size_t i = 0; i < std::min(aCount, ranked.size()); ++i) {
--- /dev/null
+++ b/src/router_crashes.cpp
@@ -0,0 +1,300 @@
+/// CrashReports: this VM's evidence of crashes, and its exchange with others.
+
+#include "router_crashes.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+/// Stands for the upstream of a run where it doesn't matter.
+constexpr const char* kAnyUpstream = "any";
+
+std::string
+NameOf(const UpstreamKey& aUpstream)
+{
+  return aUpstream.m_id + "/" + std::to_string(aUpstream.m_startedMs);
+}
+
+} // namespace
+
+std::vector<std::string>
+TraitsOf(const std::string& aService,
+         const CallerRequest& aRequest,
+         const RequestFacts& aFacts)
+{
+  const std::string& body = *aRequest.m_body;
+  std::vector<std::string> traits{ Hex(
+    StableHash(aService + "\n" + aRequest.m_head.m_method + " " +
+               aRequest.m_head.m_target + "\n" + body)) };
+  for (std::size_t i = 0; i + 1 < aFacts.m_promptParts.size(); ++i) {
+    traits.push_back(
+      Hex(StableHash(aService + "\npart\n" + aFacts.m_promptParts[i])));
+  }
+  return traits;
+}
+
+CrashReports::CrashReports(const CrashReportsParts& aParts)
+  : m_parts(aParts)
+  , m_tracker({ .m_suspectLifetime = kCrashEvidenceLifetime,
+                .m_convictLifetime = kConvictionLifetime,
+                .m_convictingCrashes = kConvictingCrashes })
+{
+}
+
+bool
+CrashReports::IsConvicted(const std::vector<std::string>& aTraits) const
+{
+  return m_tracker.IsConvicted(aTraits, m_parts.m_loop.Now());
+}
+
+void
+CrashReports::OnRunBroken(const UpstreamKey& aUpstream,
+                          const std::vector<std::string>& aTraits)
+{
+  TimePoint now = m_parts.m_loop.Now();
+  std::string upstream = NameOf(aUpstream);
+  m_crashedAt.try_emplace(upstream, now);
+  CrashVerdict verdict = m_tracker.OnCrash(upstream, aTraits, now);
+  NoteConvictions("own");
+  if (m_unreported.empty()) {
+    // The connections to a crashed upstream end within some milliseconds.
+    m_parts.m_loop.RunAfter(kCrashReportDelay,
+                            [this, alive = std::weak_ptr<bool>(m_alive)] {
+                              if (!alive.expired()) {
+                                SendCrashes();
+                              }
+                            });
+  }
+  std::vector<std::string>& batch = m_unreported[upstream];
+  for (const std::string& trait : aTraits) {
+    if (std::find(verdict.m_sound.begin(), verdict.m_sound.end(), trait) ==
+        verdict.m_sound.end()) {
+      batch.push_back(trait);
+    }
+  }
+}
+
+void
+CrashReports::SendCrashes()
+{
+  for (const auto& [upstream, batch] : std::exchange(m_unreported, {})) {
+    m_parts.m_log.Write(
+      LogEvent("upstream_crash", LogLevel::Warning)
+        .Add("upstream", upstream)
+        .Add("traits", static_cast<std::int64_t>(batch.size())));
+    m_parts.m_metrics.Count("upstream_crashes_total", "");
+    SendToAll(SuspectCall::Crash(upstream, batch));
+  }
+}
+
+void
+CrashReports::OnRunComplete(const UpstreamKey& aUpstream,
+                            const std::vector<std::string>& aTraits)
+{
+  TimePoint now = m_parts.m_loop.Now();
+  std::vector<std::string> named;
+  for (std::size_t i = 0; i < aTraits.size(); ++i) {
+    bool isNamed = m_tracker.IsNamed(aTraits[i]);
+    // Whole requests seldom come twice, so they are remembered as sound only
+    // while they are suspected.
+    if (i > 0 || isNamed) {
+      m_tracker.OnRunEnded(aTraits[i], NameOf(aUpstream), true, now);
+    }
+    if (isNamed) {
+      named.push_back(aTraits[i]);
+    }
+  }
+  ReportSound(named);
+  if (!named.empty()) {
+    NoteConvictions("own");
+  }
+}
+
+void
+CrashReports::ReportSound(const std::vector<std::string>& aTraits)
+{
+  for (const std::string& trait : aTraits) {
+    SendToAll(SuspectCall::RunEnded(trait, kAnyUpstream, true));
+  }
+}
+
+void
+CrashReports::OnAnswer(const UpstreamKey& aUpstream, TimePoint aSentAt)
+{
+  if (m_crashedAt.empty()) {
+    return;
+  }
+  std::string upstream = NameOf(aUpstream);
+  auto crashed = m_crashedAt.find(upstream);
+  // An answer to an earlier request may have been on its way.
+  if (crashed == m_crashedAt.end() || aSentAt <= crashed->second) {
+    return;
+  }
+  m_crashedAt.erase(crashed);
+  m_tracker.OnEngineAlive(upstream, m_parts.m_loop.Now());
+  m_parts.m_log.Write(
+    LogEvent("upstream_alive").Add("upstream", upstream).Add("from", "own"));
+  NoteConvictions("own");
+  SendToAll(SuspectCall::EngineAlive(upstream));
+}
+
+void
+CrashReports::OnConviction(std::function<void()> aCallback)
+{
+  m_onConviction = std::move(aCallback);
+}
+
+void
+CrashReports::Expire()
+{
+  m_tracker.Expire(m_parts.m_loop.Now());
+  std::erase_if(m_crashedAt, [this](const auto& aEntry) {
+    return !m_tracker.HasCrashed(aEntry.first);
+  });
+  NoteConvictions("expiry");
+}
+
+std::string
+CrashReports::Digest() const
+{
+  return m_tracker.Size() == 0
+           ? std::string()
+           : m_tracker.Digest(kMaxCrashDigestBytes, m_parts.m_loop.Now());
+}
+
+void
+CrashReports::Merge(const std::string& aDigest)
+{
+  m_tracker.Merge(aDigest, m_parts.m_loop.Now());
+  NoteConvictions("peer");
+}
+
+Json::Value
+CrashReports::OnReport(const Json::Value& aCall)
+{
+  TimePoint now = m_parts.m_loop.Now();
+  Json::Value reply = m_tracker.Serve(aCall, kMaxCrashDigestBytes, now);
+  const std::string upstream = aCall["engine"].asString();
+  if (m_tracker.HasCrashed(upstream)) {
+    m_crashedAt.try_emplace(upstream, now);
+  } else {
+    m_crashedAt.erase(upstream);
+  }
+  NoteConvictions("peer");
+  return reply;
+}
+
+void
+CrashReports::SendToAll(const Json::Value& aCall)
+{
+  for (const std::string& peer :
+       m_parts.m_peers.Reachable(m_parts.m_loop.Now())) {
+    Send(peer, aCall, kCrashReportTries);
+  }
+}
+
+void
+CrashReports::Send(const std::string& aPeer,
+                   const Json::Value& aCall,
+                   std::uint32_t aTries)
+{
+  m_parts.m_peerCalls.Call(
+    aPeer,
+    kCrashReportMethod,
+    aCall,
+    [this, aPeer, aCall, aTries, alive = std::weak_ptr<bool>(m_alive)](
+      const PeerResult& aResult) {
+      if (alive.expired()) {
+        return;
+      }
+      if (const auto* failure = std::get_if<PeerFailure>(&aResult)) {
+        OnSendFailed(aPeer, aCall, aTries - 1, failure->m_reason);
+        return;
+      }
+      try {
+        OnReply(std::get<Json::Value>(aResult));
+      } catch (const Error& error) {
+        OnSendFailed(aPeer, aCall, 0, error.what());
+      }
+    });
+}
+
+void
+CrashReports::OnReply(const Json::Value& aReply)
+{
+  SuspectReply reply = ReadSuspectReply(aReply);
+  std::vector<std::string> sound;
+  for (const std::string& trait : reply.m_verdict.m_sound) {
+    if (m_tracker.IsNamed(trait)) {
+      m_tracker.OnRunEnded(trait, kAnyUpstream, true, m_parts.m_loop.Now());
+      sound.push_back(trait);
+    }
+  }
+  ReportSound(sound);
+  Merge(reply.m_digest);
+}
+
+void
+CrashReports::OnSendFailed(const std::string& aPeer,
+                           const Json::Value& aCall,
+                           std::uint32_t aTriesLeft,
+                           const std::string& aReason)
+{
+  m_parts.m_metrics.Count("crash_report_failures_total", "");
+  m_parts.m_log.Write(LogEvent("crash_report_failed", LogLevel::Debug)
+                        .Add("peer", aPeer)
+                        .Add("tries_left", std::int64_t{ aTriesLeft })
+                        .Add("reason", aReason));
+  if (aTriesLeft == 0) {
+    return;
+  }
+  m_parts.m_loop.RunAfter(
+    kCrashReportRetryDelay,
+    [this, aPeer, aCall, aTriesLeft, alive = std::weak_ptr<bool>(m_alive)] {
+      if (!alive.expired()) {
+        Send(aPeer, aCall, aTriesLeft);
+      }
+    });
+}
+
+void
+CrashReports::NoteConvictions(std::string_view aFrom)
+{
+  std::vector<std::string> listed = m_tracker.Convicted(m_parts.m_loop.Now());
+  std::set<std::string> convicted(listed.begin(), listed.end());
+  if (convicted == m_convicted) {
+    return;
+  }
+  bool isMore = false;
+  auto log = [&](std::string_view aEvent, const std::string& aTraits) {
+    m_parts.m_log.Write(LogEvent(aEvent, LogLevel::Warning)
+                          .Add("traits", aTraits)
+                          .Add("from", aFrom));
+    m_parts.m_metrics.Count(std::string(aEvent) + "s_total", "");
+  };
+  for (const std::string& traits : convicted) {
+    if (!m_convicted.contains(traits)) {
+      isMore = true;
+      log("crash_conviction", traits);
+    }
+  }
+  for (const std::string& traits : m_convicted) {
+    if (!convicted.contains(traits)) {
+      log("crash_acquittal", traits);
+    }
+  }
+  m_convicted = std::move(convicted);
+  if (isMore && m_onConviction) {
+    m_parts.m_loop.Post([this, alive = std::weak_ptr<bool>(m_alive)] {
+      if (!alive.expired()) {
+        m_onConviction();
+      }
+    });
+  }
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_crashes.h
@@ -0,0 +1,91 @@
+#ifndef SHALLOTFORD_SRC_ROUTER_CRASHES_H
+#define SHALLOTFORD_SRC_ROUTER_CRASHES_H
+
+/// What the VMs know together of crashed upstreams and of what ran there. Each
+/// VM reports the crashes that it sees to all others, and all refuse requests
+/// with what crashes upstreams.
+
+#include "daemon_metrics.h"
+#include "daemon_peer.h"
+#include "router_caller.h"
+#include "shallotford/ledger.h"
+#include "shallotford/router.h"
+#include "shallotford/rpc.h"
+
+namespace shallotford {
+
+/// Returns the fingerprints of what may make a request crash an upstream: the
+/// whole request, and each part of its prompt that other requests may share.
+std::vector<std::string>
+TraitsOf(const std::string& aService,
+         const CallerRequest& aRequest,
+         const RequestFacts& aFacts);
+
+struct CrashReportsParts
+{
+  LoopI& m_loop;
+  PeerI& m_peerCalls;
+  const PeerList& m_peers;
+  LogI& m_log;
+  Metrics& m_metrics;
+};
+
+/// Used by one task only.
+class CrashReports
+{
+public:
+  explicit CrashReports(const CrashReportsParts& aParts);
+
+  /// Returns whether requests with these traits are refused.
+  bool IsConvicted(const std::vector<std::string>& aTraits) const;
+  /// An upstream closed the connection of a run before it began to answer.
+  void OnRunBroken(const UpstreamKey& aUpstream,
+                   const std::vector<std::string>& aTraits);
+  /// A run was answered whole.
+  void OnRunComplete(const UpstreamKey& aUpstream,
+                     const std::vector<std::string>& aTraits);
+  /// An upstream answers a request that was sent at aSentAt.
+  void OnAnswer(const UpstreamKey& aUpstream, TimePoint aSentAt);
+  /// Calls aCallback, later, each time that something more is refused.
+  void OnConviction(std::function<void()> aCallback);
+  void Expire();
+
+  /// Returns what other VMs need to refuse the same requests, or "".
+  std::string Digest() const;
+  /// @throws Error (InvalidRequest) if it is malformed
+  void Merge(const std::string& aDigest);
+  /// Serves another VM's report.
+  /// @throws Error (InvalidRequest) if it is malformed
+  Json::Value OnReport(const Json::Value& aCall);
+
+private:
+  /// @param aTries  how often the call may be made until it is answered
+  void Send(const std::string& aPeer,
+            const Json::Value& aCall,
+            std::uint32_t aTries);
+  void SendToAll(const Json::Value& aCall);
+  void SendCrashes();
+  void OnReply(const Json::Value& aReply);
+  void OnSendFailed(const std::string& aPeer,
+                    const Json::Value& aCall,
+                    std::uint32_t aTriesLeft,
+                    const std::string& aReason);
+  /// Tells all VMs that runs with these traits were answered whole.
+  void ReportSound(const std::vector<std::string>& aTraits);
+  /// Logs what is refused since the last call, and what no longer is.
+  void NoteConvictions(std::string_view aFrom);
+
+  CrashReportsParts m_parts;
+  PoisonTracker m_tracker;
+  /// Time of the first report about each upstream that crashed.
+  std::map<std::string, TimePoint, std::less<>> m_crashedAt;
+  /// Traits of this VM's runs at crashed upstreams that are not yet reported.
+  std::map<std::string, std::vector<std::string>> m_unreported;
+  std::set<std::string> m_convicted; ///< as last logged
+  std::function<void()> m_onConviction;
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_ROUTER_CRASHES_H
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -99,6 +99,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
     request["peers"].append(entry);
   }
+  request["crashes"] = m_crashes.Digest();
   return request;
 }
 
@@ -110,6 +111,7 @@
     m_peers.OnContact(RpcStringParam(aParams, "from"), now);
   }
   MergePeers(aParams["peers"]);
+  MergeCrashes(aParams);
   Json::Value reply = GossipRequest();
   std::uint64_t known = aParams["up_to"].asUInt64();
   if (aParams["wants"].asBool() && m_directory.Revision() > known) {
@@ -131,6 +133,15 @@
   }
 }
 
+void
+RouterTask::MergeCrashes(const Json::Value& aMessage)
+{
+  const Json::Value& digest = aMessage["crashes"];
+  if (digest.isString() && !digest.asString().empty()) {
+    m_crashes.Merge(digest.asString());
+  }
+}
+
 void
 RouterTask::OnGossipReply(const std::string& aPeer, const PeerResult& aResult)
 {
@@ -158,6 +169,7 @@
 RouterTask::ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply)
 {
   MergePeers(aReply["peers"]);
+  MergeCrashes(aReply);
   if (!aReply.isMember("delta")) {
     return;
   }
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -32,6 +32,7 @@
   , m_routing(std::move(aOptions.m_routing))
   , m_route(aOptions.m_route)
   , m_service(ChooseTarget(*m_route, StableHash(m_facts.m_id)))
+  , m_traits(TraitsOf(m_service, m_request, m_facts))
   , m_onEnd(std::move(aOptions.m_onEnd))
   , m_received(aShared.m_loop.Now())
   , m_deadline(m_received +
@@ -237,6 +238,9 @@
 void
 RoutedRequest::Send(const UpstreamPtr& aUpstream, Phase aPhase)
 {
+  if (RefuseIfConvicted()) {
+    return;
+  }
   m_phase = aPhase;
   m_upstream = aUpstream;
   m_heldAnswer = {};
@@ -244,6 +248,7 @@
   m_streaming = false;
   m_hasEvents = false;
   m_callFailure.reset();
+  m_closedByUpstream = false;
   m_sentAt = m_shared.m_loop.Now();
   aUpstream->m_health.OnStart(m_sentAt);
   m_lastBytesAt = m_sentAt;
@@ -371,6 +376,7 @@
     LogAttempt(aEnd, aReason);
     m_excluded.insert(m_upstream->m_entry.m_key);
   }
+  ReportRun(aEnd);
   if (aEnd == AttemptEnd::Replaced) {
     m_shared.m_upstreams.Remove(m_upstream->m_entry.m_key);
   }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -7,6 +7,7 @@
 #include "daemon_metrics.h"
 #include "router_admission.h"
 #include "router_caller.h"
+#include "router_crashes.h"
 #include "router_engine_calls.h"
 #include "router_events.h"
 #include "router_origins.h"
@@ -32,6 +33,7 @@
   Admission& m_admission;
   EngineCalls& m_engineCalls;
   StreamOrigins& m_origins;
+  CrashReports& m_crashes;
 
   RetryBudget& BudgetOf(const std::string& aService);
 };
@@ -60,6 +62,8 @@
   ~RoutedRequest() override;
 
   void Start();
+  /// More requests than before are refused, as they crash upstreams.
+  void OnConviction();
 
   void OnAnswerHead(const AnswerHead& aHead) override;
   void OnAnswerBody(std::string_view aBytes) override;
@@ -130,6 +134,11 @@
   /// not its framing. Empty if it is whole.
   std::string FindTruncation() const;
   void EndAttempt(AttemptEnd aEnd, const std::string& aReason);
+  /// Gives the call up for a reason other than its upstream's answer.
+  void AbandonCall(AttemptEnd aEnd, const std::string& aReason);
+  /// Passes on what the end of an attempt tells about crashes.
+  void ReportRun(AttemptEnd aEnd);
+  bool RefuseIfConvicted();
   void AfterReserve(AttemptEnd aEnd);
   void AfterPrefill(AttemptEnd aEnd);
   void AfterRun(AttemptEnd aEnd);
@@ -159,6 +168,7 @@
   RoutingPtr m_routing;
   const Route* m_route;
   std::string m_service;
+  std::vector<std::string> m_traits; ///< what may crash upstreams
   std::function<void()> m_onEnd;
 
   TimePoint m_received;
@@ -166,6 +176,7 @@
   TimersI::TimerId m_deadlineTimer{ 0 };
   TimersI::TimerId m_noResponseTimer{ 0 };
   std::chrono::milliseconds m_retryAfter; ///< sent if the request is refused
+  bool m_quarantined{ false }; ///< refused, as requests like it crash upstreams
   bool m_ended{ false };
 
   // Attempts so far.
@@ -197,6 +208,8 @@
   bool m_streaming{ false }; ///< events are passed on as they arrive
   bool m_hasEvents{ false }; ///< the attempt has brought a complete event
   std::optional<CallFailure> m_callFailure; ///< for the log
+  /// The upstream ended the connection before the attempt was over.
+  bool m_closedByUpstream{ false };
 
   // Memory of a decode engine. A round of reservations ends when the request
   // gets memory or enters the queue.
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -47,6 +47,7 @@
     m_pendingEnd = AttemptEnd::Replaced;
     return;
   }
+  m_shared.m_crashes.OnAnswer(m_upstream->m_entry.m_key, m_sentAt);
   if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
     EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
     return;
@@ -157,6 +158,7 @@
 RoutedRequest::OnAnswerEnd()
 {
   std::string truncation = FindTruncation();
+  m_closedByUpstream = m_heldAnswer.m_head.m_framing == BodyFraming::UntilClose;
   EndAttempt(truncation.empty() ? m_pendingEnd : AttemptEnd::Broken,
              truncation);
 }
@@ -165,6 +167,7 @@
 RoutedRequest::OnCallFailed(const CallFailure& aFailure)
 {
   m_callFailure = aFailure;
+  m_closedByUpstream = aFailure.m_closedByUpstream;
   // A refusal counts as one even if the rest of its answer is missing.
   bool notRun =
     m_pendingEnd == AttemptEnd::Refused || m_pendingEnd == AttemptEnd::Replaced;
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -77,8 +77,14 @@
   auto share = std::chrono::duration_cast<std::chrono::milliseconds>(
     TimeLeft() * kMaxRetryAfterShare);
   Error error(ErrorKind::NoUpstream,
-              "no upstream of service \"" + m_service + "\" took the request",
-              "Send it again after the time given; it has not run.");
+              m_quarantined ? "requests like this one crash the upstreams of "
+                              "service \"" +
+                                m_service + "\""
+                            : "no upstream of service \"" + m_service +
+                                "\" took the request",
+              m_quarantined ? "Change its prompt; it has not run."
+                            : "Send it again after the time given; it has "
+                              "not run.");
   error.WithRetryAfter(std::min(m_retryAfter, share));
   RespondError(*m_exchange, error);
   End("refused", HttpStatus(error.Kind()));
@@ -87,22 +93,27 @@
 void
 RoutedRequest::OnDeadline()
 {
-  if (m_call != nullptr) {
-    bool noAnswer = m_heldAnswer.m_head.m_status == 0;
-    bool wasSent = ReleaseCall();
-    m_shared.m_loop.CancelTimer(m_noResponseTimer);
-    AttemptEnd end = noAnswer ? AttemptEnd::TimedOut : AttemptEnd::Abandoned;
-    m_upstream->m_health.OnEnd(end, m_sentAt, m_shared.m_loop.Now());
-    LogAttempt(end, "the request's time is over");
-    if (m_phase == Phase::Run && wasSent) {
-      ++m_runs;
-    }
-  }
+  bool noAnswer = m_heldAnswer.m_head.m_status == 0;
+  AbandonCall(noAnswer ? AttemptEnd::TimedOut : AttemptEnd::Abandoned,
+              "the request's time is over");
   RequestProgress progress = Progress();
   progress.m_timeLeft = std::chrono::milliseconds::zero();
   Finish(DecideEnd(progress));
 }
 
+void
+RoutedRequest::AbandonCall(AttemptEnd aEnd, const std::string& aReason)
+{
+  if (m_call == nullptr) {
+    return;
+  }
+  bool wasSent = ReleaseCall();
+  m_shared.m_loop.CancelTimer(m_noResponseTimer);
+  m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
+  LogAttempt(aEnd, aReason);
+  m_runs += m_phase == Phase::Run && wasSent ? 1 : 0;
+}
+
 void
 RoutedRequest::OnCallerDisconnected()
 {
@@ -156,6 +167,9 @@
     event.Add("upstream", m_upstream->m_entry.m_key.m_id)
       .Add("software", m_upstream->m_entry.m_softwareVersion);
   }
+  if (m_quarantined) {
+    event.Add("quarantined", "yes");
+  }
   if (!m_facts.m_promptParts.empty()) {
     event.Add("parts", JoinedParts());
   }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -52,10 +52,12 @@
               .m_liveVms = 1,
               .m_admission = m_admission,
               .m_engineCalls = m_engineCalls,
-              .m_origins = m_origins }
+              .m_origins = m_origins,
+              .m_crashes = m_crashes }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
   , m_origins({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
+  , m_crashes({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
   , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
     aExchange.Respond(200,
                       { { "content-type", "application/json" } },
@@ -75,6 +77,14 @@
   m_rpc.AddMethod("stream_origin", [this](const Json::Value& aParams) {
     return m_origins.OnAsked(aParams);
   });
+  m_rpc.AddMethod(kCrashReportMethod, [this](const Json::Value& aParams) {
+    return m_crashes.OnReport(aParams);
+  });
+  m_crashes.OnConviction([this] {
+    for (const auto& [key, request] : m_requests) {
+      request->OnConviction();
+    }
+  });
 }
 
 RouterTask::~RouterTask()
@@ -360,6 +370,7 @@
     Gossip();
   }
   m_origins.Expire();
+  m_crashes.Expire();
   SetRoles();
   LogReadiness();
   if (m_leaving) {
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -86,6 +86,8 @@
   /// @throws std::exception if a field is malformed; no item is applied then
   void ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply);
   void MergePeers(const Json::Value& aPeers);
+  /// @throws Error (InvalidRequest) if the digest of crashes is malformed
+  void MergeCrashes(const Json::Value& aMessage);
 
   // Operators.
   void OnOperator(HttpExchangeI& aExchange, const HttpRequest& aRequest);
@@ -126,6 +128,7 @@
   PeerList m_peers;
   HttpPeer m_peerCalls;
   StreamOrigins m_origins;
+  CrashReports m_crashes;
   RpcServer m_rpc;
   Handler m_peerHandler;
   Handler m_operatorHandler;
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -189,6 +189,7 @@
 
   void OnPeerFinished() override
   {
+    m_closedByUpstream = true;
     m_keep = false;
     if (m_reader->Finish(*this)) {
       Finish();
@@ -199,6 +200,7 @@
 
   void OnBroken(const std::string& aReason) override
   {
+    m_closedByUpstream = true;
     Fail(AttemptEnd::Broken, aReason);
   }
 
@@ -250,7 +252,8 @@
       { .m_end = sent > 0 ? aEnd : AttemptEnd::NotConnected,
         .m_reason = aReason,
         .m_reused = m_reused,
-        .m_sentBytes = sent });
+        .m_sentBytes = sent,
+        .m_closedByUpstream = m_closedByUpstream });
   }
 
   /// Closes the connection. Its handler is destroyed later, as its own event
@@ -308,6 +311,7 @@
   bool m_ended{ false };
   bool m_keep{ false };
   bool m_extraBytes{ false };
+  bool m_closedByUpstream{ false };
   bool m_paused{ false };
   std::chrono::milliseconds m_idleLifetime{ 0 };
 };
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -15,7 +15,8 @@
   AttemptEnd m_end{ AttemptEnd::Broken }; ///< NotConnected, Broken or TimedOut
   std::string m_reason;
   bool m_reused{ false }; ///< an earlier request had used the connection
-  std::uint64_t m_sentBytes{ 0 }; ///< of the request, taken by the socket
+  std::uint64_t m_sentBytes{ 0 };   ///< of the request, taken by the socket
+  bool m_closedByUpstream{ false }; ///< closed or reset by the upstream
 };
 
 /// Receives the events of one request at an upstream. The last event is either
--- a/tests/router_crashes_test.cpp
+++ b/tests/router_crashes_test.cpp
@@ -12,6 +12,7 @@
 namespace {
 
 constexpr const char* kBadPart = "bad";
+constexpr const char* kBadTarget = "/stream/bad";
 constexpr int kEngines = 30;
 
 /// Many decode engines, of which each that begins an answer on kBadPart
@@ -71,7 +72,9 @@
     aEngine.BeginStream(aCall);
     const std::string* parts =
       FindField(head.m_fields, "X-Shallotford-Prompt-Prefix");
-    if (parts != nullptr && Has(*parts, kBadPart)) {
+    bool crashes = head.m_target == kBadTarget ||
+                   (parts != nullptr && Has(*parts, kBadPart));
+    if (crashes) {
       m_crashed.insert(&aEngine);
       aCall.m_exchange->Abort();
       return true;
@@ -117,6 +120,9 @@
     }
   }
 
+  /// Returns how often a VM has learned what to refuse.
+  std::size_t Convictions() { return CountLogLines("event=crash_conviction"); }
+
   std::size_t Crashes()
   {
     return m_loop.Do([this] { return m_crashed.size(); });
@@ -168,3 +174,41 @@
       AskAt(port, "/stream/x", "aa,d1").starts_with("HTTP/1.1 200 OK\r\n"));
   }
 }
+
+BOOST_FIXTURE_TEST_CASE(a_vm_that_starts_later_refuses_what_crashed_engines,
+                        CrashingEngines)
+{
+  CrashFive();
+  BOOST_TEST(WaitFor([this] { return Convictions() == 2; }));
+  RouterOptions options = Options();
+  options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+  OtherVm later(*this, options, m_store->Address());
+  BOOST_TEST(WaitFor([this] { return Convictions() == 3; }));
+  std::size_t before = SendsOfBadPart();
+  for (int i = 0; i < 3; ++i) {
+    BOOST_TEST(AskBad(later.Port()).starts_with("HTTP/1.1 503 "));
+  }
+  BOOST_TEST(SendsOfBadPart() == before);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_equal_request_that_crashed_engines_is_not_sent_again,
+                        CrashingEngines)
+{
+  auto ask = [this](std::uint16_t aPort) {
+    RawSocket socket(aPort);
+    std::string id = "e" + std::to_string(++m_lastId);
+    socket.Send(Request(kBadTarget, id, "same", "Connection: close\r\n"));
+    return socket.ReadToEnd();
+  };
+  for (int i = 0; i < 3; ++i) {
+    ask(Port());
+    ask(m_other->Port());
+  }
+  std::this_thread::sleep_for(3s);
+  std::size_t before = Crashes();
+  for (int i = 0; i < 5; ++i) {
+    BOOST_TEST(ask(Port()).starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(ask(m_other->Port()).starts_with("HTTP/1.1 503 "));
+  }
+  BOOST_TEST(Crashes() == before);
+}
