Bound the interim answers and empty lines before a head

Cause: the reader's bound covered one head only. It dropped empty lines and interim answers before it without counting them, so that an upstream that sends them without end was read until the head's timeout. Change: what precedes a head counts against the same bound.

--- a/include/shallotford/http1.h
+++ b/include/shallotford/http1.h
@@ -93,7 +93,8 @@
 
 /// Returns a reader of callers' requests. It refuses requests that other
 /// recipients could interpret differently.
-/// @param aMaxHead  maximum size of a head without its final empty line, bytes
+/// @param aMaxHead  maximum size in bytes of a head without its final empty
+///                  line, but with empty lines and interim answers before it
 std::unique_ptr<MessageReaderI>
 MakeRequestReader(std::size_t aMaxHead);
 
--- a/src/http1_reader.cpp
+++ b/src/http1_reader.cpp
@@ -220,11 +220,12 @@
     if (m_pending.empty()) {
       skipped = std::min(aBytes.find_first_not_of("\r\n"), aBytes.size());
     }
+    m_bytesBeforeHead += skipped;
     std::size_t before = m_pending.size();
     m_pending.append(aBytes.substr(skipped));
     std::size_t from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
     std::size_t end = m_pending.find(kHeadEnd, from);
-    if (std::min(end, m_pending.size()) > m_maxHead) {
+    if (m_bytesBeforeHead + std::min(end, m_pending.size()) > m_maxHead) {
       throw Error(ErrorKind::HeadTooLarge,
                   "the message's head exceeds " + std::to_string(m_maxHead) +
                     " bytes",
@@ -258,6 +259,7 @@
     }
     CheckFraming(parser->m_head);
     m_parser = std::move(parser);
+    m_bytesBeforeHead += aHead.size();
     PassHead(aSink);
   }
 
@@ -291,6 +293,7 @@
                            .m_length = length,
                            .m_keepAlive = m_parser->keep_alive() });
     }
+    m_bytesBeforeHead = 0;
     if (m_parser->is_done()) {
       End(aSink);
     }
@@ -353,6 +356,8 @@
 
   std::size_t m_maxHead;
   bool m_toHead;
+  /// Of empty lines and interim answers, which have no end at a faulty sender.
+  std::size_t m_bytesBeforeHead{ 0 };
   std::string m_pending; ///< unfinished head, chunk header or trailer
   std::unique_ptr<MessageParser> m_parser;
   BodyFraming m_framing{ BodyFraming::None };
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -171,6 +171,21 @@
   BOOST_TEST(recorder.m_ends == 1);
 }
 
+BOOST_AUTO_TEST_CASE(what_precedes_a_head_has_a_bound)
+{
+  const std::string answers[] = { "HTTP/1.1 100 Continue\r\n\r\n", "\r\n" };
+  for (const std::string& piece : answers) {
+    auto reader = MakeAnswerReader(1'000);
+    Recorder recorder;
+    auto feed = [&] {
+      for (std::size_t i = 0; i < 1'000; ++i) {
+        reader->Feed(piece, recorder);
+      }
+    };
+    BOOST_CHECK_THROW(feed(), Error);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(an_answer_to_head_has_no_body)
 {
   auto reader = MakeAnswerReader(kMaxHead, true);
