Stop reading a long answer while its caller doesn't read

Cause: an answer too long to be held is passed on as it arrives, but only streams of events stopped reading the upstream when the caller's queue was full. The rest of the answer gathered in memory. Change: events and other bodies reach the caller through one function, which pauses the upstream's connection above kMaxCallerQueueBytes. Result: before, router_endless_test's a_body_without_end_waits_for_its_caller read 64 MiB, all that the test sends, chunked and unframed, for a caller that reads nothing. Now it passes, and router_test passes.

--- a/src/router_request.h
+++ b/src/router_request.h
@@ -130,6 +130,9 @@
   void ClassifyHead(const AnswerHead& aHead);
   void ForwardEvents(const std::string& aEvents);
   void BeginAnswer(const AnswerHead& aHead);
+  /// Writes bytes of the answer's body, and stops reading the upstream while
+  /// too many of them wait for the caller.
+  void WriteToCaller(std::string_view aBytes);
   /// Returns why an answer that ended in order is not whole: its events decide,
   /// not its framing. Empty if it is whole.
   std::string FindTruncation() const;
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -93,7 +93,7 @@
   }
   if (m_phase == Phase::Run && m_answerBegun &&
       m_pendingEnd == AttemptEnd::Answered) {
-    m_exchange->Write(aBytes); // an answer too long to be held
+    WriteToCaller(aBytes); // an answer too long to be held
     return;
   }
   m_heldAnswer.m_body.append(aBytes);
@@ -106,7 +106,7 @@
     return;
   }
   BeginAnswer(m_heldAnswer.m_head);
-  m_exchange->Write(std::exchange(m_heldAnswer.m_body, {}));
+  WriteToCaller(std::exchange(m_heldAnswer.m_body, {}));
 }
 
 void
@@ -119,7 +119,13 @@
   if (!m_answerBegun) {
     BeginAnswer(m_heldAnswer.m_head);
   }
-  m_exchange->Write(aEvents);
+  WriteToCaller(aEvents);
+}
+
+void
+RoutedRequest::WriteToCaller(std::string_view aBytes)
+{
+  m_exchange->Write(aBytes);
   if (m_exchange->Buffered() > kMaxCallerQueueBytes) {
     m_call->PauseReading();
   }
--- a/tests/router_endless_test.cpp
+++ b/tests/router_endless_test.cpp
@@ -246,6 +246,43 @@
   BOOST_TEST(m_attempts == 1);
 }
 
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_body_without_end_is_cut_at_the_deadline,
+                       data::make(kBodies))
+{
+  std::string answer = AskFirst("/once/x", sample.m_answer);
+  BOOST_TEST(!IsComplete(answer));
+  BOOST_TEST(!IsGood(answer));
+  CheckClosed();
+}
+
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_body_without_end_waits_for_its_caller,
+                       data::make(kBodies))
+{
+  m_first = sample.m_answer;
+  SilentCaller caller(*this, "/safe/x");
+  CheckClosedEarly();
+}
+
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_stream_without_end_is_cut_at_the_deadline,
+                       data::make(kStreams))
+{
+  std::string answer = AskFirst("/resumed/x", sample.m_answer);
+  BOOST_TEST(!IsComplete(answer));
+  CheckClosed();
+}
+
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_stream_without_end_waits_for_its_caller,
+                       data::make(kStreams))
+{
+  m_first = sample.m_answer;
+  SilentCaller caller(*this, "/resumed/x");
+  CheckClosedEarly();
+}
+
 BOOST_FIXTURE_TEST_CASE(an_event_without_end_is_sent_to_another_upstream,
                         Endless)
 {
