Bound the body of an answer that leads to another attempt

Cause: the rest of a refusal decided about its attempt. A refusal whose body was too long counted as a broken answer, so that a request that may run only once failed; one that came slowly, like a failure that came slowly, was read until the request's deadline, and no other upstream got the request. Change: a refusal counts as one however its body goes on, and the body of a refusal, or of a failure that another attempt may follow, gets kMaxUnusedBodyTime.

--- a/src/config.h
+++ b/src/config.h
@@ -215,6 +215,9 @@
 constexpr std::chrono::milliseconds kCallerAckTimeout = 15'000ms;
 /// Answers up to this size are held until they are complete.
 constexpr std::size_t kMaxHeldAnswerBytes = 256u << 10;
+/// Longest time from the head to the end of an answer after which the request
+/// is sent to another upstream: its body, which may have no end, isn't needed.
+constexpr std::chrono::milliseconds kMaxUnusedBodyTime = 250ms;
 /// Bytes queued for a caller above which its upstream isn't read.
 constexpr std::size_t kMaxCallerQueueBytes = 128u << 10;
 /// An upstream that has answered no request for this time after one was sent
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -45,7 +45,7 @@
 RoutedRequest::~RoutedRequest()
 {
   m_shared.m_loop.CancelTimer(m_deadlineTimer);
-  m_shared.m_loop.CancelTimer(m_noResponseTimer);
+  m_shared.m_loop.CancelTimer(m_attemptTimer);
 }
 
 void
@@ -252,7 +252,7 @@
   m_sentAt = m_shared.m_loop.Now();
   aUpstream->m_health.OnStart(m_sentAt);
   m_lastBytesAt = m_sentAt;
-  m_shared.m_loop.CancelTimer(m_noResponseTimer);
+  m_shared.m_loop.CancelTimer(m_attemptTimer);
   if (aPhase == Phase::Reserve) {
     m_call =
       m_shared.m_pool.Start(aUpstream->m_entry,
@@ -288,7 +288,7 @@
     --m_reservedEngine->m_reserved;
     m_reservation.clear();
   }
-  m_noResponseTimer = m_shared.m_loop.RunAfter(
+  m_attemptTimer = m_shared.m_loop.RunAfter(
     ServedByEngines() ? kEngineNoResponseTimeout : kNoResponseTimeout,
     [this] { OnNoResponse(); });
 }
@@ -363,7 +363,7 @@
 void
 RoutedRequest::EndAttempt(AttemptEnd aEnd, const std::string& aReason)
 {
-  m_shared.m_loop.CancelTimer(m_noResponseTimer);
+  m_shared.m_loop.CancelTimer(m_attemptTimer);
   ReleaseCall();
   m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
   m_shared.m_metrics.Count("attempts_total",
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -128,6 +128,9 @@
   void OnNoResponse();
 
   void ClassifyHead(const AnswerHead& aHead);
+  /// Sets the attempt's end if its answer completes. An answer that only leads
+  /// to another attempt gets kMaxUnusedBodyTime to complete.
+  void SetPendingEnd(AttemptEnd aEnd);
   void ForwardEvents(const std::string& aEvents);
   void BeginAnswer(const AnswerHead& aHead);
   /// Writes bytes of the answer's body, and stops reading the upstream while
@@ -137,6 +140,8 @@
   /// not its framing. Empty if it is whole.
   std::string FindTruncation() const;
   void EndAttempt(AttemptEnd aEnd, const std::string& aReason);
+  /// Ends the attempt, as a refusal if the answer's head was one.
+  void EndUnlessRefused(AttemptEnd aEnd, const std::string& aReason);
   /// Gives the call up for a reason other than its upstream's answer.
   void AbandonCall(AttemptEnd aEnd, const std::string& aReason);
   /// Passes on what the end of an attempt tells about crashes.
@@ -177,7 +182,9 @@
   TimePoint m_received;
   TimePoint m_deadline;
   TimersI::TimerId m_deadlineTimer{ 0 };
-  TimersI::TimerId m_noResponseTimer{ 0 };
+  /// Until the answer's head the one for OnNoResponse(), then the one of an
+  /// answer whose body isn't needed.
+  TimersI::TimerId m_attemptTimer{ 0 };
   std::chrono::milliseconds m_retryAfter; ///< sent if the request is refused
   bool m_quarantined{ false }; ///< refused, as requests like it crash upstreams
   bool m_ended{ false };
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -31,7 +31,7 @@
 void
 RoutedRequest::OnAnswerHead(const AnswerHead& aHead)
 {
-  m_shared.m_loop.CancelTimer(m_noResponseTimer);
+  m_shared.m_loop.CancelTimer(m_attemptTimer);
   m_heldAnswer.m_head = aHead;
   ClassifyHead(aHead);
 }
@@ -44,7 +44,7 @@
     m_upstream->m_health.OnLoad(*facts.m_load, m_shared.m_loop.Now());
   }
   if (facts.m_replaced) {
-    m_pendingEnd = AttemptEnd::Replaced;
+    SetPendingEnd(AttemptEnd::Replaced);
     return;
   }
   m_shared.m_crashes.OnAnswer(m_upstream->m_entry.m_key, m_sentAt);
@@ -53,12 +53,12 @@
     return;
   }
   if (facts.m_notExecuted) {
-    m_pendingEnd = AttemptEnd::Refused;
+    SetPendingEnd(AttemptEnd::Refused);
     return;
   }
   if (m_phase == Phase::Reserve) {
-    m_pendingEnd =
-      aHead.m_status == 200 ? AttemptEnd::Answered : AttemptEnd::Refused;
+    SetPendingEnd(aHead.m_status == 200 ? AttemptEnd::Answered
+                                        : AttemptEnd::Refused);
     return;
   }
   if (m_phase == Phase::Run && !facts.m_isSigned) {
@@ -66,7 +66,7 @@
                "unsigned answer with status " + std::to_string(aHead.m_status));
     return;
   }
-  m_pendingEnd = EndOfStatus(aHead.m_status);
+  SetPendingEnd(EndOfStatus(aHead.m_status));
   m_streaming = m_phase == Phase::Run && IsStream() && aHead.m_status == 200 &&
                 IsEventStream(aHead);
   if (m_answerBegun && !m_streaming) {
@@ -76,6 +76,19 @@
   }
 }
 
+void
+RoutedRequest::SetPendingEnd(AttemptEnd aEnd)
+{
+  m_pendingEnd = aEnd;
+  bool isUnused = aEnd == AttemptEnd::Refused || aEnd == AttemptEnd::Replaced ||
+                  (aEnd == AttemptEnd::Failed && HasAttemptsLeft());
+  if (isUnused) {
+    m_attemptTimer = m_shared.m_loop.RunAfter(kMaxUnusedBodyTime, [this] {
+      EndUnlessRefused(AttemptEnd::TimedOut, "the answer's body goes on");
+    });
+  }
+}
+
 void
 RoutedRequest::OnAnswerBody(std::string_view aBytes)
 {
@@ -102,7 +115,7 @@
   }
   if (m_phase != Phase::Run || m_pendingEnd != AttemptEnd::Answered ||
       m_answerBegun) {
-    EndAttempt(AttemptEnd::Broken, "the answer is too long to be held");
+    EndUnlessRefused(AttemptEnd::Broken, "the answer is too long to be held");
     return;
   }
   BeginAnswer(m_heldAnswer.m_head);
@@ -174,10 +187,16 @@
 {
   m_callFailure = aFailure;
   m_closedByUpstream = aFailure.m_closedByUpstream;
+  EndUnlessRefused(aFailure.m_end, aFailure.m_reason);
+}
+
+void
+RoutedRequest::EndUnlessRefused(AttemptEnd aEnd, const std::string& aReason)
+{
   // A refusal counts as one even if the rest of its answer is missing.
   bool notRun =
     m_pendingEnd == AttemptEnd::Refused || m_pendingEnd == AttemptEnd::Replaced;
-  EndAttempt(notRun ? m_pendingEnd : aFailure.m_end, aFailure.m_reason);
+  EndAttempt(notRun ? m_pendingEnd : aEnd, aReason);
 }
 
 } // namespace shallotford
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -108,7 +108,7 @@
     return;
   }
   bool wasSent = ReleaseCall();
-  m_shared.m_loop.CancelTimer(m_noResponseTimer);
+  m_shared.m_loop.CancelTimer(m_attemptTimer);
   m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
   LogAttempt(aEnd, aReason);
   m_runs += m_phase == Phase::Run && wasSent ? 1 : 0;
@@ -119,7 +119,7 @@
 {
   if (m_call != nullptr) {
     ReleaseCall();
-    m_shared.m_loop.CancelTimer(m_noResponseTimer);
+    m_shared.m_loop.CancelTimer(m_attemptTimer);
     TimePoint now = m_shared.m_loop.Now();
     // If the upstream sent no bytes for a long time before the caller
     // disconnected, the attempt counts as timed out.
--- a/tests/router_endless_test.cpp
+++ b/tests/router_endless_test.cpp
@@ -246,6 +246,34 @@
   BOOST_TEST(m_attempts == 1);
 }
 
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_failure_without_end_is_sent_to_another_upstream,
+                       data::make(kFailures))
+{
+  BOOST_TEST(IsGood(AskFirst("/safe/x", sample.m_answer)));
+  CheckClosedEarly();
+}
+
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_failure_without_end_fails_what_may_run_once,
+                       data::make(kFailures))
+{
+  BOOST_TEST(IsError(AskFirst("/once/x", sample.m_answer)));
+  CheckClosedEarly();
+  BOOST_TEST(m_attempts == 1);
+}
+
+BOOST_DATA_TEST_CASE_F(Endless,
+                       a_refusal_without_end_still_counts_as_a_refusal,
+                       data::make({ "/safe/x", "/once/x" }) *
+                         data::make(kRefusals),
+                       path,
+                       refusal)
+{
+  BOOST_TEST(IsGood(AskFirst(path, refusal.m_answer)));
+  CheckClosedEarly();
+}
+
 BOOST_DATA_TEST_CASE_F(Endless,
                        a_body_without_end_is_cut_at_the_deadline,
                        data::make(kBodies))
