Don't end a failed call as a whole answer

Cause: a call that fails closes its connection before its handler gets the failure. For an answer without a length that close counted as the answer's end, so that the handler got a cut answer as a whole one. Change: a call that is failing no longer ends otherwise.

--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -400,6 +400,9 @@
 void
 ClientCall::End()
 {
+  if (m_failing) {
+    return; // the failure, whose event is under way, closed the connection
+  }
   if (auto handler = TakeHandler()) {
     m_client->RemoveLater(m_id);
     handler->OnEnd();
