--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -145,6 +145,8 @@
   std::chrono::milliseconds m_headersTimeout{ 5'000 };
   /// Longest silence inside the answer's body.
   std::chrono::milliseconds m_idleTimeout{ 30'000 };
+  /// Time from the call to the answer's end; 0 for no such bound.
+  std::chrono::milliseconds m_wholeTimeout{ 0 };
   std::size_t m_maxBody{ 8u << 20 }; ///< for FetchWhole only
   TlsFiles m_tls;
 };
--- a/src/daemon_peer.cpp
+++ b/src/daemon_peer.cpp
@@ -27,6 +27,8 @@
                  .m_body = RpcRequestBody(
                    aMethod, aParams, static_cast<Json::Int64>(number)),
                  .m_headersTimeout = kPeerTimeout,
+                 .m_idleTimeout = kPeerTimeout,
+                 .m_wholeTimeout = 2 * kPeerTimeout,
                  .m_tls = m_tls };
   m_calls[number] = m_loop.Client().FetchWhole(
     std::move(call),
--- a/src/net_client.h
+++ b/src/net_client.h
@@ -56,8 +56,9 @@
   std::string Problem() const;
   std::string HeaderText() const;
   void ArmTimer(Duration aDelay);
+  void ArmWholeTimer();
   void OnTimer();
-  /// Stops the timer and returns the handler, which gets one last event.
+  /// Stops the timers and returns the handler, which gets one last event.
   std::shared_ptr<HttpClientHandlerI> TakeHandler();
   /// Returns whether nothing more may be sent.
   bool IsOver() const { return m_handler == nullptr || m_failing; }
@@ -75,6 +76,7 @@
   lws* m_wsi{ nullptr };
   CallProgress m_progress{ CallProgress::NotSent };
   TimersI::TimerId m_timer{ 0 };
+  TimersI::TimerId m_wholeTimer{ 0 };
   TimePoint m_activity;     ///< start, or the latest byte of the answer
   std::string m_sendBuffer; ///< LWS_PRE bytes of room, then the body
   std::size_t m_bodySent{ 0 };
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -89,6 +89,7 @@
     return;
   }
   ArmTimer(m_call.m_headersTimeout);
+  ArmWholeTimer();
   Connect();
 }
 
@@ -370,6 +371,21 @@
   });
 }
 
+void
+ClientCall::ArmWholeTimer()
+{
+  if (m_call.m_wholeTimeout.count() == 0) {
+    return;
+  }
+  m_wholeTimer = m_client->GetLoop().RunAfter(
+    m_call.m_wholeTimeout, [self = weak_from_this()] {
+      std::shared_ptr<ClientCall> call = self.lock();
+      if (call != nullptr && call->m_handler != nullptr) {
+        call->Fail("no whole answer in time");
+      }
+    });
+}
+
 void
 ClientCall::OnTimer()
 {
@@ -393,6 +409,7 @@
 {
   if (m_client != nullptr) {
     m_client->GetLoop().CancelTimer(std::exchange(m_timer, 0));
+    m_client->GetLoop().CancelTimer(std::exchange(m_wholeTimer, 0));
   }
   return std::exchange(m_handler, nullptr);
 }
