Don't take a refusal of another request for this one's

Callers would see: a request that may run once ran twice. A 421 or a refusal that arrived late for an earlier request was accepted before its request id was compared, so the router sent the request elsewhere while the upstream ran it. Change: the id is compared first; an answer to another request is a broken one. Result: router_unsent_test's new case sent the request to 2 upstreams before and to 1 now, answered with 502.

--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -43,15 +43,15 @@
   if (facts.m_load) {
     m_upstream->m_health.OnLoad(*facts.m_load, m_shared.m_loop.Now());
   }
+  if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
+    EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
+    return;
+  }
   if (facts.m_replaced) {
     SetPendingEnd(AttemptEnd::Replaced);
     return;
   }
   m_shared.m_crashes.OnAnswer(m_upstream->m_entry.m_key, m_sentAt);
-  if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
-    EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
-    return;
-  }
   if (facts.m_notExecuted) {
     SetPendingEnd(AttemptEnd::Refused);
     return;
--- a/tests/router_unsent_test.cpp
+++ b/tests/router_unsent_test.cpp
@@ -199,3 +199,22 @@
   }
   BOOST_TEST(AllRuns("r1") == 0);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_refusal_of_another_request_sends_nothing_again, Plain)
+{
+  for (const char* field : { "X-Shallotford-Not-Executed", "X-Other" }) {
+    std::string id = std::string("r-") + field;
+    auto received = std::make_shared<int>(0);
+    ScriptBoth([received, field](const PublishedCall& aCall) {
+      ++*received;
+      aCall.m_exchange->Respond(
+        421,
+        "Misdirected Request",
+        { { "X-Shallotford-Request-Id", "other" }, { field, "1" } },
+        "");
+      return true;
+    });
+    BOOST_TEST(Ask("/once/1", id).starts_with("HTTP/1.1 502 "));
+    BOOST_TEST(m_loop.Do([&] { return *received; }) == 1);
+  }
+}
