Don't blame an upstream for an idle connection that ended

Cause: since a request of which nothing was sent counts as not sent on any connection, one that met the end of a reused connection ejected its upstream and excluded it. Change: such an attempt says nothing of the upstream's health, and the request may go there again on a new connection.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -366,7 +366,12 @@
 {
   m_shared.m_loop.CancelTimer(m_attemptTimer);
   ReleaseCall();
-  m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
+  // An idle connection may end at any time, which says nothing of its upstream.
+  bool staleConnection = aEnd == AttemptEnd::NotConnected && m_callFailure &&
+                         m_callFailure->m_reused;
+  m_upstream->m_health.OnEnd(staleConnection ? AttemptEnd::Abandoned : aEnd,
+                             m_sentAt,
+                             m_shared.m_loop.Now());
   m_shared.m_metrics.Count("attempts_total",
                            "end=\"" + std::string(shallotford::ToString(aEnd)) +
                              "\"");
@@ -375,7 +380,9 @@
     m_enginesWithoutRoom.insert(m_upstream->m_entry.m_key);
   } else if (aEnd != AttemptEnd::Answered) {
     LogAttempt(aEnd, aReason);
-    m_excluded.insert(m_upstream->m_entry.m_key);
+    if (!staleConnection) {
+      m_excluded.insert(m_upstream->m_entry.m_key);
+    }
   }
   ReportRun(aEnd);
   if (aEnd == AttemptEnd::Replaced) {
--- a/tests/router_unsent_test.cpp
+++ b/tests/router_unsent_test.cpp
@@ -145,9 +145,14 @@
 class SlowTurns
 {
 public:
-  SlowTurns(LoopThread& aLoop, std::chrono::milliseconds aDelay)
+  /// @param aUntil  ends the delays, checked on the loop's thread
+  SlowTurns(
+    LoopThread& aLoop,
+    std::chrono::milliseconds aDelay,
+    std::function<bool()> aUntil = [] { return false; })
     : m_loop(aLoop)
     , m_delay(aDelay)
+    , m_until(std::move(aUntil))
   {
     m_loop.Do([this] { DelayTurn(); });
   }
@@ -162,7 +167,7 @@
 private:
   void DelayTurn()
   {
-    if (!m_stopped) {
+    if (!m_stopped && !m_until()) {
       std::this_thread::sleep_for(m_delay);
       m_loop->Post([this] { DelayTurn(); });
     }
@@ -170,6 +175,7 @@
 
   LoopThread& m_loop;
   std::chrono::milliseconds m_delay;
+  std::function<bool()> m_until;
   bool m_stopped{ false }; ///< on the loop's thread
 };
 
@@ -200,6 +206,24 @@
   BOOST_TEST(AllRuns("r1") == 0);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_whose_idle_connection_ended_is_tried_again)
+{
+  RouterFixture fixture;
+  fixture.Publish(ConfigText(1));
+  fixture.AddServer("i-a", "plain");
+  fixture.Start();
+  BOOST_TEST(fixture.Ask("/safe/1", "r1").starts_with("HTTP/1.1 200 "));
+  std::string answer;
+  {
+    SlowTurns slow(fixture.m_loop, kMinAnswerHeadTimeout + 10ms, [&fixture] {
+      return Has(fixture.m_log.Lines().back(), "connection=reused");
+    });
+    answer = fixture.Ask("/safe/1", "r2");
+  }
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(fixture.CountLogLines("connection=reused sent_bytes=0") == 1u);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_refusal_of_another_request_sends_nothing_again, Plain)
 {
   for (const char* field : { "X-Shallotford-Not-Executed", "X-Other" }) {
