Split the tests of upstreams that send without end

Cause: in one program they take 128 s, close to ctest's limit on a busy machine. Change: three programs (heads, bodies, engines) over one fixture. No case and no check changes.

--- a/tests/router_endless_test.cpp
+++ b/tests/router_endless_fixture.h
@@ -1,30 +1,25 @@
-/// Tests of upstreams that send without end: heads, framing, bodies and events.
+#ifndef SHALLOTFORD_TESTS_ROUTER_ENDLESS_FIXTURE_H
+#define SHALLOTFORD_TESTS_ROUTER_ENDLESS_FIXTURE_H
 
-#define BOOST_TEST_MODULE router_endless
-#include <boost/test/unit_test.hpp>
+/// Upstreams of a router that send without end, and what they send.
 
 #include "endless_fixture.h"
-#include "router_engine_calls.h"
 #include "router_fixture.h"
 
-#include <boost/test/data/test_case.hpp>
+namespace shallotford::test {
 
-using namespace shallotford;
-using namespace shallotford::test;
-
-namespace {
-
-const std::string kSigned = "X-Shallotford-Request-Id: r1\r\n"
-                            "X-Shallotford-Response-Signature: mark-r1\r\n";
-const std::string kOk = "HTTP/1.1 200 OK\r\n" + kSigned;
-const std::string kFailed = "HTTP/1.1 500 Failed\r\n" + kSigned;
-const std::string kNotRun =
+inline const std::string kSigned =
+  "X-Shallotford-Request-Id: r1\r\n"
+  "X-Shallotford-Response-Signature: mark-r1\r\n";
+inline const std::string kOk = "HTTP/1.1 200 OK\r\n" + kSigned;
+inline const std::string kFailed = "HTTP/1.1 500 Failed\r\n" + kSigned;
+inline const std::string kNotRun =
   "HTTP/1.1 503 Busy\r\nX-Shallotford-Not-Executed: 1\r\n";
-const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
-const std::string kChunk = "10\r\naaaaaaaaaaaaaaaa\r\n";
-const std::string kEvents = kOk + "Content-Type: text/event-stream\r\n";
+inline const std::string kChunked = "Transfer-Encoding: chunked\r\n\r\n";
+inline const std::string kChunk = "10\r\naaaaaaaaaaaaaaaa\r\n";
+inline const std::string kEvents = kOk + "Content-Type: text/event-stream\r\n";
 
-std::string
+inline std::string
 WithLength(const std::string& aHead, const std::string& aBody)
 {
   return aHead + "Content-Length: " + std::to_string(aBody.size()) +
@@ -32,7 +27,7 @@
 }
 
 /// Returns a server's entry for the store.
-std::string
+inline std::string
 EntryOf(const EndlessServer& aServer,
         const std::string& aService,
         const std::string& aStage)
@@ -50,14 +45,14 @@
   EndlessAnswer m_answer;
 };
 
-std::ostream&
+inline std::ostream&
 operator<<(std::ostream& aStream, const Case& aCase)
 {
   return aStream << aCase.m_name;
 }
 
 /// Returns each case at full speed and slowly.
-std::vector<Case>
+inline std::vector<Case>
 AtBothSpeeds(const std::vector<Case>& aCases)
 {
   std::vector<Case> all;
@@ -69,7 +64,7 @@
   return all;
 }
 
-const std::vector<Case> kHeads =
+inline const std::vector<Case> kHeads =
   AtBothSpeeds({ { "garbage", { "", "garbage " } },
                  { "status line", { "HTTP/1.1 200 ", "a" } },
                  { "field line", { "HTTP/1.1 200 OK\r\nX-A: ", "a" } },
@@ -77,39 +72,39 @@
                  { "interim answers", { "", "HTTP/1.1 100 Continue\r\n\r\n" } },
                  { "empty lines", { "", "\r\n" } } });
 
-const std::vector<Case> kChunkLines = {
+inline const std::vector<Case> kChunkLines = {
   { "chunk size", { kOk + kChunked, "0" } },
   { "chunk extension", { kOk + kChunked + "5;x=", "a" } },
   { "trailers", { kOk + kChunked + "0\r\n", "X-A: b\r\n" } },
   { "trailer line", { kOk + kChunked + "0\r\nX-A: ", "a" } }
 };
 
-const std::vector<Case> kFailures =
+inline const std::vector<Case> kFailures =
   AtBothSpeeds({ { "chunked failure", { kFailed + kChunked, kChunk } },
                  { "unframed failure", { kFailed + "\r\n", "a" } },
                  { "failure's chunk size", { kFailed + kChunked, "0" } } });
 
-const std::vector<Case> kRefusals =
+inline const std::vector<Case> kRefusals =
   AtBothSpeeds({ { "chunked refusal", { kNotRun + kChunked, kChunk } },
                  { "unframed refusal", { kNotRun + "\r\n", "a" } },
                  { "refusal's chunk size", { kNotRun + kChunked, "0" } } });
 
-const std::vector<Case> kBodies =
+inline const std::vector<Case> kBodies =
   AtBothSpeeds({ { "chunked body", { kOk + kChunked, kChunk } },
                  { "unframed body", { kOk + "\r\n", "a" } } });
 
-const std::vector<Case> kStreams = AtBothSpeeds(
+inline const std::vector<Case> kStreams = AtBothSpeeds(
   { { "comments", { kEvents + "\r\n", ":\n\n" } },
     { "chunked comments", { kEvents + kChunked, "3\r\n:\n\n\r\n" } },
     { "empty lines", { kEvents + "\r\n", "\n" } },
     { "events", { kEvents + "\r\n", "data: a\n\n" } } });
 
-const std::vector<Case> kExtraBytes =
+inline const std::vector<Case> kExtraBytes =
   AtBothSpeeds({ { "answers", { WithLength(kOk, "good"), kOk } },
                  { "garbage", { WithLength(kOk, "good"), "a" } },
                  { "empty lines", { WithLength(kOk, "good"), "\r\n" } } });
 
-const std::vector<Case> kCalls = AtBothSpeeds(
+inline const std::vector<Case> kCalls = AtBothSpeeds(
   { { "garbage", { "", "garbage " } },
     { "fields", { "HTTP/1.1 200 OK\r\n", "X-A: b\r\n" } },
     { "chunk size", { "HTTP/1.1 200 OK\r\n" + kChunked, "0" } },
@@ -286,185 +281,6 @@
   RawSocket m_socket;
 };
 
-} // namespace
-
-namespace data = boost::unit_test::data;
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_head_without_end_is_sent_to_another_upstream,
-                       data::make(kHeads))
-{
-  BOOST_TEST(IsGood(AskFirst("/safe/x", sample.m_answer)));
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_head_without_end_fails_what_may_run_once,
-                       data::make(kHeads))
-{
-  BOOST_TEST(IsError(AskFirst("/once/x", sample.m_answer)));
-  CheckClosedEarly();
-  BOOST_TEST(m_attempts == 1);
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_chunk_line_without_end_is_sent_to_another_upstream,
-                       data::make(kChunkLines))
-{
-  BOOST_TEST(IsGood(AskFirst("/safe/x", sample.m_answer)));
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_chunk_line_without_end_fails_what_may_run_once,
-                       data::make(AtBothSpeeds(kChunkLines)))
-{
-  BOOST_TEST(IsError(AskFirst("/once/x", sample.m_answer)));
-  CheckClosedEarly();
-  BOOST_TEST(m_attempts == 1);
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_failure_without_end_is_sent_to_another_upstream,
-                       data::make(kFailures))
-{
-  BOOST_TEST(IsGood(AskFirst("/safe/x", sample.m_answer)));
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_failure_without_end_fails_what_may_run_once,
-                       data::make(kFailures))
-{
-  BOOST_TEST(IsError(AskFirst("/once/x", sample.m_answer)));
-  CheckClosedEarly();
-  BOOST_TEST(m_attempts == 1);
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_refusal_without_end_still_counts_as_a_refusal,
-                       data::make({ "/safe/x", "/once/x" }) *
-                         data::make(kRefusals),
-                       path,
-                       refusal)
-{
-  BOOST_TEST(IsGood(AskFirst(path, refusal.m_answer)));
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_body_without_end_is_cut_at_the_deadline,
-                       data::make(kBodies))
-{
-  std::string answer = AskFirst("/once/x", sample.m_answer);
-  BOOST_TEST(!IsComplete(answer));
-  BOOST_TEST(!IsGood(answer));
-  CheckClosed();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_body_without_end_waits_for_its_caller,
-                       data::make(kBodies))
-{
-  m_first = sample.m_answer;
-  SilentCaller caller(*this, "/safe/x");
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_body_without_end_is_closed_when_its_caller_leaves,
-                       data::make(kBodies) + data::make(kStreams))
-{
-  m_first = sample.m_answer;
-  SilentCaller caller(*this, "/resumed/x");
-  WaitFor([this] { return m_attempts == 1; });
-  BOOST_TEST(IsGood(Ask("/safe/x", "r1")));
-  caller.Leave();
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_stream_without_end_is_cut_at_the_deadline,
-                       data::make(kStreams))
-{
-  std::string answer = AskFirst("/resumed/x", sample.m_answer);
-  BOOST_TEST(!IsComplete(answer));
-  CheckClosed();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       a_stream_without_end_waits_for_its_caller,
-                       data::make(kStreams))
-{
-  m_first = sample.m_answer;
-  SilentCaller caller(*this, "/resumed/x");
-  CheckClosedEarly();
-}
-
-BOOST_FIXTURE_TEST_CASE(an_event_without_end_is_sent_to_another_upstream,
-                        Endless)
-{
-  std::string answer = AskFirst("/resumed/x", { kEvents + "\r\ndata: ", "a" });
-  BOOST_TEST(Has(answer, Event(1)));
-  BOOST_TEST(IsComplete(answer));
-  CheckClosedEarly();
-}
+} // namespace shallotford::test
 
-BOOST_FIXTURE_TEST_CASE(a_slow_event_without_end_fails_at_the_deadline, Endless)
-{
-  std::string answer =
-    AskFirst("/resumed/x", { kEvents + "\r\ndata: ", "a", true });
-  BOOST_TEST(IsError(answer));
-  CheckClosedEarly();
-}
-
-BOOST_DATA_TEST_CASE_F(Endless,
-                       extra_bytes_after_an_answer_close_the_connection,
-                       data::make(kExtraBytes))
-{
-  BOOST_TEST(IsGood(AskFirst("/once/x", sample.m_answer)));
-  CheckClosedEarly();
-  BOOST_TEST(IsGood(Ask("/once/x", "r1")));
-  BOOST_TEST(m_attempts == 2);
-}
-
-BOOST_DATA_TEST_CASE_F(EndlessEngines,
-                       a_reservation_without_end_goes_to_another_engine,
-                       data::make(kCalls))
-{
-  CheckServed("/api/hold-take", sample.m_answer);
-}
-
-BOOST_DATA_TEST_CASE_F(EndlessEngines,
-                       a_prefill_without_end_is_done_by_the_decode_engine,
-                       data::make(kCalls))
-{
-  CheckServed("X-Shallotford-Stage", sample.m_answer);
-}
-
-BOOST_DATA_TEST_CASE(a_background_call_without_end_is_closed,
-                     data::make(kCalls))
-{
-  Inbox<Flood> floods;
-  EndlessServer server([&](const std::string&) { return sample.m_answer; },
-                       floods);
-  LoopThread loop;
-  MemoryLog log;
-  std::unique_ptr<ConnectionPool> pool;
-  std::unique_ptr<EngineCalls> calls;
-  loop.Do([&] {
-    pool = std::make_unique<ConnectionPool>(*loop);
-    calls = std::make_unique<EngineCalls>(*loop, *pool, log);
-    calls->Send({ .m_address = server.Address() },
-                { .m_method = "DELETE", .m_target = "/hold" });
-  });
-  std::optional<Flood> flood = floods.Take(30s);
-  BOOST_TEST_REQUIRE(flood.has_value());
-  BOOST_TEST(flood->m_closed);
-  // At full speed all of it arrives before the call's timeout.
-  BOOST_TEST((!sample.m_answer.m_slow || !flood->m_exhausted));
-  loop.Do([&] {
-    calls.reset();
-    pool.reset();
-  });
-}
+#endif // SHALLOTFORD_TESTS_ROUTER_ENDLESS_FIXTURE_H
