--- a/tests/router_crashes_test.cpp
+++ b/tests/router_crashes_test.cpp
@@ -13,6 +13,7 @@
 
 constexpr const char* kBadPart = "bad";
 constexpr const char* kBadTarget = "/stream/bad";
+constexpr const char* kRejectedTarget = "/stream/rejected";
 constexpr int kEngines = 30;
 
 /// Many decode engines, of which each that begins an answer on kBadPart
@@ -69,6 +70,11 @@
     if (aCall.m_reserve || aCall.m_prefill || head.m_method == "DELETE") {
       return false;
     }
+    if (head.m_target == kRejectedTarget) {
+      aCall.m_exchange->Respond(
+        400, "Bad Request", PublishedServer::SignedFields(aCall), "no");
+      return true;
+    }
     aEngine.BeginStream(aCall);
     const std::string* parts =
       FindField(head.m_fields, "X-Shallotford-Prompt-Prefix");
@@ -165,6 +171,22 @@
   BOOST_TEST(SendsOfBadPart() - before <= 3u);
 }
 
+BOOST_FIXTURE_TEST_CASE(an_answer_without_success_clears_no_part,
+                        CrashingEngines)
+{
+  for (std::uint16_t port : { Port(), m_other->Port() }) {
+    BOOST_TEST(
+      AskAt(port, kRejectedTarget, "aa,bad,1").starts_with("HTTP/1.1 400 "));
+  }
+  CrashFive();
+  std::this_thread::sleep_for(3s);
+  std::size_t before = SendsOfBadPart();
+  for (int i = 0; i < 10; ++i) {
+    AskBad(Port());
+  }
+  BOOST_TEST(SendsOfBadPart() - before <= 3u);
+}
+
 BOOST_FIXTURE_TEST_CASE(requests_that_share_only_a_harmless_part_are_served,
                         CrashingEngines)
 {
