Go on with gossip if its digest of crashes is malformed

Cause: a malformed digest failed the whole exchange, with the configuration and upstreams in it. Change: it is logged and counted as a gossip failure, and the rest is used. Result: router_crashes_test passes; no test of its own.

--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -137,8 +137,15 @@
 RouterTask::MergeCrashes(const Json::Value& aMessage)
 {
   const Json::Value& digest = aMessage["crashes"];
-  if (digest.isString() && !digest.asString().empty()) {
+  if (!digest.isString() || digest.asString().empty()) {
+    return;
+  }
+  try {
     m_crashes.Merge(digest.asString());
+  } catch (const Error& error) {
+    m_metrics.Count("gossip_failures_total", "");
+    m_log.Write(LogEvent("crash_digest_malformed", LogLevel::Warning)
+                  .Add("reason", error.what()));
   }
 }
 
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -86,7 +86,7 @@
   /// @throws std::exception if a field is malformed; no item is applied then
   void ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply);
   void MergePeers(const Json::Value& aPeers);
-  /// @throws Error (InvalidRequest) if the digest of crashes is malformed
+  /// Reads the digest of crashes in a message; ignores a malformed one.
   void MergeCrashes(const Json::Value& aMessage);
 
   // Operators.
