Find the version of a stream from its id

Cause: which software version began a stream lay in the memory of VMs only. When all VMs were killed, each take-up of a stream was refused while two versions were known. If the servers of the old version had just left, a VM that had just started knew only the new one and joined the rest of the text from it to the first part of the old one.

Change: a stream's id chooses its version by a weighted rendezvous hash over the capacity of each version as published, and the stream stays at it. A VM that doesn't find the origin of a stream at others computes the version again from the capacities of the time in which the stream began: from what it saw itself, else from the changes that the store still has. A stream whose id gives several versions over that time is refused, and so is every one while the history doesn't reach back far enough or was discarded early. Streams of one version queue for memory apart from those of another. A take-up goes to the service that the stream's first request went to, also if its route is split.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -36,6 +36,9 @@
   double m_retryWindow{ 10.0 }; ///< seconds
   /// Longest time from the stop signal to the process's exit, in seconds.
   double m_drainTime{ 8.0 };
+  /// Time for which the platform keeps the changes of what it publishes, in
+  /// seconds; 0 if that isn't known.
+  double m_history{ 0 };
   /// True when the whole system starts for the first time and has no requests
   /// yet.
   bool m_firstStart{ false };
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -121,6 +121,95 @@
 const std::string&
 ChooseTarget(const Route& aRoute, std::uint64_t aHash);
 
+// ------------------------------------------------------ software versions
+
+/// Capacity of one service by software version, in slots of upstreams that
+/// begin streams. Versions without any are left out.
+using VersionCapacity = std::map<std::string, double>;
+
+/// Smallest and largest capacity of one version over some time.
+struct CapacityRange
+{
+  double m_least{ 0 };
+  double m_most{ 0 };
+};
+using VersionRanges = std::map<std::string, CapacityRange>;
+
+/// The capacities of a service's versions in a part of the past.
+struct VersionSpan
+{
+  VersionRanges m_ranges;
+  /// Unix time, in milliseconds, by which it had ended; none if that isn't
+  /// known.
+  std::optional<std::uint64_t> m_endedByMs;
+};
+using VersionSpans = std::map<std::string, std::vector<VersionSpan>>;
+
+/// Chooses the software version that runs a stream, from the stream's id and
+/// the capacity of each version: a weighted rendezvous hash. A change of
+/// capacity moves only as many ids as it must.
+/// @return nothing if there is no capacity
+std::optional<std::string>
+ChooseVersion(const VersionCapacity& aCapacity, std::string_view aStreamId);
+
+/// Returns the version that ChooseVersion() gave while the capacities stayed in
+/// aRanges, or nothing if it may have given different ones.
+std::optional<std::string>
+FindVersion(const VersionRanges& aRanges, std::string_view aStreamId);
+
+/// The capacities of each service's versions over the recent past. With them a
+/// VM finds the version of a stream that another VM began, even if no VM
+/// remembers that stream.
+class VersionHistory
+{
+public:
+  /// Record() covers the time from aFrom on.
+  void StartAt(TimePoint aFrom) { m_knownFrom = aFrom; }
+  /// Records the capacities of all services. While none of a service's
+  /// upstreams is published, its last capacities hold.
+  void Record(const std::map<std::string, VersionCapacity>& aCapacities,
+              TimePoint aNow);
+  /// Adds what was read of the time from aFrom on, before Record() began or
+  /// beside it. The capacities of other services aren't known in that time.
+  /// @param aReadAt  wall time of aNow
+  void AddPast(const VersionSpans& aSpans,
+               TimePoint aFrom,
+               TimePoint aNow,
+               WallTime aReadAt);
+  /// Returns whether the capacities since aTime are known.
+  bool Knows(TimePoint aTime) const { return aTime >= m_knownFrom; }
+  /// Returns the version that runs a new stream, or nothing without capacity.
+  std::optional<std::string> Choose(const std::string& aService,
+                                    std::string_view aStreamId) const;
+  /// Returns the version of a stream that began after aSince, or nothing if it
+  /// is uncertain. An empty id stands for any stream: there is a version only
+  /// if no other one served.
+  std::optional<std::string> Find(const std::string& aService,
+                                  std::string_view aStreamId,
+                                  TimePoint aSince) const;
+  void Expire(TimePoint aNow);
+
+private:
+  struct Service;
+  static void Record(Service& aService,
+                     const VersionCapacity& aCapacity,
+                     TimePoint aNow);
+
+  struct Past
+  {
+    TimePoint m_until;
+    VersionRanges m_ranges; ///< empty if they aren't known
+  };
+  struct Service
+  {
+    VersionCapacity m_now;
+    std::deque<Past> m_past; ///< oldest first
+  };
+
+  TimePoint m_knownFrom{ TimePoint::max() };
+  std::map<std::string, Service> m_services;
+};
+
 // -------------------------------------------------------------- upstreams
 
 enum class EngineStage
@@ -160,6 +249,11 @@
   std::string m_softwareVersion;
 };
 
+/// Returns whether an upstream gets new streams: it is no prefill engine and
+/// isn't draining.
+bool
+BeginsStreams(const UpstreamEntry& aEntry);
+
 /// Load that an upstream reported with an answer.
 struct UpstreamLoad
 {
@@ -319,18 +413,18 @@
   /// @return the keys of the removed upstreams
   std::vector<UpstreamKey> Expire(TimePoint aNow);
   /// Returns whether aService has a usable upstream that isn't draining.
-  bool IsReachable(const std::string& aService, TimePoint aNow) const;
+  /// @param aSoftwareVersion  any version if not set
+  bool IsReachable(const std::string& aService,
+                   const std::optional<std::string>& aSoftwareVersion,
+                   TimePoint aNow) const;
   UpstreamPtr Find(const UpstreamKey& aKey) const;
   /// Chooses an upstream by distance, load and failures.
   /// @return nullptr if no ready upstream meets aRequest's criteria
   UpstreamPtr Pick(const PickRequest& aRequest, TimePoint aNow) const;
-  /// Returns whether any ready upstream of aService is known.
-  bool Serves(const std::string& aService) const;
-  /// Returns the software version of all upstreams of aService, or nothing if
-  /// they differ or none is known. Draining ones count, and so do those that
-  /// left less than two minutes ago, since callers may continue their streams.
-  std::optional<std::string> OnlySoftwareVersion(
-    const std::string& aService) const;
+  /// Returns whether any upstream of aService that isn't draining is known.
+  /// @param aSoftwareVersion  any version if not set
+  bool Serves(const std::string& aService,
+              const std::optional<std::string>& aSoftwareVersion) const;
   std::size_t Size() const { return m_upstreams.size(); }
   std::vector<UpstreamPtr> All() const;
 
@@ -345,8 +439,6 @@
 
   Location m_location;
   std::map<UpstreamKey, UpstreamPtr> m_upstreams;
-  /// By service and software version: when an upstream of it was last known.
-  std::map<std::pair<std::string, std::string>, TimePoint> m_versionsSeen;
 };
 
 // ------------------------------------------------------------------ roles
@@ -422,6 +514,16 @@
   std::chrono::milliseconds m_timeLeft{ 0 };
 };
 
+/// Returns the time within which a request ends, unless it is exceptionally
+/// slow: a stream takes its latency target and the time of its tokens, any
+/// other request may take all of its time.
+/// @param aDeadline      from its receipt
+/// @param aOutputTokens  upper bound
+Duration
+ExpectedTime(const Route& aRoute,
+             std::chrono::milliseconds aDeadline,
+             std::uint32_t aOutputTokens);
+
 /// How a request continues or ends after an attempt.
 enum class NextStep
 {
@@ -519,8 +621,48 @@
   std::string m_value; ///< any bytes; empty if removed
   std::uint64_t m_revision{ 0 };
   bool m_removed{ false };
+  bool m_created{ false }; ///< the item did not exist before this revision
+};
+
+/// The changes that a directory's source still has.
+struct DirectoryHistory
+{
+  std::vector<DirectoryItem> m_changes; ///< in the order of their revisions
+  /// The changes since the directory was created.
+  bool m_isWhole{ false };
+  /// Else the changes of this time, unless the source discarded them early.
+  Duration m_covered{};
+  WallTime m_readAt{};
 };
 
+/// One change of a published upstream.
+struct UpstreamChange
+{
+  std::string m_id;
+  std::optional<UpstreamEntry> m_entry; ///< empty if it was removed
+  bool m_created{ false };
+};
+
+/// Returns the capacity of each service by software version.
+/// @param aEntries  as they were published: VMs that have read the same ones
+///                  get the same result
+std::map<std::string, VersionCapacity>
+CapacitiesOf(const std::map<std::string, UpstreamEntry>& aEntries);
+
+/// Returns the capacities of each service's versions over a history, oldest
+/// first, or nothing if it doesn't tell them or was discarded early. A service
+/// without capacity at its begin is left out. An upstream of which only the
+/// removal is known counts for each version of its service, since it may have
+/// had any of them; if only one is known, the service is left out.
+/// @param aEntries         by id, at the end of the history
+/// @param aStartedAfterMs  Unix time; the creation of an upstream that started
+///                         later is in a history that wasn't discarded early;
+///                         nothing for a history since the directory's creation
+std::optional<VersionSpans>
+ReplayVersions(const std::map<std::string, UpstreamEntry>& aEntries,
+               const std::vector<UpstreamChange>& aChanges,
+               std::optional<std::uint64_t> aStartedAfterMs);
+
 /// Changes of the items below a prefix, from the platform or another VM.
 struct DirectoryDelta
 {
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -130,6 +130,11 @@
   virtual void Start(DirectoryListenerI& aListener) = 0;
   /// Continues after aRevision; all changes up to it came from another VM.
   virtual void SkipTo(std::uint64_t aRevision) = 0;
+  /// Reads the past changes that the source still has.
+  /// @param aDone  called once, unless the source is destroyed before; gets
+  ///               nothing if they can't be read
+  virtual void ReadHistory(
+    std::function<void(const std::optional<DirectoryHistory>&)> aDone) = 0;
 };
 
 /// The decoded value of one published item.
--- a/src/config.h
+++ b/src/config.h
@@ -322,9 +322,16 @@
 /// between regions.
 constexpr std::chrono::milliseconds kOriginLookupTimeout = 300ms;
 /// Time for which a stream may still be continued: longer than callers wait.
-/// Its origin is kept that long, and so is the last sight of a software
-/// version.
+/// Its origin is kept that long, and so are the capacities of software versions.
 constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
+/// Time by which a VM's view of the published upstreams may be late when it
+/// begins a stream: a few gossip periods, if the directory's source is cut off.
+constexpr std::chrono::milliseconds kMaxUpstreamViewAge = 4'000ms;
+/// Time from an upstream's start to its first published entry, at most.
+constexpr std::chrono::milliseconds kMaxPublishTime = 2'000ms;
+/// A stream's version isn't found from the capacities of versions if the
+/// directory's source has been silent for this time: more than one watch.
+constexpr std::chrono::milliseconds kMaxSourceSilence = 3'000ms;
 /// Crashed upstreams under which a trait of requests must have run to be
 /// refused.
 constexpr std::uint32_t kConvictingCrashes = 3;
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -63,6 +63,7 @@
 constexpr Range<double> kRetryRatio{ 0.0, 10.0 };
 constexpr Range<double> kRetrySlack{ 0.0, 1e6 }; // extra sends
 constexpr Range<double> kSeconds{ 0.1, 3600.0 };
+constexpr Range<double> kHistorySeconds{ 0.0, 86'400.0 };
 constexpr Range<double> kTypicalTokens{ 0.0, 1e7 };
 
 void
@@ -75,6 +76,7 @@
   aReader.Read("retry_slack", routing.m_retrySlack, kRetrySlack);
   aReader.Read("retry_window_s", routing.m_retryWindow, kSeconds);
   aReader.Read("drain_s", routing.m_drainTime, kSeconds);
+  aReader.Read("history_s", routing.m_history, kHistorySeconds);
   aReader.Read("first_start", routing.m_firstStart);
   aReader.Read(
     "typical_prompt_tokens", routing.m_typicalPrompt, kTypicalTokens);
--- a/src/main_daemon.cpp
+++ b/src/main_daemon.cpp
@@ -2,6 +2,7 @@
 /// command line and the settings, then runs until a planned stop.
 
 #include "daemon_run.h"
+#include "daemon_signals.h"
 #include "main_routing.h"
 
 #include <docopt/docopt.h>
@@ -44,6 +45,8 @@
 int
 main(int aCount, char** aValues)
 {
+  // A signal that arrives during the start is handled once the daemon runs.
+  shallotford::BlockSignals();
   std::map<std::string, docopt::value> arguments;
   try {
     arguments = docopt::docopt_parse(
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -133,7 +133,11 @@
     MakeLoop({ .m_name = "router",
                .m_maxSockets = aSettings.m_maxConnections + kMaxOtherSockets });
   auto source = platform::MakeStoreSource(
-    *loop, *log, *random, { .m_address = aSettings.m_platformAddress });
+    *loop,
+    *log,
+    *random,
+    { .m_address = aSettings.m_platformAddress,
+      .m_history = SecondsToMilliseconds(aSettings.m_routing->m_history) });
   auto decoder = platform::MakeDecoder();
   auto dialect = platform::MakeDialect();
   auto router =
--- a/src/route_request.cpp
+++ b/src/route_request.cpp
@@ -46,6 +46,19 @@
   return "?";
 }
 
+Duration
+ExpectedTime(const Route& aRoute,
+             std::chrono::milliseconds aDeadline,
+             std::uint32_t aOutputTokens)
+{
+  Duration longest = std::min(aDeadline, aRoute.m_timeout);
+  if (aRoute.m_kind != RouteKind::Stream) {
+    return longest;
+  }
+  return std::min<Duration>(
+    longest, aRoute.m_latencyTarget + aOutputTokens * kMaxTokenTime);
+}
+
 NextStep
 DecideEnd(const RequestProgress& aProgress)
 {
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -200,8 +200,6 @@
 {
   std::vector<UpstreamKey> expired;
   for (const auto& [key, upstream] : m_upstreams) {
-    const UpstreamEntry& entry = upstream->m_entry;
-    m_versionsSeen[{ entry.m_service, entry.m_softwareVersion }] = aNow;
     if (upstream->m_expiresAt && aNow >= *upstream->m_expiresAt) {
       expired.push_back(key);
     }
@@ -209,18 +207,19 @@
   for (const UpstreamKey& key : expired) {
     Remove(key);
   }
-  std::erase_if(m_versionsSeen, [&](const auto& aSeen) {
-    return aNow - aSeen.second > kOriginLifetime;
-  });
   return expired;
 }
 
 bool
-UpstreamTable::IsReachable(const std::string& aService, TimePoint aNow) const
+UpstreamTable::IsReachable(const std::string& aService,
+                           const std::optional<std::string>& aSoftwareVersion,
+                           TimePoint aNow) const
 {
   for (const auto& [key, upstream] : m_upstreams) {
-    if (upstream->m_entry.m_service == aService &&
-        !upstream->m_entry.m_draining && upstream->m_health.IsUsable(aNow)) {
+    const UpstreamEntry& entry = upstream->m_entry;
+    if (entry.m_service == aService && !entry.m_draining &&
+        IsOfVersion(entry, aSoftwareVersion) &&
+        upstream->m_health.IsUsable(aNow)) {
       return true;
     }
   }
@@ -286,34 +285,19 @@
 }
 
 bool
-UpstreamTable::Serves(const std::string& aService) const
+UpstreamTable::Serves(const std::string& aService,
+                      const std::optional<std::string>& aSoftwareVersion) const
 {
   for (const auto& [key, upstream] : m_upstreams) {
-    if (upstream->m_entry.m_service == aService &&
-        !upstream->m_entry.m_draining) {
+    const UpstreamEntry& entry = upstream->m_entry;
+    if (entry.m_service == aService && !entry.m_draining &&
+        IsOfVersion(entry, aSoftwareVersion)) {
       return true;
     }
   }
   return false;
 }
 
-std::optional<std::string>
-UpstreamTable::OnlySoftwareVersion(const std::string& aService) const
-{
-  std::set<std::string> versions;
-  for (const auto& [key, upstream] : m_upstreams) {
-    if (upstream->m_entry.m_service == aService) {
-      versions.insert(upstream->m_entry.m_softwareVersion);
-    }
-  }
-  for (const auto& [serviceAndVersion, at] : m_versionsSeen) {
-    if (serviceAndVersion.first == aService) {
-      versions.insert(serviceAndVersion.second);
-    }
-  }
-  return versions.size() == 1 ? std::optional(*versions.begin()) : std::nullopt;
-}
-
 std::vector<UpstreamPtr>
 UpstreamTable::All() const
 {
--- a/src/router_admission.cpp
+++ b/src/router_admission.cpp
@@ -7,16 +7,16 @@
 namespace shallotford {
 
 std::uint64_t
-Admission::Enter(const std::string& aService,
+Admission::Enter(const std::string& aQueue,
                  AdmissionClientI& aClient,
                  TimePoint aOnTimeUntil,
                  TimePoint aExpiresAt)
 {
   std::uint64_t number = ++m_lastNumber;
-  m_clients[number] = { .m_service = aService, .m_client = &aClient };
-  m_queues[aService].Add({ .m_id = number,
-                           .m_onTimeUntil = aOnTimeUntil,
-                           .m_giveUpAt = aExpiresAt });
+  m_clients[number] = { .m_queue = aQueue, .m_client = &aClient };
+  m_queues[aQueue].Add({ .m_id = number,
+                         .m_onTimeUntil = aOnTimeUntil,
+                         .m_giveUpAt = aExpiresAt });
   Arm();
   return number;
 }
@@ -28,20 +28,20 @@
   if (found == m_clients.end()) {
     return;
   }
-  m_queues[found->second.m_service].Remove(aNumber);
+  m_queues[found->second.m_queue].Remove(aNumber);
   m_clients.erase(found);
 }
 
 void
-Admission::OnFreed(const std::string& aService)
+Admission::OnFreed(const std::string& aQueue)
 {
-  StartNext(aService);
+  StartNext(aQueue);
 }
 
 bool
-Admission::HasTimely(const std::string& aService) const
+Admission::HasTimely(const std::string& aQueue) const
 {
-  auto found = m_queues.find(aService);
+  auto found = m_queues.find(aQueue);
   return found != m_queues.end() && found->second.HasTimely(m_timers.Now());
 }
 
@@ -62,20 +62,20 @@
 void
 Admission::Tick()
 {
-  for (auto& [service, queue] : m_queues) {
+  for (auto& [name, queue] : m_queues) {
     for (std::uint64_t number : queue.TakeExpired(m_timers.Now())) {
       AdmissionClientI* client = m_clients.at(number).m_client;
       m_clients.erase(number);
       client->OnExpired();
     }
-    StartNext(service);
+    StartNext(name);
   }
 }
 
 void
-Admission::StartNext(const std::string& aService)
+Admission::StartNext(const std::string& aQueue)
 {
-  auto found = m_queues.find(aService);
+  auto found = m_queues.find(aQueue);
   if (found == m_queues.end()) {
     return;
   }
--- a/src/router_admission.h
+++ b/src/router_admission.h
@@ -20,7 +20,7 @@
   virtual void OnExpired() = 0;
 };
 
-/// The queues of all services. Used by one task only.
+/// All queues. Used by one task only.
 class Admission
 {
 public:
@@ -32,31 +32,32 @@
   Admission(const Admission&) = delete;
   Admission& operator=(const Admission&) = delete;
 
+  /// @param aQueue        a service, or its upstreams of one software version
   /// @param aOnTimeUntil  latest time for memory to meet the latency target
   /// @param aExpiresAt    when the request leaves the queue without memory
   /// @return a number for Leave()
-  std::uint64_t Enter(const std::string& aService,
+  std::uint64_t Enter(const std::string& aQueue,
                       AdmissionClientI& aClient,
                       TimePoint aOnTimeUntil,
                       TimePoint aExpiresAt);
   void Leave(std::uint64_t aNumber);
-  /// Lets the next request try: memory of an engine of aService may have become
+  /// Lets the next request try: memory of an engine of aQueue may have become
   /// free.
-  void OnFreed(const std::string& aService);
+  void OnFreed(const std::string& aQueue);
   /// Returns whether a new request has to wait behind others.
-  bool HasTimely(const std::string& aService) const;
+  bool HasTimely(const std::string& aQueue) const;
   std::size_t Size() const { return m_clients.size(); }
 
 private:
   struct Client
   {
-    std::string m_service;
+    std::string m_queue;
     AdmissionClientI* m_client;
   };
 
   void Arm();
   void Tick();
-  void StartNext(const std::string& aService);
+  void StartNext(const std::string& aQueue);
 
   TimersI& m_timers;
   std::uint64_t m_lastNumber{ 0 };
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -219,7 +219,7 @@
   }
   TimePoint now = m_loop.Now();
   for (const auto& [name, service] : m_routes.Config()->m_services) {
-    if (m_upstreams.IsReachable(name, now)) {
+    if (m_upstreams.IsReachable(name, {}, now)) {
       return true;
     }
   }
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -14,6 +14,14 @@
   return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
 }
 
+/// Returns the id of the request that began the stream, or of the request
+/// itself.
+const std::string&
+StreamId(const RequestFacts& aFacts)
+{
+  return aFacts.m_resumedId.empty() ? aFacts.m_id : aFacts.m_resumedId;
+}
+
 } // namespace
 
 RetryBudget&
@@ -31,7 +39,7 @@
   , m_facts(std::move(aOptions.m_facts))
   , m_routing(std::move(aOptions.m_routing))
   , m_route(aOptions.m_route)
-  , m_service(ChooseTarget(*m_route, StableHash(m_facts.m_id)))
+  , m_service(ChooseTarget(*m_route, StableHash(StreamId(m_facts))))
   , m_traits(TraitsOf(m_service, m_request, m_facts))
   , m_onEnd(std::move(aOptions.m_onEnd))
   , m_received(aShared.m_loop.Now())
@@ -60,21 +68,42 @@
   });
   m_deadlineTimer =
     m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
-  if (!IsStream() || !m_facts.m_resumes) {
+  if (IsStream() && m_facts.m_resumes) {
+    FindSoftwareVersion();
+  } else if (!IsStream() || ChooseSoftwareVersion()) {
     Begin();
-    return;
+  } else {
+    Finish(DecideEnd(Progress()));
   }
-  if (m_facts.m_resumedId.empty()) {
-    ContinueStream({});
-    return;
+}
+
+bool
+RoutedRequest::ChooseSoftwareVersion()
+{
+  if (m_facts.m_id.empty()) {
+    return true;
   }
-  m_shared.m_origins.Find(m_facts.m_resumedId,
-                          [this, alive = std::weak_ptr<bool>(m_alive)](
-                            const std::optional<std::string>& aVersion) {
-                            if (!alive.expired() && !m_ended) {
-                              ContinueStream(aVersion);
-                            }
-                          });
+  m_softwareVersion = m_shared.m_versions.Choose(m_service, m_facts.m_id);
+  TimePoint now = m_shared.m_loop.Now();
+  // Sent again, the request gets another id and with it another choice.
+  return m_shared.m_upstreams.IsReachable(m_service, m_softwareVersion, now) ||
+         !m_shared.m_upstreams.IsReachable(m_service, {}, now);
+}
+
+void
+RoutedRequest::FindSoftwareVersion()
+{
+  // Callers wait for the route's timeout in all, so what is left of it tells
+  // when the stream began.
+  m_shared.m_versions.Find({ .m_streamId = m_facts.m_resumedId,
+                             .m_service = m_service,
+                             .m_maxAge = m_route->m_timeout - TimeLeft() },
+                           [this, alive = std::weak_ptr<bool>(m_alive)](
+                             const std::optional<std::string>& aVersion) {
+                             if (!alive.expired() && !m_ended) {
+                               ContinueStream(aVersion);
+                             }
+                           });
 }
 
 void
@@ -90,8 +119,7 @@
 void
 RoutedRequest::ContinueStream(const std::optional<std::string>& aVersion)
 {
-  m_softwareVersion =
-    aVersion ? aVersion : m_shared.m_upstreams.OnlySoftwareVersion(m_service);
+  m_softwareVersion = aVersion;
   if (!m_softwareVersion) {
     // Any choice might join the output of two versions.
     Finish(DecideEnd(Progress()));
@@ -149,6 +177,14 @@
   return service != nullptr && service->m_engines;
 }
 
+std::string
+RoutedRequest::QueueName() const
+{
+  // Memory that engines of one version free is of no use for another one's
+  // streams.
+  return m_softwareVersion ? m_service + " " + *m_softwareVersion : m_service;
+}
+
 bool
 RoutedRequest::IsStream() const
 {
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -13,6 +13,7 @@
 #include "router_origins.h"
 #include "router_permits.h"
 #include "router_upstream.h"
+#include "router_versions.h"
 #include "shallotford/router.h"
 
 namespace shallotford {
@@ -34,6 +35,7 @@
   Admission& m_admission;
   EngineCalls& m_engineCalls;
   StreamOrigins& m_origins;
+  StreamVersions& m_versions;
   CrashReports& m_crashes;
   UpstreamPermits& m_permits;
 
@@ -92,10 +94,17 @@
   RequestProgress Progress() const;
   const RoutedService* Service() const;
   bool ServedByEngines() const;
+  /// Returns the admission queue of the request.
+  std::string QueueName() const;
   bool IsStream() const;
 
   /// Sends the request to its first upstream.
   void Begin();
+  /// Chooses the software version of a new stream.
+  /// @return whether an upstream of it may take the stream
+  bool ChooseSoftwareVersion();
+  /// Finds the software version of a stream that another request began.
+  void FindSoftwareVersion();
   /// Continues a stream that another request began.
   /// @param aVersion  the software version that began it, if it is known
   void ContinueStream(const std::optional<std::string>& aVersion);
@@ -216,7 +225,7 @@
   /// for want of one.
   std::optional<std::chrono::milliseconds> m_permitWait;
 
-  /// Set once the stream has begun: only this version may continue it.
+  /// Only this version may begin or continue the stream.
   std::optional<std::string> m_softwareVersion;
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -153,7 +153,7 @@
   }
   ReleaseReservation();
   if (m_answerBegun && ServedByEngines()) {
-    m_shared.m_admission.OnFreed(m_service);
+    m_shared.m_admission.OnFreed(QueueName());
   }
   Duration took = m_shared.m_loop.Now() - m_received;
   LogEvent event("request_end",
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -10,7 +10,7 @@
 {
   if (Service()->m_reservationLifetime.count() == 0) {
     StartPrefill();
-  } else if (m_shared.m_admission.HasTimely(m_service)) {
+  } else if (m_shared.m_admission.HasTimely(QueueName())) {
     WaitForMemory();
   } else {
     OnMayReserve();
@@ -78,8 +78,8 @@
 bool
 RoutedRequest::MayGetMemory() const
 {
-  if (!m_softwareVersion) {
-    return m_shared.m_upstreams.Serves(m_service);
+  if (!m_answerBegun && !m_facts.m_resumes) {
+    return m_shared.m_upstreams.Serves(m_service, m_softwareVersion);
   }
   PickRequest request{ .m_service = m_service,
                        .m_stage = EngineStage::Decode,
@@ -98,8 +98,8 @@
     return;
   }
   m_shared.m_metrics.Count("waits_for_memory_total", "");
-  m_queueNumber =
-    m_shared.m_admission.Enter(m_service, *this, TargetDeadline(), ExpiresAt());
+  m_queueNumber = m_shared.m_admission.Enter(
+    QueueName(), *this, TargetDeadline(), ExpiresAt());
 }
 
 void
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -53,11 +53,13 @@
               .m_admission = m_admission,
               .m_engineCalls = m_engineCalls,
               .m_origins = m_origins,
+              .m_versions = m_versions,
               .m_crashes = m_crashes,
               .m_permits = m_permits }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
   , m_origins({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
+  , m_versions({ m_loop, m_source, m_decoder, m_origins, m_log, m_metrics })
   , m_crashes({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
   , m_permits({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
   , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
@@ -173,7 +175,7 @@
                 "Use a host and path of the configuration.");
   }
   RequestFacts facts = m_dialect.ReadRequest(aRequest.m_head);
-  RefuseWhileLeaving(facts);
+  RefuseWhileLeaving(*route, facts);
   auto key = std::make_shared<RoutedRequest*>(nullptr);
   auto request = std::make_unique<RoutedRequest>(
     m_shared,
@@ -201,15 +203,18 @@
 }
 
 void
-RouterTask::RefuseWhileLeaving(const RequestFacts& aFacts) const
+RouterTask::RefuseWhileLeaving(const Route& aRoute,
+                               const RequestFacts& aFacts) const
 {
   if (!m_leaving) {
     return;
   }
   Duration since = m_loop.Now() - m_leavingSince;
   Duration left = m_options.m_drainTime - kDrainMargin - since;
-  if (since < kDrainAcceptTime &&
-      aFacts.m_outputTokens * kMaxTokenTime < left) {
+  Duration expected = ExpectedTime(aRoute,
+                                   aFacts.m_deadline.value_or(aRoute.m_timeout),
+                                   aFacts.m_outputTokens);
+  if (since < kDrainAcceptTime && expected < left) {
     return;
   }
   throw Error(ErrorKind::ShuttingDown,
@@ -255,6 +260,7 @@
 RouterTask::OnDelta(const DirectoryDelta& aDelta)
 {
   m_sourceContactAt = m_loop.Now();
+  m_versions.OnSourceAnswer();
   ApplyDelta(aDelta, "source");
 }
 
@@ -286,7 +292,13 @@
 {
   for (const DirectoryItem& item : m_directory.Apply(aDelta, m_loop.Now())) {
     ApplyItem(item, aFrom);
+    if (!aDelta.m_isSnapshot) {
+      // Other VMs may have read the changes one by one.
+      m_versions.RecordCapacities();
+    }
   }
+  m_versions.Start(m_options.m_firstStart);
+  m_versions.RecordCapacities();
   LogReadiness();
 }
 
@@ -307,6 +319,9 @@
   if (item.m_routing != nullptr) {
     ApplyRouting(item.m_routing, aFrom);
   }
+  if (!item.m_upstreamId.empty()) {
+    m_versions.OnEntry(item.m_upstreamId, item.m_upstream);
+  }
   if (item.m_upstream) {
     ApplyUpstream(*item.m_upstream, aFrom);
   }
@@ -381,6 +396,7 @@
     Gossip();
   }
   m_origins.Expire();
+  m_versions.Expire();
   m_crashes.Expire();
   m_permits.Expire();
   SetRoles();
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -63,7 +63,8 @@
   /// @param aKey  the request, set once it is created
   void RemoveLater(const std::shared_ptr<RoutedRequest*>& aKey);
   /// @throws Error (ShuttingDown) if the request would not end in time
-  void RefuseWhileLeaving(const RequestFacts& aFacts) const;
+  void RefuseWhileLeaving(const Route& aRoute,
+                          const RequestFacts& aFacts) const;
   void Reject(CallerExchangeI& aExchange,
               const CallerRequest& aRequest,
               const Error& aError);
@@ -128,6 +129,7 @@
   PeerList m_peers;
   HttpPeer m_peerCalls;
   StreamOrigins m_origins;
+  StreamVersions m_versions;
   CrashReports m_crashes;
   UpstreamPermits m_permits;
   RpcServer m_rpc;
--- /dev/null
+++ b/src/router_versions.cpp
@@ -0,0 +1,201 @@
+/// StreamVersions: the versions of streams whose VMs are lost.
+
+#include "router_versions.h"
+
+#include "config.h"
+
+#include <algorithm>
+
+namespace shallotford {
+
+namespace {
+
+/// Returns the start time, in milliseconds of Unix time, of upstreams whose
+/// creation is in the history unless it was discarded early.
+std::optional<std::uint64_t>
+StartedAfterMs(const DirectoryHistory& aHistory)
+{
+  if (aHistory.m_isWhole) {
+    return {};
+  }
+  auto covered =
+    std::chrono::duration_cast<std::chrono::milliseconds>(aHistory.m_covered);
+  auto readAt = std::chrono::duration_cast<std::chrono::milliseconds>(
+    aHistory.m_readAt.time_since_epoch());
+  return static_cast<std::uint64_t>(
+    std::max<std::int64_t>((readAt - covered).count(), 0));
+}
+
+} // namespace
+
+void
+StreamVersions::Start(bool aFirstStart)
+{
+  if (std::exchange(m_started, true)) {
+    return;
+  }
+  m_history.Record(CapacitiesOf(m_published), m_parts.m_loop.Now());
+  m_history.StartAt(aFirstStart ? TimePoint::min() : m_parts.m_loop.Now());
+  if (!aFirstStart && ServesSeveralVersions()) {
+    // The history goes back farthest now.
+    ReadHistory([] {});
+  }
+}
+
+bool
+StreamVersions::ServesSeveralVersions() const
+{
+  std::map<std::string, VersionCapacity> capacities = CapacitiesOf(m_published);
+  return std::any_of(
+    capacities.begin(), capacities.end(), [](const auto& aService) {
+      return aService.second.size() > 1;
+    });
+}
+
+void
+StreamVersions::OnEntry(const std::string& aId,
+                        const std::optional<UpstreamEntry>& aEntry)
+{
+  if (aEntry) {
+    m_published[aId] = *aEntry;
+  } else {
+    m_published.erase(aId);
+  }
+}
+
+void
+StreamVersions::RecordCapacities()
+{
+  if (m_started) {
+    m_history.Record(CapacitiesOf(m_published), m_parts.m_loop.Now());
+  }
+}
+
+TimePoint
+StreamVersions::BegunAfter(const StreamQuery& aQuery) const
+{
+  return m_parts.m_loop.Now() - aQuery.m_maxAge - kMaxUpstreamViewAge;
+}
+
+void
+StreamVersions::Find(const StreamQuery& aQuery, Found aDone)
+{
+  if (aQuery.m_streamId.empty()) {
+    FindFromId(aQuery, aDone);
+    return;
+  }
+  m_parts.m_origins.Find(aQuery.m_streamId,
+                         [this,
+                          aQuery,
+                          done = std::move(aDone),
+                          alive = std::weak_ptr<bool>(m_alive)](
+                           const std::optional<std::string>& aFound) {
+                           if (alive.expired()) {
+                             return;
+                           }
+                           if (aFound) {
+                             done(aFound);
+                           } else {
+                             FindFromId(aQuery, done);
+                           }
+                         });
+}
+
+void
+StreamVersions::FindFromId(const StreamQuery& aQuery, const Found& aDone)
+{
+  if (m_history.Knows(BegunAfter(aQuery))) {
+    EndFind(aQuery, aDone);
+    return;
+  }
+  ReadHistory([this, aQuery, aDone] { EndFind(aQuery, aDone); });
+}
+
+void
+StreamVersions::EndFind(const StreamQuery& aQuery, const Found& aDone) const
+{
+  TimePoint now = m_parts.m_loop.Now();
+  Duration silence = now - m_sourceAnsweredAt;
+  std::optional<std::string> version;
+  if (silence < kMaxSourceSilence) {
+    version =
+      m_history.Find(aQuery.m_service, aQuery.m_streamId, BegunAfter(aQuery));
+  }
+  m_parts.m_metrics.Count("streams_found_by_id_total",
+                          version ? "certain=\"yes\"" : "certain=\"no\"");
+  m_parts.m_log.Write(
+    LogEvent("stream_version")
+      .Add("stream", aQuery.m_streamId)
+      .Add("service", aQuery.m_service)
+      .Add("software", version.value_or("uncertain"))
+      .Add("history", m_history.Knows(BegunAfter(aQuery)) ? "known" : "unknown")
+      .Add("source_age", silence));
+  aDone(version);
+}
+
+void
+StreamVersions::ReadHistory(std::function<void()> aDone)
+{
+  m_waiting.push_back(std::move(aDone));
+  if (m_waiting.size() > 1) {
+    return;
+  }
+  m_parts.m_source.ReadHistory(
+    [this, alive = std::weak_ptr<bool>(m_alive)](
+      const std::optional<DirectoryHistory>& aHistory) {
+      if (alive.expired()) {
+        return;
+      }
+      OnHistory(aHistory);
+      for (const std::function<void()>& done : std::exchange(m_waiting, {})) {
+        done();
+      }
+    });
+}
+
+void
+StreamVersions::OnHistory(const std::optional<DirectoryHistory>& aHistory)
+{
+  LogEvent event("directory_history");
+  std::optional<VersionSpans> spans;
+  if (aHistory) {
+    std::vector<UpstreamChange> changes = ChangesOf(*aHistory);
+    spans = ReplayVersions(m_published, changes, StartedAfterMs(*aHistory));
+    event.Add("changes", static_cast<std::int64_t>(changes.size()))
+      .Add("whole", aHistory->m_isWhole ? "yes" : "no")
+      .Add("covered", aHistory->m_covered);
+  }
+  m_parts.m_log.Write(event.Add("usable", spans ? "yes" : "no"));
+  if (spans) {
+    TimePoint now = m_parts.m_loop.Now();
+    m_history.AddPast(*spans,
+                      aHistory->m_isWhole ? TimePoint::min()
+                                          : now - aHistory->m_covered,
+                      now,
+                      aHistory->m_readAt);
+  }
+}
+
+std::vector<UpstreamChange>
+StreamVersions::ChangesOf(const DirectoryHistory& aHistory) const
+{
+  std::vector<UpstreamChange> changes;
+  for (const DirectoryItem& item : aHistory.m_changes) {
+    try {
+      DecodedItem decoded = m_parts.m_decoder.Decode(item);
+      if (!decoded.m_upstreamId.empty()) {
+        changes.push_back({ .m_id = decoded.m_upstreamId,
+                            .m_entry = decoded.m_upstream,
+                            .m_created = item.m_created });
+      }
+    } catch (const Error& error) {
+      // The entry before it stays in force, as in the table of upstreams.
+      m_parts.m_log.Write(LogEvent("history_item_ignored", LogLevel::Warning)
+                            .Add("key", item.m_key)
+                            .Add("reason", error.what()));
+    }
+  }
+  return changes;
+}
+
+} // namespace shallotford
--- /dev/null
+++ b/src/router_versions.h
@@ -0,0 +1,87 @@
+#ifndef SHALLOTFORD_SRC_ROUTER_VERSIONS_H
+#define SHALLOTFORD_SRC_ROUTER_VERSIONS_H
+
+/// The software version that runs each stream. A stream's id determines it, so
+/// that any VM finds it again, even one that has just started when all others
+/// were lost.
+
+#include "daemon_metrics.h"
+#include "router_origins.h"
+#include "shallotford/router.h"
+
+namespace shallotford {
+
+struct StreamVersionsParts
+{
+  LoopI& m_loop;
+  DirectorySourceI& m_source;
+  const DirectoryDecoderI& m_decoder;
+  StreamOrigins& m_origins;
+  LogI& m_log;
+  Metrics& m_metrics;
+};
+
+/// A stream that a caller continues.
+struct StreamQuery
+{
+  std::string m_streamId; ///< empty if the caller doesn't name it
+  std::string m_service;
+  std::chrono::milliseconds m_maxAge{ 0 }; ///< of the stream
+};
+
+/// Used by one task only.
+class StreamVersions
+{
+public:
+  using Found = std::function<void(const std::optional<std::string>&)>;
+
+  explicit StreamVersions(const StreamVersionsParts& aParts)
+    : m_parts(aParts)
+  {
+  }
+
+  /// The first entries have been passed to OnEntry(). Further calls do nothing.
+  /// @param aFirstStart  no stream began before this process
+  void Start(bool aFirstStart);
+  /// The entry of an upstream was published, or removed if aEntry is empty.
+  void OnEntry(const std::string& aId,
+               const std::optional<UpstreamEntry>& aEntry);
+  /// All entries that were published together have been passed to OnEntry().
+  void RecordCapacities();
+  /// The directory's source has answered.
+  void OnSourceAnswer() { m_sourceAnsweredAt = m_parts.m_loop.Now(); }
+  void Expire() { m_history.Expire(m_parts.m_loop.Now()); }
+
+  /// Returns the version that runs a new stream; nothing if no upstream of the
+  /// service is published.
+  std::optional<std::string> Choose(const std::string& aService,
+                                    const std::string& aStreamId) const
+  {
+    return m_history.Choose(aService, aStreamId);
+  }
+  /// Finds the version that began a stream: from the VMs that remember it, else
+  /// from its id.
+  /// @param aDone  called once; gets nothing if the version is uncertain
+  void Find(const StreamQuery& aQuery, Found aDone);
+
+private:
+  bool ServesSeveralVersions() const;
+  void FindFromId(const StreamQuery& aQuery, const Found& aDone);
+  void EndFind(const StreamQuery& aQuery, const Found& aDone) const;
+  void ReadHistory(std::function<void()> aDone);
+  void OnHistory(const std::optional<DirectoryHistory>& aHistory);
+  std::vector<UpstreamChange> ChangesOf(const DirectoryHistory& aHistory) const;
+  TimePoint BegunAfter(const StreamQuery& aQuery) const;
+
+  StreamVersionsParts m_parts;
+  VersionHistory m_history;
+  std::map<std::string, UpstreamEntry> m_published; ///< by id
+  bool m_started{ false };
+  TimePoint m_sourceAnsweredAt{};
+  std::vector<std::function<void()>> m_waiting; ///< for the source's history
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_SRC_ROUTER_VERSIONS_H
--- a/tests/router_vms_test.cpp
+++ b/tests/router_vms_test.cpp
@@ -140,6 +140,39 @@
 
 namespace {
 
+/// A router whose planned stop leaves one second for requests.
+struct PlainWithOneSecond : Plain
+{
+  PlainWithOneSecond()
+    : Plain(OneSecond())
+  {
+  }
+  static RouterOptions OneSecond()
+  {
+    RouterOptions options = Options();
+    options.m_drainTime = kDrainMargin + 1'000ms;
+    return options;
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_stopping_vm_refuses_what_it_may_not_finish,
+                        PlainWithOneSecond)
+{
+  m_loop.Do([&] { m_router->Drain([] {}); });
+  // The stream needs up to 1.3 s, the other request up to 1.5 s.
+  for (const char* path : { "/stream/x", "/once/x" }) {
+    std::string answer =
+      Ask(path, "late", "X-Shallotford-Token-Count: 5200,70\r\n");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(Has(answer, "\"run\":\"no\""));
+  }
+  BOOST_TEST(AllRuns("late") == 0);
+}
+
+namespace {
+
 /// A peer that answers each call with the same malformed result.
 struct MalformedPeer : HttpHandlerI
 {
--- a/tools/standin_published.cpp
+++ b/tools/standin_published.cpp
@@ -29,6 +29,9 @@
     value["removed"] = true;
   } else {
     value["value"] = EncodeBase64(aItem.m_value);
+    if (aItem.m_created) {
+      value["create-rev"] = value["revision"];
+    }
   }
   return value;
 }
@@ -88,8 +91,14 @@
 void
 PublishedStore::Add(const DirectoryItem& aItem)
 {
+  auto last = std::find_if(
+    m_history.rbegin(), m_history.rend(), [&](const DirectoryItem& aOther) {
+      return aOther.m_key == aItem.m_key;
+    });
+  bool existed = last != m_history.rend() && !last->m_removed;
   m_history.push_back(aItem);
   m_history.back().m_revision = ++m_revision;
+  m_history.back().m_created = !aItem.m_removed && !existed;
   AnswerWatches();
 }
 
@@ -142,6 +151,10 @@
   Watch watch{ .m_exchange = aExchange,
                .m_after = QueryNumber(aTarget, "after"),
                .m_timer = 0 };
+  if (watch.m_after < m_discardedUpTo) {
+    aExchange->Respond(410, "Gone", {}, "");
+    return;
+  }
   if (watch.m_after < m_revision) {
     AnswerWatch(watch);
     return;
@@ -151,6 +164,12 @@
   m_watches.push_back(watch);
 }
 
+void
+PublishedStore::DiscardHistory()
+{
+  m_discardedUpTo = m_revision;
+}
+
 void
 PublishedStore::AnswerWatches()
 {
--- a/tools/standin_published.h
+++ b/tools/standin_published.h
@@ -50,6 +50,8 @@
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   void SetFault(StoreFault aFault) { m_fault = aFault; }
+  /// Answers watches of the changes so far with 410 from now on.
+  void DiscardHistory();
   /// Returns the number of requests received.
   std::uint64_t Calls() const { return m_calls; }
 
@@ -72,6 +74,7 @@
   LoopI& m_loop;
   StoreFault m_fault{ StoreFault::None };
   std::uint64_t m_revision{ 1 };
+  std::uint64_t m_discardedUpTo{ 0 };
   std::uint64_t m_calls{ 0 };
   std::vector<DirectoryItem> m_history;
   std::vector<Watch> m_watches;
