Count upstreams that left unseen until their removal only

Cause: an upstream of which a history shows only the removal counted for each version in all of that history, also after it had left, and the history was read late if the old version's servers were draining already.

Change: it counts in the spans before its removal, and a VM that starts while several versions are listed, draining ones included, reads the history at once.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -142,6 +142,9 @@
   /// Unix time, in milliseconds, by which it had ended; none if that isn't
   /// known.
   std::optional<std::uint64_t> m_endedByMs;
+  /// Further upstreams, of any service and version, of which only the later
+  /// removal is known.
+  std::size_t m_unknownUpstreams{ 0 };
 };
 using VersionSpans = std::map<std::string, std::vector<VersionSpan>>;
 
--- a/src/route_versions.cpp
+++ b/src/route_versions.cpp
@@ -121,7 +121,8 @@
 void
 AppendSpans(VersionSpans& aSpans,
             const std::map<std::string, VersionRanges>& aRanges,
-            std::optional<std::uint64_t> aEndedByMs)
+            std::optional<std::uint64_t> aEndedByMs,
+            std::size_t aUnknownUpstreams)
 {
   for (const auto& [service, ranges] : aRanges) {
     VersionRanges serving;
@@ -132,31 +133,44 @@
     }
     std::vector<VersionSpan>& spans = aSpans[service];
     if (!serving.empty()) {
-      spans.push_back({ .m_ranges = serving, .m_endedByMs = aEndedByMs });
+      spans.push_back({ .m_ranges = serving,
+                        .m_endedByMs = aEndedByMs,
+                        .m_unknownUpstreams = aUnknownUpstreams });
     } else if (!spans.empty()) {
       spans.back().m_endedByMs = aEndedByMs;
     }
   }
 }
 
-/// Adds upstreams of unknown services and versions to all spans.
+/// Counts upstreams of unknown services and versions for each version of a
+/// service that the history shows, in the spans before they left.
+/// @param aSlots  of one unknown upstream, at most
 void
-AddUnknown(VersionSpans& aSpans, double aSlots)
+AddUnknown(std::vector<VersionSpan>& aSpans, double aSlots)
 {
-  for (auto& [service, spans] : aSpans) {
-    std::set<std::string> versions;
-    for (const VersionSpan& span : spans) {
-      for (const auto& [version, range] : span.m_ranges) {
-        versions.insert(version);
-      }
+  bool hasUnknown =
+    std::any_of(aSpans.begin(), aSpans.end(), [](const VersionSpan& aSpan) {
+      return aSpan.m_unknownUpstreams > 0;
+    });
+  if (!hasUnknown) {
+    return;
+  }
+  std::set<std::string> versions;
+  for (const VersionSpan& span : aSpans) {
+    for (const auto& [version, range] : span.m_ranges) {
+      versions.insert(version);
     }
-    if (versions.size() < 2) {
-      spans.clear(); // another version may have left with them
+  }
+  if (versions.size() < 2) {
+    aSpans.clear(); // another version may have left with them
+  }
+  for (VersionSpan& span : aSpans) {
+    if (span.m_unknownUpstreams == 0) {
+      continue;
     }
-    for (VersionSpan& span : spans) {
-      for (const std::string& version : versions) {
-        span.m_ranges[version].m_most += aSlots;
-      }
+    for (const std::string& version : versions) {
+      span.m_ranges[version].m_most +=
+        aSlots * static_cast<double>(span.m_unknownUpstreams);
     }
   }
 }
@@ -347,13 +361,13 @@
     }
     replay.Set(id, entry);
   }
-  std::size_t unknown = 0; // upstreams of which only the removal is known
+  std::set<std::string> unknown; // only their removal is known
   for (const auto& [id, change] : first) {
     if (change->m_created) {
       continue;
     }
     if (!change->m_entry) {
-      ++unknown;
+      unknown.insert(id);
       continue;
     }
     if (isYoung(*change->m_entry)) {
@@ -362,7 +376,7 @@
     replay.SetUncertain(id, *change->m_entry);
   }
   VersionSpans spans;
-  AppendSpans(spans, replay.Ranges(), {});
+  AppendSpans(spans, replay.Ranges(), {}, 0);
   std::set<std::string> servedAtBegin;
   for (const auto& [service, atBegin] : spans) {
     if (!atBegin.empty()) {
@@ -372,19 +386,20 @@
   spans.clear();
   std::vector<std::optional<std::uint64_t>> latest = LatestTimes(aChanges);
   for (std::size_t i = 0; i < aChanges.size(); ++i) {
-    AppendSpans(spans, replay.Ranges(), latest[i]);
+    AppendSpans(spans, replay.Ranges(), latest[i], unknown.size());
+    unknown.erase(aChanges[i].m_id);
     if (aChanges[i].m_entry) {
       replay.Set(aChanges[i].m_id, *aChanges[i].m_entry);
     } else {
       replay.Remove(aChanges[i].m_id);
     }
   }
-  AppendSpans(spans, replay.Ranges(), {});
+  AppendSpans(spans, replay.Ranges(), {}, 0);
   std::erase_if(spans, [&](const auto& aService) {
     return aStartedAfterMs && !servedAtBegin.contains(aService.first);
   });
-  if (unknown > 0) {
-    AddUnknown(spans, static_cast<double>(unknown) * replay.MaxSlots());
+  for (auto& [service, serviceSpans] : spans) {
+    AddUnknown(serviceSpans, replay.MaxSlots());
   }
   return spans;
 }
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -36,19 +36,22 @@
   }
   m_history.Record(CapacitiesOf(m_published), m_parts.m_loop.Now());
   m_history.StartAt(aFirstStart ? TimePoint::min() : m_parts.m_loop.Now());
-  if (!aFirstStart && ServesSeveralVersions()) {
+  if (!aFirstStart && ListsSeveralVersions()) {
     // The history goes back farthest now.
     ReadHistory([] {});
   }
 }
 
 bool
-StreamVersions::ServesSeveralVersions() const
+StreamVersions::ListsSeveralVersions() const
 {
-  std::map<std::string, VersionCapacity> capacities = CapacitiesOf(m_published);
+  std::map<std::string, std::string> versions; // by service
   return std::any_of(
-    capacities.begin(), capacities.end(), [](const auto& aService) {
-      return aService.second.size() > 1;
+    m_published.begin(), m_published.end(), [&](const auto& aItem) {
+      const UpstreamEntry& entry = aItem.second;
+      auto [found, added] =
+        versions.try_emplace(entry.m_service, entry.m_softwareVersion);
+      return !added && found->second != entry.m_softwareVersion;
     });
 }
 
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -65,7 +65,9 @@
   void Find(const StreamQuery& aQuery, Found aDone);
 
 private:
-  bool ServesSeveralVersions() const;
+  /// Returns whether upstreams of one service run several versions, also
+  /// draining ones.
+  bool ListsSeveralVersions() const;
   void FindFromId(const StreamQuery& aQuery, const Found& aDone);
   void EndFind(const StreamQuery& aQuery, const Found& aDone) const;
   void ReadHistory(std::function<void()> aDone);
