Ignore old items that a directory's newer state no longer holds

Cause: a VM that has just started asks peers for items until it has a configuration. The same held for a removal that was forgotten after its retention.

Change: an item at or below the revision up to which all changes are known is ignored if it isn't there. Tests that a slow stream is neither cut nor moved and that a run goes on while its engine has no entry pass on the code before.

Result: an_old_reply_to_a_vm_that_has_just_started_restores_nothing fails on the code before (2 checks) and passes.

--- a/src/route_directory.cpp
+++ b/src/route_directory.cpp
@@ -17,6 +17,11 @@
   if (aItem.m_revision <= known) {
     return false;
   }
+  // Every change up to m_upToRevision is known, so the item was removed since.
+  bool isOutdated = known == 0 && aItem.m_revision <= m_upToRevision;
+  if (isOutdated) {
+    return false;
+  }
   if (!aItem.m_removed) {
     m_removals.erase(aItem.m_key);
     m_items[aItem.m_key] = aItem;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -509,6 +509,28 @@
   BOOST_TEST(directory.Revision() == 3U);
 }
 
+BOOST_AUTO_TEST_CASE(
+  an_old_reply_to_a_vm_that_has_just_started_restores_nothing)
+{
+  // It asked a peer that is behind before the source had answered.
+  Directory directory;
+  directory.Apply(
+    { .m_isSnapshot = true, .m_upToRevision = 9, .m_items = { Item("b", 2) } },
+    kStart);
+  auto changed = directory.Apply(
+    { .m_upToRevision = 5, .m_items = { Item("a", 1), Item("b", 2) } }, kStart);
+  BOOST_TEST(changed.empty());
+  // An item that was removed long ago stays removed, too.
+  directory.Apply({ .m_upToRevision = 10, .m_items = { Item("b", 10, true) } },
+                  kStart);
+  directory.Apply({ .m_upToRevision = 11, .m_items = {} },
+                  kStart + kRemovalRetention + 1s);
+  changed =
+    directory.Apply({ .m_upToRevision = 5, .m_items = { Item("b", 2) } },
+                    kStart + kRemovalRetention + 1s);
+  BOOST_TEST(changed.empty());
+}
+
 BOOST_AUTO_TEST_CASE(discarded_removals_make_the_next_delta_a_snapshot)
 {
   Directory directory;
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -192,6 +192,71 @@
   BOOST_TEST(answer.ends_with("0\r\n\r\n"));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_slow_stream_is_neither_cut_nor_moved, Engines)
+{
+  constexpr int kEvents = 6;
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([this, engine](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        engine->BeginStream(aCall);
+        for (int i = 1; i <= kEvents; ++i) {
+          m_loop->RunAfter(i * kMaxStreamPause / 3, [aCall, i] {
+            aCall.m_exchange->Write(Event(i));
+            if (i == kEvents) {
+              aCall.m_exchange->End();
+            }
+          });
+        }
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/stream/x", "r1");
+  for (int i = 1; i <= kEvents; ++i) {
+    BOOST_TEST(Has(answer, Event(i)));
+  }
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+  std::size_t sent = m_loop.Do([this] {
+    return m_decode->Received().size() + m_other->Received().size();
+  });
+  BOOST_TEST(sent == 2U); // one reservation, one run
+}
+
+BOOST_FIXTURE_TEST_CASE(a_run_goes_on_while_its_engine_has_no_entry, Engines)
+{
+  // The engines only failed to report in time.
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([this, engine](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(1));
+        for (PublishedServer* removed : { m_decode, m_other }) {
+          m_store->Remove("servers/" + removed->Id());
+        }
+        m_loop->RunAfter(kRemovedEntryGrace + 2 * kRouterTick, [aCall] {
+          aCall.m_exchange->Write(Event(2));
+          aCall.m_exchange->End();
+        });
+        return true;
+      });
+    }
+  });
+  std::string answer = Ask("/fixed/x", "r1");
+  BOOST_TEST(Has(answer, Event(1)));
+  BOOST_TEST(Has(answer, Event(2)));
+  BOOST_TEST(answer.ends_with("0\r\n\r\n"));
+  std::size_t sent = m_loop.Do([this] {
+    return m_decode->Received().size() + m_other->Received().size();
+  });
+  BOOST_TEST(sent == 2U); // one reservation, one run
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stream_with_a_late_first_event_is_not_moved, Engines)
 {
   // Both engines send the first event only after a second, as an engine does
