--- a/src/config.h
+++ b/src/config.h
@@ -322,7 +322,8 @@
 /// between regions.
 constexpr std::chrono::milliseconds kOriginLookupTimeout = 300ms;
 /// Time for which a stream may still be continued: longer than callers wait.
-/// Its origin is kept that long, and so are the capacities of software versions.
+/// Its origin is kept that long, and so are the capacities of software
+/// versions.
 constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
 /// Time by which a VM's view of the published upstreams may be late when it
 /// begins a stream: a few gossip periods, if the directory's source is cut off.
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -222,11 +222,11 @@
     : m_fixture(aFixture)
   {
     m_fixture.m_loop.Do([&] {
-      m_source = platform::MakeStoreSource(*m_fixture.m_loop,
-                                           m_fixture.m_log,
-                                           *m_fixture.m_random,
-                                           { .m_address = aStoreAddress,
-                                             .m_history = 20'000ms });
+      m_source = platform::MakeStoreSource(
+        *m_fixture.m_loop,
+        m_fixture.m_log,
+        *m_fixture.m_random,
+        { .m_address = aStoreAddress, .m_history = 20'000ms });
       m_router = MakeRouter(aOptions,
                             { *m_fixture.m_loop,
                               *m_source,
