Don't time changes of upstreams by the time of day

Cause: the read-through found that the end of a state of the upstreams was estimated from the start times of later ones and the time of day. A step of the clock, or servers that were published late after an outage of the store, would have dropped states that were still in force, and a stream could have been continued at another version. While the history was unusable, each take-up read it again, several calls each.

Change: every state of the history counts as if it had lasted until the read. The history is read once a second at most.

Result: route_versions_test and router_versions_test pass, the latter with a test that counts the reads.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -139,9 +139,6 @@
 struct VersionSpan
 {
   VersionRanges m_ranges;
-  /// Unix time, in milliseconds, by which it had ended; none if that isn't
-  /// known.
-  std::optional<std::uint64_t> m_endedByMs;
   /// Further upstreams, of any service and version, of which only the later
   /// removal is known.
   std::size_t m_unknownUpstreams{ 0 };
@@ -173,12 +170,9 @@
   void Record(const std::map<std::string, VersionCapacity>& aCapacities,
               TimePoint aNow);
   /// Adds what was read of the time from aFrom on, before Record() began or
-  /// beside it. The capacities of other services aren't known in that time.
-  /// @param aReadAt  wall time of aNow
-  void AddPast(const VersionSpans& aSpans,
-               TimePoint aFrom,
-               TimePoint aNow,
-               WallTime aReadAt);
+  /// beside it. Any of the spans may have lasted until aNow. The capacities of
+  /// other services aren't known in that time.
+  void AddPast(const VersionSpans& aSpans, TimePoint aFrom, TimePoint aNow);
   /// Returns whether the capacities since aTime are known.
   bool Knows(TimePoint aTime) const { return aTime >= m_knownFrom; }
   /// Returns the version that runs a new stream, or nothing without capacity.
@@ -206,7 +200,7 @@
   struct Service
   {
     VersionCapacity m_now;
-    std::deque<Past> m_past; ///< oldest first
+    std::vector<Past> m_past;
   };
 
   TimePoint m_knownFrom{ TimePoint::max() };
--- a/src/config.h
+++ b/src/config.h
@@ -328,8 +328,9 @@
 /// Time by which a VM's view of the published upstreams may be late when it
 /// begins a stream: a few gossip periods, if the directory's source is cut off.
 constexpr std::chrono::milliseconds kMaxUpstreamViewAge = 4'000ms;
-/// Time from an upstream's start to its first published entry, at most.
-constexpr std::chrono::milliseconds kMaxPublishTime = 2'000ms;
+/// Shortest time from one read of the source's history to the next: a read
+/// takes several calls, and many callers continue their streams at once.
+constexpr std::chrono::milliseconds kMinHistoryInterval = 1'000ms;
 /// A stream's version isn't found from the capacities of versions if the
 /// directory's source has been silent for this time: more than one watch.
 constexpr std::chrono::milliseconds kMaxSourceSilence = 3'000ms;
--- a/src/route_versions.cpp
+++ b/src/route_versions.cpp
@@ -8,11 +8,10 @@
 #include <cmath>
 #include <limits>
 #include <set>
+#include <utility>
 
 namespace shallotford {
 
-using namespace std::chrono_literals;
-
 namespace {
 
 constexpr double kNever = std::numeric_limits<double>::infinity();
@@ -116,12 +115,11 @@
   double m_maxSlots{ 1 };
 };
 
-/// Appends the capacities in force until aEndedByMs. While none of a service's
-/// upstreams was published, its last capacities held.
+/// Appends the capacities in force at one time. While none of a service's
+/// upstreams was published, its last ones held.
 void
 AppendSpans(VersionSpans& aSpans,
             const std::map<std::string, VersionRanges>& aRanges,
-            std::optional<std::uint64_t> aEndedByMs,
             std::size_t aUnknownUpstreams)
 {
   for (const auto& [service, ranges] : aRanges) {
@@ -131,13 +129,9 @@
         serving[version] = range;
       }
     }
-    std::vector<VersionSpan>& spans = aSpans[service];
     if (!serving.empty()) {
-      spans.push_back({ .m_ranges = serving,
-                        .m_endedByMs = aEndedByMs,
-                        .m_unknownUpstreams = aUnknownUpstreams });
-    } else if (!spans.empty()) {
-      spans.back().m_endedByMs = aEndedByMs;
+      aSpans[service].push_back(
+        { .m_ranges = serving, .m_unknownUpstreams = aUnknownUpstreams });
     }
   }
 }
@@ -175,25 +169,6 @@
   }
 }
 
-/// Returns the time by which each change had happened, as far as later ones
-/// tell: upstreams are published soon after their start.
-std::vector<std::optional<std::uint64_t>>
-LatestTimes(const std::vector<UpstreamChange>& aChanges)
-{
-  std::vector<std::optional<std::uint64_t>> times(aChanges.size());
-  std::optional<std::uint64_t> latest;
-  for (std::size_t i = aChanges.size(); i-- > 0;) {
-    const UpstreamChange& change = aChanges[i];
-    if (change.m_created && change.m_entry) {
-      std::uint64_t time = change.m_entry->m_key.m_startedMs +
-                           static_cast<std::uint64_t>(kMaxPublishTime.count());
-      latest = std::min(latest.value_or(time), time);
-    }
-    times[i] = latest;
-  }
-  return times;
-}
-
 } // namespace
 
 bool
@@ -276,12 +251,9 @@
 void
 VersionHistory::AddPast(const VersionSpans& aSpans,
                         TimePoint aFrom,
-                        TimePoint aNow,
-                        WallTime aReadAt)
+                        TimePoint aNow)
 {
   m_knownFrom = std::min(m_knownFrom, aFrom);
-  auto readAtMs = std::chrono::duration_cast<std::chrono::milliseconds>(
-    aReadAt.time_since_epoch());
   for (auto& [name, service] : m_services) {
     auto found = aSpans.find(name);
     if (found == aSpans.end() || found->second.empty()) {
@@ -289,12 +261,7 @@
       continue;
     }
     for (const VersionSpan& span : found->second) {
-      std::chrono::milliseconds age{ 0 };
-      if (span.m_endedByMs) {
-        age = readAtMs - std::chrono::milliseconds(*span.m_endedByMs);
-      }
-      service.m_past.push_back(
-        { .m_until = aNow - std::max(age, 0ms), .m_ranges = span.m_ranges });
+      service.m_past.push_back({ .m_until = aNow, .m_ranges = span.m_ranges });
     }
   }
 }
@@ -376,27 +343,20 @@
     replay.SetUncertain(id, *change->m_entry);
   }
   VersionSpans spans;
-  AppendSpans(spans, replay.Ranges(), {}, 0);
-  std::set<std::string> servedAtBegin;
-  for (const auto& [service, atBegin] : spans) {
-    if (!atBegin.empty()) {
-      servedAtBegin.insert(service);
-    }
-  }
-  spans.clear();
-  std::vector<std::optional<std::uint64_t>> latest = LatestTimes(aChanges);
-  for (std::size_t i = 0; i < aChanges.size(); ++i) {
-    AppendSpans(spans, replay.Ranges(), latest[i], unknown.size());
-    unknown.erase(aChanges[i].m_id);
-    if (aChanges[i].m_entry) {
-      replay.Set(aChanges[i].m_id, *aChanges[i].m_entry);
+  AppendSpans(spans, replay.Ranges(), 0);
+  const VersionSpans atBegin = std::exchange(spans, {});
+  for (const UpstreamChange& change : aChanges) {
+    AppendSpans(spans, replay.Ranges(), unknown.size());
+    unknown.erase(change.m_id);
+    if (change.m_entry) {
+      replay.Set(change.m_id, *change.m_entry);
     } else {
-      replay.Remove(aChanges[i].m_id);
+      replay.Remove(change.m_id);
     }
   }
-  AppendSpans(spans, replay.Ranges(), {}, 0);
+  AppendSpans(spans, replay.Ranges(), 0);
   std::erase_if(spans, [&](const auto& aService) {
-    return aStartedAfterMs && !servedAtBegin.contains(aService.first);
+    return aStartedAfterMs && !atBegin.contains(aService.first);
   });
   for (auto& [service, serviceSpans] : spans) {
     AddUnknown(serviceSpans, replay.MaxSlots());
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -111,6 +111,13 @@
     EndFind(aQuery, aDone);
     return;
   }
+  bool wasReadJustNow =
+    m_historyReadAt &&
+    m_parts.m_loop.Now() - *m_historyReadAt < kMinHistoryInterval;
+  if (wasReadJustNow) {
+    EndFind(aQuery, aDone);
+    return;
+  }
   ReadHistory([this, aQuery, aDone] { EndFind(aQuery, aDone); });
 }
 
@@ -149,6 +156,7 @@
       if (alive.expired()) {
         return;
       }
+      m_historyReadAt = m_parts.m_loop.Now();
       OnHistory(aHistory);
       for (const std::function<void()>& done : std::exchange(m_waiting, {})) {
         done();
@@ -174,8 +182,7 @@
     m_history.AddPast(*spans,
                       aHistory->m_isWhole ? TimePoint::min()
                                           : now - aHistory->m_covered,
-                      now,
-                      aHistory->m_readAt);
+                      now);
   }
 }
 
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -81,6 +81,7 @@
   bool m_started{ false };
   TimePoint m_sourceAnsweredAt{};
   std::vector<std::function<void()>> m_waiting; ///< for the source's history
+  std::optional<TimePoint> m_historyReadAt;
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
 
--- a/tests/router_versions_test.cpp
+++ b/tests/router_versions_test.cpp
@@ -253,3 +253,18 @@
   TakeUpWith(other.Port(), "unnamed", "");
   BOOST_TEST(Versions("unnamed").empty());
 }
+
+BOOST_FIXTURE_TEST_CASE(many_take_ups_do_not_each_read_the_history, TwoVersions)
+{
+  m_loop.Do([this] { m_router.reset(); });
+  OtherVm other(*this, Options(), m_store->Address());
+  BOOST_TEST(WaitFor([&] { return Answers(other); }));
+  m_loop.Do([this] { m_store->SetFault(StoreFault::Unavailable); });
+  std::size_t before = CountLogLines("event=directory_history");
+  for (int i = 0; i < kStreams; ++i) {
+    std::string next = "n" + std::to_string(i);
+    TakeUp(other.Port(), next, "u" + std::to_string(i));
+  }
+  std::size_t reads = CountLogLines("event=directory_history") - before;
+  BOOST_TEST(reads < static_cast<std::size_t>(kStreams));
+}
