Show lost configurations and requests to upstreams that left by tests

Change: the stand-in of the store can come back from an older copy, with a new era, and servers can say in their answers that they leave.

--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -230,6 +230,18 @@
   BOOST_TEST(table.Expire(kStart + kMassRemovalGrace).size() == 2U);
 }
 
+BOOST_AUTO_TEST_CASE(two_upstreams_that_leave_in_turn_are_not_lost_entries)
+{
+  UpstreamTable table(ThreeDomains());
+  for (const char* id : { "u", "v", "w" }) {
+    table.Put(MakeEntry(id, "a1"));
+  }
+  table.OnEntryRemoved("u", kStart);
+  table.OnEntryRemoved("v", kStart + 800ms);
+  BOOST_TEST(table.Expire(kStart + kRemovedEntryGrace).size() == 1U);
+  BOOST_TEST(table.Expire(kStart + 800ms + kRemovedEntryGrace).size() == 1U);
+}
+
 // -------------------------------------------------------------- requests
 
 BOOST_AUTO_TEST_CASE(a_request_needs_its_whole_time_or_that_of_its_tokens)
--- a/tools/standin_published.cpp
+++ b/tools/standin_published.cpp
@@ -36,13 +36,6 @@
   return value;
 }
 
-void
-RespondJson(CallerExchangeI& aExchange, const Json::Value& aBody)
-{
-  aExchange.Respond(
-    200, "OK", { { "Content-Type", "application/json" } }, WriteJson(aBody));
-}
-
 } // namespace
 
 PublishedPort::PublishedPort(LoopI& aLoop)
@@ -102,6 +95,42 @@
   AnswerWatches();
 }
 
+void
+PublishedStore::GoBackTo(std::uint64_t aRevision)
+{
+  ++m_era;
+  std::erase_if(m_history, [&](const DirectoryItem& aItem) {
+    return aItem.m_revision > aRevision;
+  });
+  m_revision = aRevision;
+  m_discardedUpTo = std::min(m_discardedUpTo, aRevision);
+  for (const Watch& watch : std::exchange(m_watches, {})) {
+    m_loop.CancelTimer(watch.m_timer);
+    RespondGone(*watch.m_exchange);
+  }
+}
+
+HttpHeaders
+PublishedStore::EraField() const
+{
+  return { { "Store-Era", std::to_string(m_era) } };
+}
+
+void
+PublishedStore::Respond(CallerExchangeI& aExchange,
+                        const Json::Value& aBody) const
+{
+  HttpHeaders fields = EraField();
+  fields.push_back({ "Content-Type", "application/json" });
+  aExchange.Respond(200, "OK", fields, WriteJson(aBody));
+}
+
+void
+PublishedStore::RespondGone(CallerExchangeI& aExchange) const
+{
+  aExchange.Respond(410, "Gone", EraField(), "");
+}
+
 void
 PublishedStore::OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest)
 {
@@ -111,7 +140,7 @@
     return;
   }
   if (m_fault == StoreFault::Unavailable) {
-    aExchange->Respond(503, "Service Unavailable", {}, "");
+    aExchange->Respond(503, "Service Unavailable", EraField(), "");
     return;
   }
   if (target.starts_with("/api/kv-range")) {
@@ -119,7 +148,7 @@
     return;
   }
   if (std::exchange(m_fault, StoreFault::None) == StoreFault::Compacted) {
-    aExchange->Respond(410, "Gone", {}, "");
+    RespondGone(*aExchange);
     return;
   }
   OnWatch(aExchange, target);
@@ -141,7 +170,7 @@
   }
   body["truncated"] = false;
   body["current-rev"] = static_cast<Json::UInt64>(m_revision);
-  RespondJson(*aExchange, body);
+  Respond(*aExchange, body);
 }
 
 void
@@ -151,8 +180,8 @@
   Watch watch{ .m_exchange = aExchange,
                .m_after = QueryNumber(aTarget, "after"),
                .m_timer = 0 };
-  if (watch.m_after < m_discardedUpTo) {
-    aExchange->Respond(410, "Gone", {}, "");
+  if (watch.m_after < m_discardedUpTo || watch.m_after > m_revision) {
+    RespondGone(*aExchange);
     return;
   }
   if (watch.m_after < m_revision) {
@@ -190,7 +219,7 @@
     }
   }
   body["current-rev"] = static_cast<Json::UInt64>(m_revision);
-  RespondJson(*aWatch.m_exchange, body);
+  Respond(*aWatch.m_exchange, body);
 }
 
 // --------------------------------------------------------------- servers
@@ -235,7 +264,7 @@
   call.m_reserve = aRequest.m_head.m_target == "/api/hold-take";
   m_received.push_back(std::move(aRequest));
   if (expected != nullptr && *expected != m_id) {
-    call.m_exchange->Respond(421, "Misdirected Request", {}, "");
+    call.m_exchange->Respond(421, "Misdirected Request", WithState({}), "");
     return;
   }
   if (m_script && m_script(call)) {
@@ -248,21 +277,32 @@
 PublishedServer::AnswerNormally(const PublishedCall& aCall)
 {
   if (aCall.m_reserve) {
-    aCall.m_exchange->Respond(200, "OK", {}, R"({"hold":"h1"})");
+    aCall.m_exchange->Respond(200, "OK", WithState({}), R"({"hold":"h1"})");
     return;
   }
   if (aCall.m_prefill) {
     aCall.m_exchange->Respond(
-      200, "OK", {}, R"({"handle":"k1","tokens":1,"version":1})");
+      200, "OK", WithState({}), R"({"handle":"k1","tokens":1,"version":1})");
     return;
   }
   if (aCall.m_request.m_head.m_method == "DELETE") {
-    aCall.m_exchange->Respond(200, "OK", {}, "");
+    aCall.m_exchange->Respond(200, "OK", WithState({}), "");
     return;
   }
   ++m_runs[aCall.m_id];
-  aCall.m_exchange->Respond(
-    200, "OK", SignedFields(aCall), m_id + " " + *aCall.m_request.m_body);
+  aCall.m_exchange->Respond(200,
+                            "OK",
+                            WithState(SignedFields(aCall)),
+                            m_id + " " + *aCall.m_request.m_body);
+}
+
+HttpHeaders
+PublishedServer::WithState(HttpHeaders aFields) const
+{
+  if (m_leaving) {
+    aFields.push_back({ "Server-Leaving", "1" });
+  }
+  return aFields;
 }
 
 void
@@ -276,7 +316,7 @@
 PublishedServer::BeginStream(const PublishedCall& aCall)
 {
   ++m_runs[aCall.m_id];
-  HttpHeaders fields = SignedFields(aCall);
+  HttpHeaders fields = WithState(SignedFields(aCall));
   fields.push_back({ "Content-Type", "text/event-stream" });
   aCall.m_exchange->Begin(200, "OK", fields);
 }
--- a/tools/standin_published.h
+++ b/tools/standin_published.h
@@ -50,6 +50,10 @@
   void Put(const std::string& aKey, const std::string& aValue);
   void Remove(const std::string& aKey);
   void SetFault(StoreFault aFault) { m_fault = aFault; }
+  /// Comes back from a copy that holds the changes up to aRevision. Later ones
+  /// are lost, their revisions are given out again, and the era rises by one.
+  void GoBackTo(std::uint64_t aRevision);
+  std::uint64_t Revision() const { return m_revision; }
   /// Answers watches of the changes so far with 410 from now on.
   void DiscardHistory();
   /// Returns the number of requests received.
@@ -70,9 +74,13 @@
   void AnswerWatches();
   void AnswerWatch(const Watch& aWatch);
   void Add(const DirectoryItem& aItem);
+  void Respond(CallerExchangeI& aExchange, const Json::Value& aBody) const;
+  void RespondGone(CallerExchangeI& aExchange) const;
+  HttpHeaders EraField() const;
 
   LoopI& m_loop;
   StoreFault m_fault{ StoreFault::None };
+  std::uint64_t m_era{ 1 };
   std::uint64_t m_revision{ 1 };
   std::uint64_t m_discardedUpTo{ 0 };
   std::uint64_t m_calls{ 0 };
@@ -112,6 +120,8 @@
   /// Sets the start time, in milliseconds of Unix time, of later entries.
   void SetStartedMs(std::uint64_t aStartedMs) { m_startedMs = aStartedMs; }
   void SetScript(Script aScript) { m_script = std::move(aScript); }
+  /// All answers that no script gives say from now on that the server leaves.
+  void SetLeaving() { m_leaving = true; }
   const std::string& Id() const { return m_id; }
   /// Returns how often the server ran each request, by request id.
   const std::map<std::string, int>& Runs() const { return m_runs; }
@@ -129,9 +139,13 @@
   static HttpHeaders SignedFields(const PublishedCall& aCall);
 
 private:
+  /// Adds what all answers of this server say of it.
+  HttpHeaders WithState(HttpHeaders aFields) const;
+
   std::string m_id;
   std::string m_softwareVersion{ "v1" };
   std::uint64_t m_startedMs{ 1 };
+  bool m_leaving{ false };
   Script m_script;
   std::map<std::string, int> m_runs;
   std::vector<CallerRequest> m_received;
