Send nothing more to an upstream whose answer says that it leaves

What was seen: requests reached an upstream later than the bound after an answer had told the VM that the upstream leaves.

Cause: the field of answers that tells it was not read. The VM went on until the store listed the upstream as draining or removed it. Once an upstream had been removed from the table, an entry that came later made it usable again, whether or not it had been leaving.

Change: each answer is read for it: of runs, prefills, reservations, their releases and role orders. The upstream is draining on this VM from then on, as if its entry said so, and its idle connections are closed. Incarnations that were leaving are remembered after their removal.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -396,8 +396,11 @@
   }
 
   /// Adds or updates an upstream, unless a newer entry with its id is known.
-  /// A draining upstream never becomes ready again.
+  /// A draining upstream never becomes ready again, even after its removal.
   void Put(const UpstreamEntry& aEntry);
+  /// An answer of the upstream says that it leaves.
+  /// @return whether that is news
+  bool OnLeaving(const UpstreamKey& aKey);
   /// Removes an upstream that has left or whose address another one has.
   void Remove(const UpstreamKey& aKey);
   /// The entry of aId was removed. Its upstream stays in the table for a while,
@@ -428,6 +431,7 @@
 private:
   void Add(const UpstreamEntry& aEntry);
   void RemoveId(const std::string& aId);
+  void RememberLeft(const UpstreamKey& aKey);
   bool IsCandidate(const Upstream& aUpstream,
                    const PickRequest& aRequest) const;
   double Cost(const Upstream& aUpstream,
@@ -436,6 +440,8 @@
 
   Location m_location;
   std::map<UpstreamKey, UpstreamPtr> m_upstreams;
+  /// Upstreams that were leaving and have been removed, oldest first.
+  std::deque<UpstreamKey> m_left;
 };
 
 // ------------------------------------------------------------------ roles
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -66,6 +66,7 @@
   bool m_isSigned{ false };    ///< signed by an upstream that ran the request
   bool m_notExecuted{ false }; ///< the upstream did not run the request
   bool m_replaced{ false };    ///< another upstream now has this address
+  bool m_leaving{ false };     ///< the upstream is about to stop
   std::optional<UpstreamLoad> m_load;
   /// Requests a second that the upstream takes from all VMs together, if it
   /// names a limit.
--- a/src/config.h
+++ b/src/config.h
@@ -398,6 +398,8 @@
 constexpr std::chrono::milliseconds kRemovedEntryGrace = 1'000ms;
 /// The same where many entries of a service were removed together.
 constexpr std::chrono::milliseconds kMassRemovalGrace = 4'000ms;
+/// Removed upstreams that are remembered as leaving, at most.
+constexpr std::size_t kMaxLeftUpstreams = 1'000;
 /// Smallest share of a service's entries whose removal at one time counts as
 /// many.
 constexpr double kMinMassRemovalShare = 0.5;
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -106,6 +106,11 @@
 void
 UpstreamTable::Put(const UpstreamEntry& aEntry)
 {
+  bool hasLeft =
+    std::find(m_left.begin(), m_left.end(), aEntry.m_key) != m_left.end();
+  if (hasLeft) {
+    return;
+  }
   auto newest = m_upstreams.upper_bound(
     { .m_id = aEntry.m_key.m_id, .m_startedMs = UINT64_MAX });
   bool known = newest != m_upstreams.begin() &&
@@ -133,6 +138,17 @@
   upstream.m_entry.m_draining = draining;
 }
 
+bool
+UpstreamTable::OnLeaving(const UpstreamKey& aKey)
+{
+  UpstreamPtr upstream = Find(aKey);
+  if (upstream == nullptr) {
+    RememberLeft(aKey);
+    return false;
+  }
+  return !std::exchange(upstream->m_entry.m_draining, true);
+}
+
 void
 UpstreamTable::Add(const UpstreamEntry& aEntry)
 {
@@ -148,6 +164,9 @@
   if (found == m_upstreams.end()) {
     return;
   }
+  if (found->second->m_entry.m_draining) {
+    RememberLeft(aKey);
+  }
   found->second->m_entry.m_draining = true;
   m_upstreams.erase(found);
 }
@@ -157,11 +176,23 @@
 {
   auto next = m_upstreams.lower_bound({ .m_id = aId, .m_startedMs = 0 });
   while (next != m_upstreams.end() && next->first.m_id == aId) {
+    if (next->second->m_entry.m_draining) {
+      RememberLeft(next->first);
+    }
     next->second->m_entry.m_draining = true;
     next = m_upstreams.erase(next);
   }
 }
 
+void
+UpstreamTable::RememberLeft(const UpstreamKey& aKey)
+{
+  m_left.push_back(aKey);
+  if (m_left.size() > kMaxLeftUpstreams) {
+    m_left.pop_front();
+  }
+}
+
 void
 UpstreamTable::OnEntryRemoved(const std::string& aId, TimePoint aNow)
 {
--- a/src/router_engine_calls.cpp
+++ b/src/router_engine_calls.cpp
@@ -29,6 +29,7 @@
               const EngineCall& aCall,
               std::function<void(int)> aOnAnswer)
     : m_owner(aOwner)
+    , m_upstream(aUpstream.m_key)
     , m_target(aCall.m_target)
     , m_onAnswer(std::move(aOnAnswer))
     , m_call(aOwner.m_pool.Start(aUpstream,
@@ -39,6 +40,9 @@
 
   void OnAnswerHead(const AnswerHead& aHead) override
   {
+    if (m_owner.m_onHead) {
+      m_owner.m_onHead(m_upstream, aHead);
+    }
     if (m_onAnswer) {
       m_onAnswer(aHead.m_status);
     }
@@ -56,15 +60,20 @@
 
 private:
   EngineCalls& m_owner;
+  UpstreamKey m_upstream;
   std::string m_target;
   std::function<void(int)> m_onAnswer;
   std::unique_ptr<UpstreamCallI> m_call;
 };
 
-EngineCalls::EngineCalls(LoopI& aLoop, ConnectionPool& aPool, LogI& aLog)
+EngineCalls::EngineCalls(LoopI& aLoop,
+                         ConnectionPool& aPool,
+                         LogI& aLog,
+                         OnHead aOnHead)
   : m_loop(aLoop)
   , m_pool(aPool)
   , m_log(aLog)
+  , m_onHead(std::move(aOnHead))
 {
 }
 
--- a/src/router_engine_calls.h
+++ b/src/router_engine_calls.h
@@ -17,7 +17,13 @@
 class EngineCalls
 {
 public:
-  EngineCalls(LoopI& aLoop, ConnectionPool& aPool, LogI& aLog);
+  /// Gets the head of each answer.
+  using OnHead = std::function<void(const UpstreamKey&, const AnswerHead&)>;
+
+  EngineCalls(LoopI& aLoop,
+              ConnectionPool& aPool,
+              LogI& aLog,
+              OnHead aOnHead = {});
   ~EngineCalls();
 
   /// Starts a call.
@@ -33,6 +39,7 @@
   LoopI& m_loop;
   ConnectionPool& m_pool;
   LogI& m_log;
+  OnHead m_onHead;
   std::map<PendingCall*, std::unique_ptr<PendingCall>> m_calls;
 };
 
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -31,6 +31,18 @@
     .first->second;
 }
 
+void
+RouterShared::OnLeaving(const UpstreamKey& aUpstream)
+{
+  if (m_upstreams.OnLeaving(aUpstream)) {
+    m_pool.CloseIdle(aUpstream);
+    m_metrics.Count("upstreams_leaving_total", "");
+    m_log.Write(LogEvent("upstream_leaving")
+                  .Add("upstream", aUpstream.m_id)
+                  .Add("from", "answer"));
+  }
+}
+
 RoutedRequest::RoutedRequest(RouterShared& aShared,
                              RoutedRequestOptions aOptions)
   : m_shared(aShared)
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -40,6 +40,8 @@
   UpstreamPermits& m_permits;
 
   RetryBudget& BudgetOf(const std::string& aService);
+  /// An answer of an upstream says that it leaves: it gets no more requests.
+  void OnLeaving(const UpstreamKey& aUpstream);
 };
 
 /// A caller's request with its route in the configuration at its receipt.
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -40,6 +40,9 @@
 RoutedRequest::ClassifyHead(const AnswerHead& aHead)
 {
   AnswerFacts facts = m_shared.m_dialect.ReadAnswer(aHead);
+  if (facts.m_leaving && !facts.m_replaced) {
+    m_shared.OnLeaving(m_upstream->m_entry.m_key);
+  }
   if (facts.m_load) {
     m_upstream->m_health.OnLoad(*facts.m_load, m_shared.m_loop.Now());
   }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -38,7 +38,15 @@
   , m_pool(m_loop)
   , m_upstreams(aOptions.m_location)
   , m_admission(m_loop)
-  , m_engineCalls(m_loop, m_pool, m_log)
+  , m_engineCalls(m_loop,
+                  m_pool,
+                  m_log,
+                  [this](const UpstreamKey& aKey, const AnswerHead& aHead) {
+                    AnswerFacts facts = m_dialect.ReadAnswer(aHead);
+                    if (facts.m_leaving && !facts.m_replaced) {
+                      m_shared.OnLeaving(aKey);
+                    }
+                  })
   , m_shared{ .m_loop = m_loop,
               .m_dialect = m_dialect,
               .m_log = m_log,
@@ -359,7 +367,9 @@
                  known->m_entry.m_draining != aEntry.m_draining ||
                  known->m_entry.m_stage != aEntry.m_stage;
   m_upstreams.Put(aEntry);
-  if (!changed) {
+  bool isIgnored =
+    known == nullptr && m_upstreams.Find(aEntry.m_key) == nullptr;
+  if (!changed || isIgnored) {
     return;
   }
   if (aEntry.m_draining) {
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -242,6 +242,22 @@
   BOOST_TEST(table.Expire(kStart + 800ms + kRemovedEntryGrace).size() == 1U);
 }
 
+BOOST_AUTO_TEST_CASE(an_upstream_that_left_is_not_restored_by_an_older_entry)
+{
+  UpstreamTable table(ThreeDomains());
+  table.Put(MakeEntry("u", "a1"));
+  BOOST_TEST(table.OnLeaving({ "u", 1 }));
+  BOOST_TEST(!table.OnLeaving({ "u", 1 }));
+  table.Put(MakeEntry("u", "a1"));
+  BOOST_TEST(PickId(table, kStart).empty());
+  table.OnEntryRemoved("u", kStart);
+  BOOST_TEST(table.Expire(kStart + kRemovedEntryGrace).size() == 1U);
+  table.Put(MakeEntry("u", "a1"));
+  BOOST_TEST(PickId(table, kStart).empty());
+  table.Put(MakeEntry("u", "a1", 2)); // started again
+  BOOST_TEST(PickId(table, kStart) == "u");
+}
+
 // -------------------------------------------------------------- requests
 
 BOOST_AUTO_TEST_CASE(a_request_needs_its_whole_time_or_that_of_its_tokens)
