Take removed entries for lost ones only after the source was disturbed

What was seen: requests reached an upstream 2.6 to 2.8 s after it had said that it leaves. Its entry was removed after 0.4 s, that of a second one of the service's three 0.8 s later, and a retry took the first one.

Cause: removals of half of a service's entries counted as entries that the source has lost, whether or not it had answered all the while. Each of them kept all of the upstreams usable for 4 s more.

Change: entries count as lost only in the 4 s after an outage of the source of 3 s or more, in which leases may run out; the upstreams are usable until those 4 s are over. Otherwise each removed entry has its own second. The test of lost entries now begins with such an outage, as lost entries do; its bounds are the same.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -401,12 +401,14 @@
   /// An answer of the upstream says that it leaves.
   /// @return whether that is news
   bool OnLeaving(const UpstreamKey& aKey);
+  /// The source answers after an outage, or has gone back in time: it may have
+  /// lost entries of upstreams that still run.
+  void OnSourceDisturbed(TimePoint aNow);
   /// Removes an upstream that has left or whose address another one has.
   void Remove(const UpstreamKey& aKey);
   /// The entry of aId was removed. Its upstream stays in the table for a while,
   /// for requests that find no other usable one. It stays longer if many
-  /// entries of its service are removed together: then the source has lost the
-  /// entries, while the service still runs.
+  /// entries of its service are removed just after OnSourceDisturbed().
   void OnEntryRemoved(const std::string& aId, TimePoint aNow);
   /// Removes upstreams that have been without an entry for too long, and
   /// records which software versions are known. Called regularly.
@@ -442,6 +444,8 @@
   std::map<UpstreamKey, UpstreamPtr> m_upstreams;
   /// Upstreams that were leaving and have been removed, oldest first.
   std::deque<UpstreamKey> m_left;
+  /// Until then, removed entries may be ones that the source has lost.
+  TimePoint m_lossUntil{};
 };
 
 // ------------------------------------------------------------------ roles
--- a/src/config.h
+++ b/src/config.h
@@ -396,8 +396,12 @@
 /// Time for which an upstream whose entry was removed still gets requests that
 /// no other upstream can take.
 constexpr std::chrono::milliseconds kRemovedEntryGrace = 1'000ms;
-/// The same where many entries of a service were removed together.
+/// Time after a disturbance of the directory's source in which upstreams stay
+/// usable if many entries of their service are removed: the source has lost
+/// the entries, and upstreams that run publish them again.
 constexpr std::chrono::milliseconds kMassRemovalGrace = 4'000ms;
+/// Silence of the directory's source in which entries' leases may run out.
+constexpr std::chrono::milliseconds kMinSourceOutage = 3'000ms;
 /// Removed upstreams that are remembered as leaving, at most.
 constexpr std::size_t kMaxLeftUpstreams = 1'000;
 /// Smallest share of a service's entries whose removal at one time counts as
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -149,6 +149,12 @@
   return !std::exchange(upstream->m_entry.m_draining, true);
 }
 
+void
+UpstreamTable::OnSourceDisturbed(TimePoint aNow)
+{
+  m_lossUntil = aNow + kMassRemovalGrace;
+}
+
 void
 UpstreamTable::Add(const UpstreamEntry& aEntry)
 {
@@ -216,12 +222,12 @@
       removals.push_back(upstream);
     }
   }
-  bool massRemoval =
-    removals.size() > 1 && static_cast<double>(removals.size()) >=
-                             kMinMassRemovalShare * static_cast<double>(all);
+  bool massRemoval = aNow < m_lossUntil && removals.size() > 1 &&
+                     static_cast<double>(removals.size()) >=
+                       kMinMassRemovalShare * static_cast<double>(all);
   for (const UpstreamPtr& upstream : removals) {
     if (massRemoval) {
-      upstream->m_expiresAt = aNow + kMassRemovalGrace;
+      upstream->m_expiresAt = std::max(*upstream->m_expiresAt, m_lossUntil);
     }
   }
 }
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -184,12 +184,16 @@
     return;
   }
   DirectoryDelta delta = DeltaFromJson(aReply["delta"]);
+  TimePoint now = m_loop.Now();
+  if (now - m_sourceContactAt >= kMinSourceOutage) {
+    m_upstreams.OnSourceDisturbed(now);
+  }
   m_log.Write(
     LogEvent("directory_from_peer")
       .Add("peer", aPeer)
       .Add("before", static_cast<std::int64_t>(m_directory.Revision()))
       .Add("revision", static_cast<std::int64_t>(delta.m_upToRevision))
-      .Add("source_age", m_loop.Now() - m_sourceContactAt));
+      .Add("source_age", now - m_sourceContactAt));
   ApplyDelta(delta, "peer");
   m_source.SkipTo(m_directory.Revision());
 }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -267,15 +267,25 @@
 void
 RouterTask::OnDelta(const DirectoryDelta& aDelta)
 {
-  m_sourceContactAt = m_loop.Now();
+  OnSourceContact();
   m_versions.OnSourceAnswer();
   ApplyDelta(aDelta, "source");
 }
 
+void
+RouterTask::OnSourceContact()
+{
+  TimePoint now = m_loop.Now();
+  if (now - m_sourceContactAt >= kMinSourceOutage) {
+    m_upstreams.OnSourceDisturbed(now);
+  }
+  m_sourceContactAt = now;
+}
+
 void
 RouterTask::OnSourceUp()
 {
-  m_sourceContactAt = m_loop.Now();
+  OnSourceContact();
   if (!std::exchange(m_sourceUp, true)) {
     m_log.Write(
       LogEvent("source_up")
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -75,6 +75,8 @@
   void OnSourceUp() override;
   void OnSourceDown(const std::string& aReason) override;
   void ApplyDelta(const DirectoryDelta& aDelta, std::string_view aFrom);
+  /// The directory's source answers.
+  void OnSourceContact();
   void ApplyItem(const DirectoryItem& aItem, std::string_view aFrom);
   void ApplyRouting(const RoutingPtr& aRouting, std::string_view aFrom);
   void ApplyUpstream(const UpstreamEntry& aEntry, std::string_view aFrom);
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -219,6 +219,7 @@
   for (const char* id : { "u", "v", "w" }) {
     table.Put(MakeEntry(id, "a1"));
   }
+  table.OnSourceDisturbed(kStart);
   for (const char* id : { "u", "v", "w" }) {
     table.OnEntryRemoved(id, kStart);
   }
