Compare revisions within one era of the store only

What was seen: a confirmed configuration wasn't in force in time, or a route that had been added wasn't served.

Cause: a store that comes back from an older copy gives out revisions again. VMs compared them with those that they had read before, so a change in such a revision was taken for an old one, for as long as it took the store to get past them; so was all of the full read after 410.

Change: the store's era is read from each answer. Positions are pairs of era and revision, also in gossip. Missing entries count as lost ones. Another era during a read begins it anew; the history of an older era isn't used. Custom headers of answers are named by the caller, as libwebsockets lists no unknown ones.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -141,6 +141,9 @@
   std::string m_path;    ///< with its query
   HttpHeaders m_headers;
   std::string m_body;
+  /// Names, in lower case, of headers of the answer that are read besides the
+  /// standard ones and those of kCustomHeaders.
+  std::vector<std::string> m_answerHeaders;
   /// Time from the call to the end of the answer's headers.
   std::chrono::milliseconds m_headersTimeout{ 5'000 };
   /// Longest silence inside the answer's body.
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -370,6 +370,8 @@
   /// Set when its entry has been removed: until then, requests use it only if
   /// no other upstream is usable.
   std::optional<TimePoint> m_expiresAt;
+  /// No request is sent to it before this time.
+  TimePoint m_heldUntil{};
 };
 using UpstreamPtr = std::shared_ptr<Upstream>;
 
@@ -398,6 +400,10 @@
   /// Adds or updates an upstream, unless a newer entry with its id is known.
   /// A draining upstream never becomes ready again, even after its removal.
   void Put(const UpstreamEntry& aEntry);
+  /// The source has gone back in time and holds the removed entry of aId again.
+  /// Until the entry has outlasted the lease of an upstream that is gone, its
+  /// upstream gets no requests.
+  void OnRelisted(const std::string& aId, TimePoint aNow);
   /// An answer of the upstream says that it leaves.
   /// @return whether that is news
   bool OnLeaving(const UpstreamKey& aKey);
@@ -435,7 +441,8 @@
   void RemoveId(const std::string& aId);
   void RememberLeft(const UpstreamKey& aKey);
   bool IsCandidate(const Upstream& aUpstream,
-                   const PickRequest& aRequest) const;
+                   const PickRequest& aRequest,
+                   TimePoint aNow) const;
   double Cost(const Upstream& aUpstream,
               const PickRequest& aRequest,
               TimePoint aNow) const;
@@ -629,6 +636,19 @@
   std::uint64_t m_revision{ 0 };
   bool m_removed{ false };
   bool m_created{ false }; ///< the item did not exist before this revision
+  /// Its removal was known before the source went back in time.
+  bool m_relisted{ false };
+};
+
+/// A state of the directory's source. A source that goes back to an older copy
+/// begins a new era, in which it gives out revisions again.
+struct DirectoryPosition
+{
+  std::uint64_t m_era{ 0 };
+  std::uint64_t m_revision{ 0 };
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>
+  auto operator<=>(const DirectoryPosition&) const = default;
 };
 
 /// The changes that a directory's source still has.
@@ -674,36 +694,48 @@
 struct DirectoryDelta
 {
   bool m_isSnapshot{ false }; ///< holds every item; any other was removed
+  std::uint64_t m_era{ 0 };
   std::uint64_t m_upToRevision{ 0 };
   std::vector<DirectoryItem> m_items;
 };
 
-/// The published items below one prefix, in the newest revision of each. An
-/// item's revision never decreases, whichever source reports it.
+/// The published items below one prefix, in the newest revision of each.
+/// Within an era an item's revision never decreases, whichever source reports
+/// it. A later era replaces all items.
 class Directory
 {
 public:
-  /// Merges aDelta and returns the items that changed the directory.
+  /// Merges aDelta and returns the items that changed the directory. Deltas of
+  /// an older era are ignored, and so are deltas of a later one that hold no
+  /// snapshot.
   std::vector<DirectoryItem> Apply(const DirectoryDelta& aDelta,
                                    TimePoint aNow);
-  /// Returns the changes after aRevision, or a snapshot if removals after it
-  /// may have been discarded.
-  DirectoryDelta Since(std::uint64_t aRevision) const;
-  /// Every change up to this revision is known.
-  std::uint64_t Revision() const { return m_upToRevision; }
+  /// Returns the changes after aPosition, or a snapshot if removals after it
+  /// may have been discarded or if it is of an older era.
+  DirectoryDelta Since(const DirectoryPosition& aPosition) const;
+  /// Every change up to this position is known.
+  DirectoryPosition Position() const
+  {
+    return { .m_era = m_era, .m_revision = m_upToRevision };
+  }
 
 private:
+  void BeginEra(std::uint64_t aEra);
   bool ApplyItem(const DirectoryItem& aItem, TimePoint aNow);
+  /// Returns the items that a snapshot doesn't hold any more, as removals.
+  std::vector<DirectoryItem> MissingIn(const DirectoryDelta& aSnapshot) const;
   void DiscardOldRemovals(TimePoint aNow);
 
   struct Removal
   {
+    std::uint64_t m_era;
     std::uint64_t m_revision;
     TimePoint m_at;
   };
 
   std::map<std::string, DirectoryItem> m_items;
-  std::map<std::string, Removal> m_removals;
+  std::map<std::string, Removal> m_removals; ///< also of older eras
+  std::uint64_t m_era{ 0 };
   std::uint64_t m_upToRevision{ 0 };
   /// Removals up to this revision may have been discarded.
   std::uint64_t m_discardedUpTo{ 0 };
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -129,8 +129,8 @@
   virtual ~DirectorySourceI() = default;
   /// Begins to read; events come on the loop's thread.
   virtual void Start(DirectoryListenerI& aListener) = 0;
-  /// Continues after aRevision; all changes up to it came from another VM.
-  virtual void SkipTo(std::uint64_t aRevision) = 0;
+  /// Continues after aPosition; all changes up to it came from another VM.
+  virtual void SkipTo(const DirectoryPosition& aPosition) = 0;
   /// Reads the past changes that the source still has.
   /// @param aDone  called once, unless the source is destroyed before; gets
   ///               nothing if they can't be read
--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -209,7 +209,7 @@
     return -1;
   }
   auto status = static_cast<int>(lws_http_client_http_response(m_wsi));
-  HttpHeaders headers = ReadHeaders(m_wsi);
+  HttpHeaders headers = ReadHeaders(m_wsi, m_call.m_answerHeaders);
   const std::string* length = FindHeader(headers, "content-length");
   if (HasNoBody(status)) {
     m_bodyLeft = 0;
--- a/src/net_headers.cpp
+++ b/src/net_headers.cpp
@@ -103,7 +103,7 @@
 }
 
 HttpHeaders
-ReadHeaders(lws* aWsi)
+ReadHeaders(lws* aWsi, const std::vector<std::string>& aNames)
 {
   HttpHeaders headers;
   for (int i = 0; i < WSI_TOKEN_COUNT; ++i) {
@@ -127,6 +127,9 @@
   for (std::string_view name : kCustomHeaders) {
     AddCustomHeader(headers, aWsi, name);
   }
+  for (const std::string& name : aNames) {
+    AddCustomHeader(headers, aWsi, name);
+  }
   return headers;
 }
 
--- a/src/net_headers.h
+++ b/src/net_headers.h
@@ -11,8 +11,10 @@
 
 /// Returns every header of aWsi, once for each time it was sent. Only while
 /// libwebsockets holds them: in its HTTP callbacks.
+/// @param aNames  further headers that libwebsockets doesn't know, in lower
+///                case
 HttpHeaders
-ReadHeaders(lws* aWsi);
+ReadHeaders(lws* aWsi, const std::vector<std::string>& aNames = {});
 
 /// Returns fragment aIndex of header aToken, or nullopt if there is none.
 std::optional<std::string>
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -130,6 +130,7 @@
     return;
   }
   upstream.m_expiresAt.reset();
+  upstream.m_heldUntil = {};
   if (aEntry.m_sequence < upstream.m_entry.m_sequence) {
     return;
   }
@@ -138,6 +139,16 @@
   upstream.m_entry.m_draining = draining;
 }
 
+void
+UpstreamTable::OnRelisted(const std::string& aId, TimePoint aNow)
+{
+  for (const auto& [key, upstream] : m_upstreams) {
+    if (key.m_id == aId) {
+      upstream->m_heldUntil = aNow + kRelistedEntryHold;
+    }
+  }
+}
+
 bool
 UpstreamTable::OnLeaving(const UpstreamKey& aKey)
 {
@@ -255,7 +266,7 @@
   for (const auto& [key, upstream] : m_upstreams) {
     const UpstreamEntry& entry = upstream->m_entry;
     if (entry.m_service == aService && !entry.m_draining &&
-        IsOfVersion(entry, aSoftwareVersion) &&
+        IsOfVersion(entry, aSoftwareVersion) && aNow >= upstream->m_heldUntil &&
         upstream->m_health.IsUsable(aNow)) {
       return true;
     }
@@ -272,10 +283,12 @@
 
 bool
 UpstreamTable::IsCandidate(const Upstream& aUpstream,
-                           const PickRequest& aRequest) const
+                           const PickRequest& aRequest,
+                           TimePoint aNow) const
 {
   const UpstreamEntry& entry = aUpstream.m_entry;
-  return !entry.m_draining && entry.m_service == aRequest.m_service &&
+  return !entry.m_draining && aNow >= aUpstream.m_heldUntil &&
+         entry.m_service == aRequest.m_service &&
          entry.m_stage == aRequest.m_stage &&
          IsOfVersion(entry, aRequest.m_softwareVersion) &&
          !aRequest.m_excluded.contains(entry.m_key);
@@ -308,7 +321,7 @@
   UpstreamPtr best;
   double bestCost = std::numeric_limits<double>::max();
   for (const auto& [key, upstream] : m_upstreams) {
-    if (!IsCandidate(*upstream, aRequest)) {
+    if (!IsCandidate(*upstream, aRequest, aNow)) {
       continue;
     }
     double cost =
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -7,22 +7,38 @@
 
 namespace {
 
+Json::Value
+ToJson(const DirectoryItem& aItem)
+{
+  Json::Value entry(Json::objectValue);
+  entry["key"] = aItem.m_key;
+  entry["revision"] = static_cast<Json::UInt64>(aItem.m_revision);
+  if (aItem.m_removed) {
+    entry["removed"] = true;
+  } else {
+    entry["value"] = EncodeBase64(aItem.m_value);
+  }
+  return entry;
+}
+
+DirectoryItem
+ItemFromJson(const Json::Value& aValue)
+{
+  return { .m_key = aValue["key"].asString(),
+           .m_value = DecodeBase64(aValue["value"].asString()),
+           .m_revision = aValue["revision"].asUInt64(),
+           .m_removed = aValue["removed"].asBool() };
+}
+
 Json::Value
 ToJson(const DirectoryDelta& aDelta)
 {
   Json::Value items(Json::arrayValue);
   for (const DirectoryItem& item : aDelta.m_items) {
-    Json::Value entry(Json::objectValue);
-    entry["key"] = item.m_key;
-    entry["revision"] = static_cast<Json::UInt64>(item.m_revision);
-    if (item.m_removed) {
-      entry["removed"] = true;
-    } else {
-      entry["value"] = EncodeBase64(item.m_value);
-    }
-    items.append(entry);
+    items.append(ToJson(item));
   }
   Json::Value delta(Json::objectValue);
+  delta["era"] = static_cast<Json::UInt64>(aDelta.m_era);
   delta["up_to"] = static_cast<Json::UInt64>(aDelta.m_upToRevision);
   delta["whole"] = aDelta.m_isSnapshot;
   delta["items"] = items;
@@ -32,15 +48,13 @@
 DirectoryDelta
 DeltaFromJson(const Json::Value& aValue)
 {
+  // VMs that run an older program name no era.
   DirectoryDelta delta{ .m_isSnapshot = aValue["whole"].asBool(),
+                        .m_era = aValue["era"].asUInt64(),
                         .m_upToRevision = aValue["up_to"].asUInt64(),
                         .m_items = {} };
   for (const Json::Value& entry : aValue["items"]) {
-    delta.m_items.push_back(
-      { .m_key = entry["key"].asString(),
-        .m_value = DecodeBase64(entry["value"].asString()),
-        .m_revision = entry["revision"].asUInt64(),
-        .m_removed = entry["removed"].asBool() });
+    delta.m_items.push_back(ItemFromJson(entry));
   }
   return delta;
 }
@@ -85,7 +99,9 @@
   TimePoint now = m_loop.Now();
   Json::Value request(Json::objectValue);
   request["from"] = m_peers.Self();
-  request["up_to"] = static_cast<Json::UInt64>(m_directory.Revision());
+  request["era"] = static_cast<Json::UInt64>(m_directory.Position().m_era);
+  request["up_to"] =
+    static_cast<Json::UInt64>(m_directory.Position().m_revision);
   request["version"] = static_cast<Json::UInt64>(
     m_routes.Config() == nullptr ? 0 : m_routes.Config()->m_version);
   // A VM asks peers for items only while the source doesn't answer it, or if it
@@ -115,13 +131,26 @@
   MergeCrashes(aParams);
   m_permits.Merge(aParams["limits"]);
   Json::Value reply = GossipRequest();
-  std::uint64_t known = aParams["up_to"].asUInt64();
-  if (aParams["wants"].asBool() && m_directory.Revision() > known) {
+  DirectoryPosition known{ .m_era = aParams["era"].asUInt64(),
+                           .m_revision = aParams["up_to"].asUInt64() };
+  if (aParams["wants"].asBool() && m_directory.Position() > known) {
     reply["delta"] = ToJson(m_directory.Since(known));
   }
+  AddLostRouting(aParams, reply);
   return reply;
 }
 
+void
+RouterTask::AddLostRouting(const Json::Value& aParams,
+                           Json::Value& aReply) const
+{
+  bool isLost =
+    m_routes.Config() != nullptr && m_routingEra < m_directory.Position().m_era;
+  if (isLost && aParams["version"].asUInt64() < m_routes.Config()->m_version) {
+    aReply["lost_configuration"] = ToJson(m_routingItem);
+  }
+}
+
 void
 RouterTask::MergePeers(const Json::Value& aPeers)
 {
@@ -180,6 +209,9 @@
   MergePeers(aReply["peers"]);
   MergeCrashes(aReply);
   m_permits.Merge(aReply["limits"]);
+  if (aReply.isMember("lost_configuration")) {
+    ApplyLostRouting(aReply["lost_configuration"]);
+  }
   if (!aReply.isMember("delta")) {
     return;
   }
@@ -191,11 +223,23 @@
   m_log.Write(
     LogEvent("directory_from_peer")
       .Add("peer", aPeer)
-      .Add("before", static_cast<std::int64_t>(m_directory.Revision()))
+      .Add("before",
+           static_cast<std::int64_t>(m_directory.Position().m_revision))
+      .Add("era", static_cast<std::int64_t>(delta.m_era))
       .Add("revision", static_cast<std::int64_t>(delta.m_upToRevision))
       .Add("source_age", now - m_sourceContactAt));
   ApplyDelta(delta, "peer");
-  m_source.SkipTo(m_directory.Revision());
+  m_source.SkipTo(m_directory.Position());
+}
+
+void
+RouterTask::ApplyLostRouting(const Json::Value& aItem)
+{
+  DirectoryItem item = ItemFromJson(aItem);
+  std::uint64_t era = std::exchange(m_routingEra, 0);
+  ApplyItem(item, "peer");
+  bool isApplied = m_routingItem.m_value == item.m_value;
+  m_routingEra = isApplied ? 0 : era;
 }
 
 void
@@ -243,7 +287,9 @@
   set("waiting_for_memory", static_cast<double>(m_admission.Size()));
   set("live_vms", static_cast<double>(m_shared.m_liveVms));
   set("source_up", m_sourceUp ? 1 : 0);
-  set("directory_revision", static_cast<double>(m_directory.Revision()));
+  set("directory_revision",
+      static_cast<double>(m_directory.Position().m_revision));
+  set("directory_era", static_cast<double>(m_directory.Position().m_era));
   set("upstream_connections_opened",
       static_cast<double>(m_pool.Counts().m_opened));
   set("upstream_connections_reused",
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -289,7 +289,9 @@
   if (!std::exchange(m_sourceUp, true)) {
     m_log.Write(
       LogEvent("source_up")
-        .Add("revision", static_cast<std::int64_t>(m_directory.Revision())));
+        .Add("era", static_cast<std::int64_t>(m_directory.Position().m_era))
+        .Add("revision",
+             static_cast<std::int64_t>(m_directory.Position().m_revision)));
   }
 }
 
@@ -301,13 +303,34 @@
     m_log.Write(
       LogEvent("source_down", LogLevel::Warning)
         .Add("reason", aReason)
-        .Add("revision", static_cast<std::int64_t>(m_directory.Revision())));
+        .Add("era", static_cast<std::int64_t>(m_directory.Position().m_era))
+        .Add("revision",
+             static_cast<std::int64_t>(m_directory.Position().m_revision)));
   }
 }
 
+void
+RouterTask::BeginEra(const DirectoryDelta& aDelta, std::string_view aFrom)
+{
+  DirectoryPosition before = m_directory.Position();
+  m_upstreams.OnSourceDisturbed(m_loop.Now());
+  m_log.Write(
+    LogEvent("directory_era", LogLevel::Warning)
+      .Add("era", static_cast<std::int64_t>(aDelta.m_era))
+      .Add("revision", static_cast<std::int64_t>(aDelta.m_upToRevision))
+      .Add("era_before", static_cast<std::int64_t>(before.m_era))
+      .Add("revision_before", static_cast<std::int64_t>(before.m_revision))
+      .Add("from", aFrom));
+}
+
 void
 RouterTask::ApplyDelta(const DirectoryDelta& aDelta, std::string_view aFrom)
 {
+  bool newEra = aDelta.m_isSnapshot && m_directory.Position().m_revision > 0 &&
+                aDelta.m_era > m_directory.Position().m_era;
+  if (newEra) {
+    BeginEra(aDelta, aFrom);
+  }
   for (const DirectoryItem& item : m_directory.Apply(aDelta, m_loop.Now())) {
     ApplyItem(item, aFrom);
     if (!aDelta.m_isSnapshot) {
@@ -336,12 +359,23 @@
   }
   if (item.m_routing != nullptr) {
     ApplyRouting(item.m_routing, aFrom);
+    bool isInForce = m_routes.Config() != nullptr &&
+                     m_routes.Config()->m_version == item.m_routing->m_version;
+    if (isInForce) {
+      m_routingItem = aItem;
+      m_routingEra = m_directory.Position().m_era;
+    }
   }
   if (!item.m_upstreamId.empty()) {
     m_versions.OnEntry(item.m_upstreamId, item.m_upstream);
   }
   if (item.m_upstream) {
     ApplyUpstream(*item.m_upstream, aFrom);
+    if (aItem.m_relisted) {
+      m_upstreams.OnRelisted(item.m_upstreamId, m_loop.Now());
+      m_log.Write(
+        LogEvent("upstream_relisted").Add("upstream", item.m_upstreamId));
+    }
   }
   if (aItem.m_removed && !item.m_upstreamId.empty()) {
     m_upstreams.OnEntryRemoved(item.m_upstreamId, m_loop.Now());
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -75,6 +75,8 @@
   void OnSourceUp() override;
   void OnSourceDown(const std::string& aReason) override;
   void ApplyDelta(const DirectoryDelta& aDelta, std::string_view aFrom);
+  /// Applies and logs an era that begins with aDelta.
+  void BeginEra(const DirectoryDelta& aDelta, std::string_view aFrom);
   /// The directory's source answers.
   void OnSourceContact();
   void ApplyItem(const DirectoryItem& aItem, std::string_view aFrom);
@@ -85,6 +87,10 @@
   void Gossip();
   Json::Value GossipRequest();
   Json::Value OnGossip(const Json::Value& aParams);
+  /// Adds the configuration in force to a reply if the source has lost it and
+  /// the calling VM has an older one.
+  void AddLostRouting(const Json::Value& aParams, Json::Value& aReply) const;
+  void ApplyLostRouting(const Json::Value& aItem);
   void OnGossipReply(const std::string& aPeer, const PeerResult& aResult);
   /// @throws std::exception if a field is malformed; no item is applied then
   void ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply);
@@ -128,6 +134,8 @@
   RouterShared m_shared;
   Directory m_directory;
   RouteTable m_routes;
+  DirectoryItem m_routingItem;     ///< the configuration in force
+  std::uint64_t m_routingEra{ 0 }; ///< the last era in which it was published
   PeerList m_peers;
   HttpPeer m_peerCalls;
   StreamOrigins m_origins;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -259,6 +259,20 @@
   BOOST_TEST(PickId(table, kStart) == "u");
 }
 
+BOOST_AUTO_TEST_CASE(a_removed_entry_that_is_listed_again_is_held_first)
+{
+  UpstreamTable table(ThreeDomains());
+  table.Put(MakeEntry("u", "a1"));
+  table.OnEntryRemoved("u", kStart);
+  table.Put(MakeEntry("u", "a1"));
+  table.OnRelisted("u", kStart);
+  BOOST_TEST(PickId(table, kStart).empty());
+  BOOST_TEST(PickId(table, kStart + kRelistedEntryHold) == "u");
+  table.OnRelisted("u", kStart);
+  table.Put(MakeEntry("u", "a1")); // published by itself
+  BOOST_TEST(PickId(table, kStart) == "u");
+}
+
 // -------------------------------------------------------------- requests
 
 BOOST_AUTO_TEST_CASE(a_request_needs_its_whole_time_or_that_of_its_tokens)
@@ -498,10 +512,10 @@
         history.begin() + static_cast<std::ptrdiff_t>(from), history.end());
       partial.Apply({ .m_upToRevision = 0, .m_items = part }, kStart);
     }
-    partial.Apply(complete.Since(partial.Revision()), kStart);
+    partial.Apply(complete.Since(partial.Position()), kStart);
     auto itemsOf = [](const Directory& aDirectory) {
       std::map<std::string, std::uint64_t> items;
-      for (const DirectoryItem& item : aDirectory.Since(0).m_items) {
+      for (const DirectoryItem& item : aDirectory.Since({}).m_items) {
         if (!item.m_removed) {
           items[item.m_key] = item.m_revision;
         }
@@ -535,7 +549,7 @@
     { .m_isSnapshot = true, .m_upToRevision = 2, .m_items = { Item("a", 1) } },
     kStart);
   BOOST_TEST(changed.empty());
-  BOOST_TEST(directory.Revision() == 3U);
+  BOOST_TEST(directory.Position().m_revision == 3U);
 }
 
 BOOST_AUTO_TEST_CASE(
@@ -566,10 +580,85 @@
   directory.Apply({ .m_upToRevision = 1, .m_items = { Item("a", 1) } }, kStart);
   directory.Apply({ .m_upToRevision = 2, .m_items = { Item("a", 2, true) } },
                   kStart);
-  BOOST_TEST(!directory.Since(1).m_isSnapshot);
+  BOOST_TEST(!directory.Since({ .m_revision = 1 }).m_isSnapshot);
   directory.Apply({ .m_upToRevision = 3, .m_items = { Item("b", 3) } },
                   kStart + kRemovalRetention + 1s);
-  BOOST_TEST(directory.Since(1).m_isSnapshot);
+  BOOST_TEST(directory.Since({ .m_revision = 1 }).m_isSnapshot);
+}
+
+namespace {
+
+/// A directory of era 1 at revision 9 that has seen the removal of "gone".
+Directory
+FirstEra()
+{
+  Directory directory;
+  directory.Apply(
+    { .m_isSnapshot = true,
+      .m_era = 1,
+      .m_upToRevision = 8,
+      .m_items = { Item("a", 2), Item("gone", 3), Item("b", 7) } },
+    kStart);
+  directory.Apply(
+    { .m_era = 1, .m_upToRevision = 9, .m_items = { Item("gone", 9, true) } },
+    kStart);
+  return directory;
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(a_new_era_replaces_items_of_higher_revisions)
+{
+  Directory directory = FirstEra();
+  auto changed = directory.Apply(
+    { .m_isSnapshot = true,
+      .m_era = 2,
+      .m_upToRevision = 5,
+      .m_items = { Item("a", 2), Item("gone", 3), Item("c", 5) } },
+    kStart);
+  std::map<std::string, bool> removed;
+  std::set<std::string> relisted;
+  for (const DirectoryItem& item : changed) {
+    removed[item.m_key] = item.m_removed;
+    if (item.m_relisted) {
+      relisted.insert(item.m_key);
+    }
+  }
+  std::map<std::string, bool> expected{
+    { "a", false }, { "b", true }, { "c", false }, { "gone", false }
+  };
+  BOOST_TEST((removed == expected));
+  BOOST_TEST((relisted == std::set<std::string>{ "gone" }));
+  BOOST_TEST(
+    (directory.Position() == DirectoryPosition{ .m_era = 2, .m_revision = 5 }));
+  // Revisions that were given out before are news.
+  changed = directory.Apply(
+    { .m_era = 2, .m_upToRevision = 6, .m_items = { Item("b", 6) } }, kStart);
+  BOOST_TEST(changed.size() == 1U);
+}
+
+BOOST_AUTO_TEST_CASE(an_older_era_changes_nothing)
+{
+  Directory directory = FirstEra();
+  for (bool isSnapshot : { false, true }) {
+    auto changed = directory.Apply({ .m_isSnapshot = isSnapshot,
+                                     .m_era = 0,
+                                     .m_upToRevision = 99,
+                                     .m_items = { Item("a", 99) } },
+                                   kStart);
+    BOOST_TEST(changed.empty());
+  }
+  BOOST_TEST(directory.Position().m_revision == 9U);
+}
+
+BOOST_AUTO_TEST_CASE(a_new_era_begins_with_a_snapshot_only)
+{
+  Directory directory = FirstEra();
+  auto changed = directory.Apply(
+    { .m_era = 2, .m_upToRevision = 99, .m_items = { Item("a", 99) } }, kStart);
+  BOOST_TEST(changed.empty());
+  BOOST_TEST(directory.Since({ .m_era = 0, .m_revision = 99 }).m_isSnapshot);
+  BOOST_TEST(!directory.Since({ .m_era = 1, .m_revision = 8 }).m_isSnapshot);
 }
 
 // ----------------------------------------------------------------- peers
--- a/tests/router_eras_test.cpp
+++ b/tests/router_eras_test.cpp
@@ -1,5 +1,5 @@
-/// Tests of a router whose store comes back from an older copy, and of upstreams
-/// that leave.
+/// Tests of a router whose store comes back from an older copy, and of
+/// upstreams that leave.
 
 #define BOOST_TEST_MODULE router_eras
 #include <boost/test/unit_test.hpp>
@@ -47,6 +47,25 @@
     std::uint64_t from = calls();
     WaitFor([&] { return calls() >= from + aCalls; });
   }
+  void WaitForEra(int aEra)
+  {
+    BOOST_TEST(WaitFor([&] {
+      return Has(Metrics(),
+                 "shallotford_directory_era " + std::to_string(aEra) + "\n");
+    }));
+  }
+  /// Returns how many of 20 requests the first upstream receives.
+  std::size_t CountReceived()
+  {
+    auto received = [this] {
+      return m_loop.Do([this] { return m_a->Received().size(); });
+    };
+    std::size_t before = received();
+    for (int i = 0; i < 20; ++i) {
+      Ask("/safe/", "r" + std::to_string(i));
+    }
+    return received() - before;
+  }
   std::uint64_t m_copy;
 };
 
@@ -75,6 +94,60 @@
   BOOST_TEST(IsServed("/lost/"));
 }
 
+BOOST_FIXTURE_TEST_CASE(
+  a_vm_that_starts_on_a_restored_store_gets_the_lost_configuration_from_a_peer,
+  OlderStore)
+{
+  Publish(ConfigText(6, RouteText("lost")));
+  BOOST_TEST(WaitUntilServed("/lost/"));
+  GoBack();
+  WaitForEra(2);
+  RouterOptions options = Options();
+  options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+  OtherVm other(
+    *this, options, m_loop.Do([this] { return m_store->Address(); }));
+  BOOST_TEST(WaitFor([&] {
+    RawSocket socket(other.Port());
+    socket.Send(Request("/lost/", "r1", "body", "Connection: close\r\n"));
+    return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(answers_of_an_older_era_are_ignored, OlderStore)
+{
+  GoBack();
+  WaitForEra(2);
+  m_loop.Do([this] { m_store->SetEra(1); });
+  Publish(ConfigText(8, RouteText("new")));
+  WaitForCalls(4);
+  BOOST_TEST(!IsServed("/new/"));
+  m_loop.Do([this] { m_store->SetEra(2); });
+  BOOST_TEST(WaitUntilServed("/new/"));
+}
+
+BOOST_FIXTURE_TEST_CASE(
+  a_removed_upstream_that_a_restored_store_lists_gets_no_requests,
+  OlderStore)
+{
+  m_loop.Do([this] { m_store->Remove("servers/i-a"); });
+  BOOST_TEST(WaitFor([this] { return Knows(1); }));
+  GoBack();
+  WaitForEra(2);
+  BOOST_TEST(CountReceived() == 0U);
+}
+
+BOOST_FIXTURE_TEST_CASE(
+  a_draining_upstream_that_a_restored_store_lists_as_ready_gets_no_requests,
+  OlderStore)
+{
+  m_loop.Do(
+    [this] { m_store->Put("servers/i-a", m_a->Entry("plain", "", true)); });
+  BOOST_TEST(WaitFor([this] { return CountLogLines("draining=yes") == 1U; }));
+  GoBack();
+  WaitForEra(2);
+  BOOST_TEST(CountReceived() == 0U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_upstream_that_says_it_leaves_gets_no_more_requests,
                         Plain)
 {
@@ -112,8 +185,8 @@
     [&] { return Has(vm.Metrics(), "shallotford_upstreams 3\n"); });
   vm.m_loop.Do([&] { leaving.SetLeaving(); });
   for (int i = 0; i < 20; ++i) {
-    BOOST_TEST(vm.Ask("/stream/", "r" + std::to_string(i))
-                 .starts_with("HTTP/1.1 200 "));
+    BOOST_TEST(
+      vm.Ask("/stream/", "r" + std::to_string(i)).starts_with("HTTP/1.1 200 "));
   }
   // The answer to a reservation tells, before a request runs there.
   auto runs = vm.m_loop.Do([&] { return leaving.Runs().size(); });
--- a/tools/standin_published.h
+++ b/tools/standin_published.h
@@ -53,6 +53,8 @@
   /// Comes back from a copy that holds the changes up to aRevision. Later ones
   /// are lost, their revisions are given out again, and the era rises by one.
   void GoBackTo(std::uint64_t aRevision);
+  /// Sets the era that the answers name.
+  void SetEra(std::uint64_t aEra) { m_era = aEra; }
   std::uint64_t Revision() const { return m_revision; }
   /// Answers watches of the changes so far with 410 from now on.
   void DiscardHistory();
