Show by a test that a VM without links to upstreams serves nothing

Change: a test with two VMs, of which one has addresses for all upstreams where connections are refused or hang.

Result: the VM serves 0 of 40 requests at the first attempt, and none of its first request's repeats in 20 s; its peer reaches all upstreams.

--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -249,6 +249,10 @@
 
   std::uint16_t Port() { return m_router->CallerPort(); }
   std::uint16_t PeerPort() { return m_router->PeerPort(); }
+  void Reload(const RouterOptions& aOptions)
+  {
+    m_fixture.m_loop.Do([&] { m_router->Reload(aOptions); });
+  }
 
 private:
   RouterFixture& m_fixture;
--- /dev/null
+++ b/tests/router_relay_test.cpp
@@ -0,0 +1,179 @@
+/// Tests of a VM that is cut off from upstreams which other VMs reach.
+
+#define BOOST_TEST_MODULE router_relay
+#include <boost/test/unit_test.hpp>
+
+#include "config.h"
+#include "router_fixture.h"
+
+#include <arpa/inet.h>
+#include <sys/socket.h>
+#include <unistd.h>
+
+using namespace shallotford;
+using namespace shallotford::test;
+
+namespace {
+
+/// A port on which nobody accepts connections.
+class DeadPort
+{
+public:
+  /// @param aHangs  attempts to connect hang, else they are refused
+  explicit DeadPort(bool aHangs)
+  {
+    m_socket = ::socket(AF_INET, SOCK_STREAM, 0);
+    sockaddr_in address{};
+    address.sin_family = AF_INET;
+    address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
+    socklen_t size = sizeof address;
+    ::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size);
+    ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
+    m_port = ntohs(address.sin_port);
+    if (!aHangs) {
+      return;
+    }
+    ::listen(m_socket, 0);
+    // They fill the queue of connections, so that the kernel drops further
+    // attempts.
+    for (int& filler : m_fillers) {
+      filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
+      ::connect(filler, reinterpret_cast<sockaddr*>(&address), size);
+    }
+  }
+  ~DeadPort()
+  {
+    for (int filler : m_fillers) {
+      ::close(filler);
+    }
+    ::close(m_socket);
+  }
+  DeadPort(const DeadPort&) = delete;
+  DeadPort& operator=(const DeadPort&) = delete;
+
+  std::string Address() const { return "127.0.0.1:" + std::to_string(m_port); }
+
+private:
+  int m_socket{ -1 };
+  std::uint16_t m_port{ 0 };
+  std::array<int, 4> m_fillers{ -1, -1, -1, -1 };
+};
+
+/// Two VMs. The first one reaches all servers. For the second one each server
+/// has an address where nothing answers.
+struct CutOff : RouterFixture
+{
+  explicit CutOff(bool aHangs = false)
+    : m_deadPort(aHangs)
+  {
+    Publish(ConfigText(1));
+    m_cutStore =
+      m_loop.Do([this] { return std::make_unique<PublishedStore>(*m_loop); });
+    m_loop.Do([this] { m_cutStore->Put("op/config", ConfigText(1)); });
+    for (const char* id : { "i-a", "i-b", "i-c" }) {
+      AddForBoth(id, "plain", "");
+    }
+    AddForBoth("i-p", "model", "prefill");
+    AddForBoth("i-d", "model", "decode");
+    AddForBoth("i-e", "model", "decode");
+    Start();
+    m_cutVm.emplace(*this, Options(), m_cutStore->Address());
+    // A VM without a configuration would take the entries from its peer.
+    WaitFor([this] { return CountLogLines("event=configuration") == 2; });
+    RouterOptions options = Options();
+    options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+    m_cutVm->Reload(options);
+  }
+  ~CutOff()
+  {
+    m_cutVm.reset();
+    m_loop.Do([this] { m_cutStore.reset(); });
+  }
+  CutOff(const CutOff&) = delete;
+  CutOff& operator=(const CutOff&) = delete;
+
+  void AddForBoth(const std::string& aId,
+                  const std::string& aService,
+                  const std::string& aStage)
+  {
+    PublishedServer* server = &AddServer(aId, aService, aStage);
+    m_loop.Do([&] {
+      std::string entry = server->Entry(aService, aStage);
+      std::string address = server->Address();
+      entry.replace(entry.find(address), address.size(), m_deadPort.Address());
+      m_cutStore->Put("servers/" + aId, entry);
+      if (aService == "model") {
+        server->SetScript(StreamScript(*server));
+      }
+    });
+  }
+  static PublishedServer::Script StreamScript(PublishedServer& aServer)
+  {
+    return [&aServer](const PublishedCall& aCall) {
+      if (aCall.m_reserve || aCall.m_prefill ||
+          aCall.m_request.m_head.m_method == "DELETE") {
+        return false;
+      }
+      aServer.BeginStream(aCall);
+      aCall.m_exchange->Write(Event(1));
+      aCall.m_exchange->Write(Event(2));
+      aCall.m_exchange->End();
+      return true;
+    };
+  }
+  std::string AskCutVm(const std::string& aPath, const std::string& aId)
+  {
+    RawSocket socket(m_cutVm->Port());
+    socket.Send(Request(aPath, aId, "body", "Connection: close\r\n"));
+    return socket.ReadToEnd();
+  }
+  int AllRuns(const std::string& aId)
+  {
+    int runs = 0;
+    for (const auto& server : m_servers) {
+      runs += Runs(*server, aId);
+    }
+    return runs;
+  }
+  /// Checks that the VM that is cut off has all requests served at the first
+  /// attempt, each by one run.
+  void CheckAllServed()
+  {
+    BOOST_TEST(WaitFor(
+      [this] { return AskCutVm("/safe/", "r").starts_with("HTTP/1.1 200 "); }));
+    for (const char* path : { "/safe/", "/once/", "/stream/", "/fixed/" }) {
+      for (int i = 0; i < 10; ++i) {
+        std::string id = path + std::to_string(i);
+        BOOST_TEST(AskCutVm(path, id).starts_with("HTTP/1.1 200 "), id);
+        BOOST_TEST(AllRuns(id) == 1, id);
+      }
+    }
+  }
+
+  DeadPort m_deadPort;
+  std::unique_ptr<PublishedStore> m_cutStore;
+  std::optional<OtherVm> m_cutVm;
+};
+
+struct HangingCutOff : CutOff
+{
+  HangingCutOff()
+    : CutOff(true)
+  {
+  }
+};
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(requests_are_served_where_all_upstreams_refuse_this_vm,
+                        CutOff)
+{
+  CheckAllServed();
+}
+
+BOOST_FIXTURE_TEST_CASE(
+  requests_are_served_where_connections_to_all_upstreams_hang,
+  HangingCutOff)
+{
+  CheckAllServed();
+}
