Pass requests on through a peer where this VM's links are cut

What callers saw: VMs that were cut off from all upstreams served 0 of 22 and 2 of 49 requests at the first attempt, the others 188 of 192 and 146 of 148. The rest got 503 at once, streams after 3.4 s.

Cause: a VM acted on what only its own links show. It took its cut for upstreams that are down and refused what any peer could have served.

Change: a request whose last attempt was left without an answer goes to a peer that says it reaches the service, instead of being refused. Once three upstreams (or all, if fewer) give no answer and none answers, requests go to a peer first; one in 0.5 s tries an upstream, whose answer ends this and the ejections of the time. Peers offer in gossip where they take such requests and which services they have reached in the last 5 s. The request makes one hop to a port for peers only, with what is left of its time, its configuration's version and its software version; the peer runs it once at most, and the VM that has the caller decides about everything else. A request that may have run is never passed on again unless it may be repeated. The answer names its upstream, so that one that says it leaves counts as leaving at both VMs. A VM that can pass requests on stays ready.

Ruled out: crash reports of the VMs that were cut off had nothing refused elsewhere (no conviction in the record).

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -67,6 +67,8 @@
   TlsSettings m_peerTls;
   /// "metrics.listen"; if empty, only the operators' listener serves metrics.
   std::string m_metricsAddress;
+  /// "relays.listen"; if empty, this VM takes no requests from other VMs.
+  std::string m_relayAddress;
   std::optional<RoutingSettings> m_routing; ///< "routing"
 };
 
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -343,6 +343,9 @@
   /// against the upstream only if it has answered no other request since.
   /// @return whether it was ejected
   bool OnNoResponse(TimePoint aSentAt, TimePoint aNow);
+  /// This VM's links were cut, so that past failures say nothing of the
+  /// upstream.
+  void ForgetFailures();
   /// Time from which a trial request may be sent; valid while IsEjected().
   TimePoint EjectedUntil() const { return m_ejectedUntil; }
 
@@ -435,6 +438,7 @@
               const std::optional<std::string>& aSoftwareVersion) const;
   std::size_t Size() const { return m_upstreams.size(); }
   std::vector<UpstreamPtr> All() const;
+  std::vector<UpstreamPtr> AllOf(const std::string& aService) const;
 
 private:
   void Add(const UpstreamEntry& aEntry);
@@ -800,6 +804,76 @@
   std::map<std::string, Peer> m_peers;
 };
 
+// ----------------------------------------------------------------- relays
+
+/// Tells whether this VM's own links to a set of upstreams are cut: attempts at
+/// several of them were left without an answer, and none was answered since.
+class LinkState
+{
+public:
+  /// An upstream answered.
+  /// @return whether the links were cut until now
+  bool OnAnswer(TimePoint aNow);
+  /// An attempt at an upstream ended, or goes on, without an answer.
+  /// @param aUpstreams  known ones of the set
+  /// @return whether the links are cut from now on
+  bool OnNoAnswer(const UpstreamKey& aUpstream,
+                  std::size_t aUpstreams,
+                  TimePoint aNow);
+  bool IsCut(TimePoint aNow) const { return aNow < m_cutUntil; }
+  /// Returns whether a request may try an upstream while the links are cut, and
+  /// counts it.
+  bool TakeTrial(TimePoint aNow);
+
+private:
+  std::map<UpstreamKey, TimePoint> m_unanswered; ///< time of the last attempt
+  TimePoint m_cutUntil{};
+  TimePoint m_nextTrial{};
+};
+
+/// What a VM offers to others: it passes their requests on to upstreams.
+struct RelayOffer
+{
+  std::string m_vm;      ///< its peer address
+  std::string m_address; ///< "IP:PORT" that takes the requests
+  std::string m_failureDomain;
+  std::set<std::string> m_services; ///< of which upstreams answered it lately
+};
+
+/// The VMs that pass requests on for others.
+class RelayTable
+{
+public:
+  explicit RelayTable(Location aLocation)
+    : m_location(std::move(aLocation))
+  {
+  }
+  void Put(const RelayOffer& aOffer, TimePoint aNow);
+  /// The VM offers nothing any more.
+  void Remove(const std::string& aVm) { m_relays.erase(aVm); }
+  /// Chooses a VM by distance and by the requests that this VM has there.
+  /// @param aRequest      of it, the service, the excluded VMs and the salt
+  /// @param aAnyService   also VMs that haven't said that they reach the
+  ///                      service, if no other is left
+  /// @return nullptr if there is none
+  UpstreamPtr Pick(const PickRequest& aRequest,
+                   bool aAnyService,
+                   TimePoint aNow) const;
+  bool IsEmpty() const { return m_relays.empty(); }
+  void Expire(TimePoint aNow);
+
+private:
+  struct Relay
+  {
+    UpstreamPtr m_upstream;
+    std::set<std::string> m_services;
+    TimePoint m_offeredAt{};
+  };
+
+  Location m_location;
+  std::map<std::string, Relay> m_relays; ///< by peer address
+};
+
 // ---------------------------------------------------- limits of upstreams
 
 /// What an upstream said of the rate of requests that it takes.
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -34,7 +34,7 @@
 struct Dispatch
 {
   std::chrono::milliseconds m_timeLeft{ 0 };
-  std::string m_upstreamId; ///< any other upstream refuses it
+  std::string m_upstreamId; ///< any other upstream refuses it; may be empty
   bool m_prefillOnly{ false };
   std::string m_prefillAddress; ///< address that the KV cache is fetched from
   std::string m_prefillHandle;
@@ -159,10 +159,12 @@
 
 struct RouterOptions
 {
-  std::string m_callerAddress;      ///< "IP:PORT" for callers
-  std::string m_peerAddress;        ///< "IP:PORT" for other VMs
-  std::string m_operatorAddress;    ///< "IP:PORT" for readiness and metrics
-  std::string m_metricsAddress;     ///< second address for them; may be empty
+  std::string m_callerAddress;   ///< "IP:PORT" for callers
+  std::string m_peerAddress;     ///< "IP:PORT" for other VMs
+  std::string m_operatorAddress; ///< "IP:PORT" for readiness and metrics
+  std::string m_metricsAddress;  ///< second address for them; may be empty
+  /// "IP:PORT" for requests that other VMs pass on; may be empty.
+  std::string m_relayAddress;
   std::vector<std::string> m_seeds; ///< addresses of the first known peers
   Location m_location;
   RetryBudgetOptions m_retryBudget;
--- a/src/config.h
+++ b/src/config.h
@@ -193,6 +193,32 @@
 /// Time for which a peer isn't called after a failed call.
 constexpr std::chrono::milliseconds kFailedPeerPause = 2'000ms;
 
+// relays
+/// Upstreams that must leave attempts without an answer for this VM's links to
+/// count as cut: all that are known, within these bounds.
+constexpr std::size_t kMinUnansweredUpstreams = 2;
+constexpr std::size_t kSurelyUnansweredUpstreams = 3;
+/// The time in which they do.
+constexpr std::chrono::milliseconds kLinkEvidenceTime = 3'000ms;
+/// Time for which links count as cut after the last unanswered attempt.
+constexpr std::chrono::milliseconds kLinkCutTime = 10'000ms;
+/// While the links are cut, one request in this time tries an upstream.
+constexpr std::chrono::milliseconds kLinkTrialPeriod = 500ms;
+/// Time since an answer for which a VM tells others that it reaches a service.
+constexpr std::chrono::milliseconds kServiceReachTime = 5'000ms;
+constexpr std::chrono::milliseconds kRelayOfferLifetime = 6'000ms;
+/// VMs that one request may be passed to.
+constexpr std::uint32_t kMaxRelays = 2;
+/// Requests of this VM that another one serves beside its own without delay.
+constexpr double kRelayConcurrency = 8;
+/// Added for VMs that haven't said that they reach the service.
+constexpr double kUnconfirmedRelayCost = 100;
+/// Services that one message of gossip names as reached.
+constexpr std::size_t kMaxReachedServices = 256;
+/// Bytes by which the head of a request from another VM may exceed the limit
+/// for callers.
+constexpr std::size_t kRelayHeadMargin = 1'024;
+
 // router
 /// A connection to an upstream is broken off if bytes sent on it stay
 /// unacknowledged for this time.
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -115,11 +115,12 @@
 void
 CheckDistinctAddresses(CheckedDocument& aDocument, const Settings& aSettings)
 {
-  const std::array<std::pair<const char*, const std::string*>, 4> kListeners{ {
+  const std::array<std::pair<const char*, const std::string*>, 5> kListeners{ {
     { "callers.listen", &aSettings.m_callerAddress },
     { "peers.listen", &aSettings.m_peerAddress },
     { "operators.listen", &aSettings.m_operatorAddress },
     { "metrics.listen", &aSettings.m_metricsAddress },
+    { "relays.listen", &aSettings.m_relayAddress },
   } };
   for (std::size_t i = 1; i < kListeners.size(); ++i) {
     for (std::size_t j = 0; j < i; ++j) {
@@ -164,6 +165,9 @@
     aMetrics.ReadAddress(
       "listen", settings.m_metricsAddress, Presence::Required);
   });
+  root.ReadObject("relays", [&](ObjectReader& aRelays) {
+    aRelays.ReadAddress("listen", settings.m_relayAddress, Presence::Required);
+  });
   root.ReadObject("routing", [&](ObjectReader& aRouting) {
     ReadRouting(aRouting, settings);
   });
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -36,6 +36,7 @@
            .m_peerAddress = aSettings.m_peerAddress,
            .m_operatorAddress = aSettings.m_operatorAddress,
            .m_metricsAddress = aSettings.m_metricsAddress,
+           .m_relayAddress = aSettings.m_relayAddress,
            .m_seeds = routing.m_seeds,
            .m_location = { .m_failureDomain = aSettings.m_failureDomain,
                            .m_regions = routing.m_failureDomains },
--- a/src/route_health.cpp
+++ b/src/route_health.cpp
@@ -109,6 +109,14 @@
   return true;
 }
 
+void
+UpstreamHealth::ForgetFailures()
+{
+  m_consecutiveBreaks = 0;
+  m_ejections = 0;
+  m_failures = DecayingAverage(kFailureHalfLife, kFailureSampleWeight);
+}
+
 void
 UpstreamHealth::Eject(TimePoint aNow)
 {
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -359,4 +359,14 @@
   return all;
 }
 
+std::vector<UpstreamPtr>
+UpstreamTable::AllOf(const std::string& aService) const
+{
+  std::vector<UpstreamPtr> all = All();
+  std::erase_if(all, [&](const UpstreamPtr& aUpstream) {
+    return aUpstream->m_entry.m_service != aService;
+  });
+  return all;
+}
+
 } // namespace shallotford
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -115,6 +115,7 @@
       std::chrono::duration_cast<std::chrono::milliseconds>(age).count()));
     request["peers"].append(entry);
   }
+  AddRelayOffer(request);
   request["crashes"] = m_crashes.Digest();
   request["limits"] = m_permits.Digest();
   return request;
@@ -128,6 +129,7 @@
     m_peers.OnContact(RpcStringParam(aParams, "from"), now);
   }
   MergePeers(aParams["peers"]);
+  MergeRelayOffer(RpcStringParam(aParams, "from"), aParams["relay"]);
   MergeCrashes(aParams);
   m_permits.Merge(aParams["limits"]);
   Json::Value reply = GossipRequest();
@@ -164,6 +166,52 @@
   }
 }
 
+void
+RouterTask::AddRelayOffer(Json::Value& aMessage) const
+{
+  TimePoint now = m_loop.Now();
+  if (m_relayListener == nullptr || m_leaving || m_links.IsCut(now)) {
+    return;
+  }
+  std::string address = m_options.m_relayAddress;
+  address.replace(address.rfind(':') + 1,
+                  std::string::npos,
+                  std::to_string(m_relayListener->Port()));
+  Json::Value offer(Json::objectValue);
+  offer["address"] = address;
+  offer["domain"] = m_options.m_location.m_failureDomain;
+  offer["services"] = Json::Value(Json::arrayValue);
+  for (const auto& [service, at] : m_shared.m_reachedAt) {
+    bool isReached =
+      now - at < kServiceReachTime && !m_shared.AreLinksCut(service);
+    if (isReached && offer["services"].size() < kMaxReachedServices) {
+      offer["services"].append(service);
+    }
+  }
+  aMessage["relay"] = offer;
+}
+
+void
+RouterTask::MergeRelayOffer(const std::string& aVm, const Json::Value& aOffer)
+{
+  bool isOffer = aOffer.isObject() && aOffer["address"].isString() &&
+                 aOffer["domain"].isString() && aOffer["services"].isArray();
+  if (!isOffer) {
+    m_relays.Remove(aVm);
+    return;
+  }
+  RelayOffer offer{ .m_vm = aVm,
+                    .m_address = aOffer["address"].asString(),
+                    .m_failureDomain = aOffer["domain"].asString(),
+                    .m_services = {} };
+  for (const Json::Value& service : aOffer["services"]) {
+    if (service.isString()) {
+      offer.m_services.insert(service.asString());
+    }
+  }
+  m_relays.Put(offer, m_loop.Now());
+}
+
 void
 RouterTask::MergeCrashes(const Json::Value& aMessage)
 {
@@ -207,6 +255,7 @@
 RouterTask::ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply)
 {
   MergePeers(aReply["peers"]);
+  MergeRelayOffer(aPeer, aReply["relay"]);
   MergeCrashes(aReply);
   m_permits.Merge(aReply["limits"]);
   if (aReply.isMember("lost_configuration")) {
@@ -271,7 +320,7 @@
       return true;
     }
   }
-  return false;
+  return m_links.IsCut(now) && !m_relays.IsEmpty();
 }
 
 void
@@ -287,6 +336,7 @@
   set("waiting_for_memory", static_cast<double>(m_admission.Size()));
   set("live_vms", static_cast<double>(m_shared.m_liveVms));
   set("source_up", m_sourceUp ? 1 : 0);
+  set("links_cut", m_links.IsCut(m_loop.Now()) ? 1 : 0);
   set("directory_revision",
       static_cast<double>(m_directory.Position().m_revision));
   set("directory_era", static_cast<double>(m_directory.Position().m_era));
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -43,6 +43,59 @@
   }
 }
 
+void
+RouterShared::OnUpstreamAnswer(const std::string& aService)
+{
+  TimePoint now = m_loop.Now();
+  m_reachedAt[aService] = now;
+  m_links.OnAnswer(now);
+  if (!m_serviceLinks[aService].OnAnswer(now)) {
+    return;
+  }
+  m_log.Write(
+    LogEvent("links_back", LogLevel::Warning).Add("service", aService));
+  for (const UpstreamPtr& upstream : m_upstreams.AllOf(aService)) {
+    upstream->m_health.ForgetFailures();
+  }
+}
+
+void
+RouterShared::OnNoAnswer(const UpstreamEntry& aUpstream)
+{
+  TimePoint now = m_loop.Now();
+  m_links.OnNoAnswer(aUpstream.m_key, m_upstreams.Size(), now);
+  std::vector<UpstreamPtr> all = m_upstreams.AllOf(aUpstream.m_service);
+  bool areCut = m_serviceLinks[aUpstream.m_service].OnNoAnswer(
+    aUpstream.m_key, all.size(), now);
+  if (!areCut) {
+    return;
+  }
+  m_log.Write(LogEvent("links_cut", LogLevel::Warning)
+                .Add("service", aUpstream.m_service)
+                .Add("upstreams", static_cast<std::int64_t>(all.size()))
+                .Add("all_services", m_links.IsCut(now) ? "yes" : "no")
+                .Add("relays", m_relays.IsEmpty() ? "none" : "known"));
+  m_metrics.Count("links_cut_total", "");
+  for (const UpstreamPtr& upstream : all) {
+    m_pool.CloseIdle(upstream->m_entry.m_key);
+  }
+}
+
+bool
+RouterShared::AreLinksCut(const std::string& aService) const
+{
+  TimePoint now = m_loop.Now();
+  auto found = m_serviceLinks.find(aService);
+  return m_links.IsCut(now) ||
+         (found != m_serviceLinks.end() && found->second.IsCut(now));
+}
+
+bool
+RouterShared::TakeTrial(const std::string& aService)
+{
+  return m_serviceLinks[aService].TakeTrial(m_loop.Now());
+}
+
 RoutedRequest::RoutedRequest(RouterShared& aShared,
                              RoutedRequestOptions aOptions)
   : m_shared(aShared)
@@ -53,6 +106,7 @@
   , m_route(aOptions.m_route)
   , m_service(ChooseTarget(*m_route, StableHash(StreamId(m_facts))))
   , m_traits(TraitsOf(m_service, m_request, m_facts))
+  , m_relayed(std::move(aOptions.m_relayed))
   , m_onEnd(std::move(aOptions.m_onEnd))
   , m_received(aShared.m_loop.Now())
   , m_deadline(m_received +
@@ -71,7 +125,9 @@
 void
 RoutedRequest::Start()
 {
-  m_shared.BudgetOf(m_service).OnRequest(m_received);
+  if (!m_relayed) {
+    m_shared.BudgetOf(m_service).OnRequest(m_received);
+  }
   m_exchange->OnClosed([this] { OnCallerDisconnected(); });
   m_exchange->OnDrained([this] {
     if (m_call != nullptr) {
@@ -80,7 +136,9 @@
   });
   m_deadlineTimer =
     m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
-  if (IsStream() && m_facts.m_resumes) {
+  if (IsStream() && m_relayed && m_relayed->m_softwareVersion) {
+    ContinueStream(m_relayed->m_softwareVersion);
+  } else if (IsStream() && m_facts.m_resumes) {
     FindSoftwareVersion();
   } else if (!IsStream() || ChooseSoftwareVersion()) {
     Begin();
@@ -97,6 +155,9 @@
   }
   m_softwareVersion = m_shared.m_versions.Choose(m_service, m_facts.m_id);
   TimePoint now = m_shared.m_loop.Now();
+  if (AreLinksCut()) {
+    return true;
+  }
   // Sent again, the request gets another id and with it another choice.
   return m_shared.m_upstreams.IsReachable(m_service, m_softwareVersion, now) ||
          !m_shared.m_upstreams.IsReachable(m_service, {}, now);
@@ -121,6 +182,10 @@
 void
 RoutedRequest::Begin()
 {
+  bool tries = !AreLinksCut() || m_shared.TakeTrial(m_service);
+  if (!tries && TryRelay()) {
+    return;
+  }
   if (ServedByEngines()) {
     StartAtEngines();
   } else {
@@ -166,7 +231,7 @@
 RoutedRequest::Progress() const
 {
   return { .m_mayRepeat = m_route->MayRepeat(),
-           .m_maxAttempts = m_route->m_maxAttempts,
+           .m_maxAttempts = m_relayed ? 1 : m_route->m_maxAttempts,
            .m_runs = m_runs,
            .m_refusals = m_refusals,
            .m_answerBegun = m_answerBegun,
@@ -206,7 +271,9 @@
 bool
 RoutedRequest::HasAttemptsLeft() const
 {
-  return m_route->MayRepeat() && m_runs + 1 < m_route->m_maxAttempts;
+  // The VM that passed a request on decides about further attempts.
+  return m_route->MayRepeat() && !m_relayed &&
+         m_runs + 1 < m_route->m_maxAttempts;
 }
 
 // -------------------------------------------------------------- attempts
@@ -336,6 +403,7 @@
       StartPrefill();
       return;
     case Phase::Run:
+    case Phase::Relay:
       StartRun();
       return;
   }
@@ -360,18 +428,7 @@
     Finish(DecideEnd(Progress()));
     return;
   }
-  m_phase = aPhase;
-  m_upstream = aUpstream;
-  m_heldAnswer = {};
-  m_pendingEnd = AttemptEnd::Broken;
-  m_streaming = false;
-  m_hasEvents = false;
-  m_callFailure.reset();
-  m_closedByUpstream = false;
-  m_sentAt = m_shared.m_loop.Now();
-  aUpstream->m_health.OnStart(m_sentAt);
-  m_lastBytesAt = m_sentAt;
-  m_shared.m_loop.CancelTimer(m_attemptTimer);
+  BeginAttempt(aUpstream, aPhase);
   if (aPhase == Phase::Reserve) {
     m_call =
       m_shared.m_pool.Start(aUpstream->m_entry,
@@ -384,17 +441,7 @@
     return;
   }
   m_call = m_shared.m_pool.Start(
-    aUpstream->m_entry,
-    { .m_head = HeadFor(*aUpstream, aPhase),
-      .m_body = m_request.m_body,
-      .m_isHead = m_request.m_head.m_method == "HEAD",
-      .m_maxReuseIdle = m_route->MayRepeat() || aPhase == Phase::Prefill
-                          ? kMaxReuseIdleRepeatable
-                          : kMaxReuseIdleNonRepeatable,
-      .m_headTimeout = HeadTimeout(aPhase),
-      .m_bodyTimeout = BodyTimeout(),
-      .m_wholeTimeout = aPhase == Phase::Prefill ? HeadTimeout(aPhase) : 0ms },
-    *this);
+    aUpstream->m_entry, CallOptions(aUpstream, aPhase), *this);
   bool begins = IsStream() && !m_facts.m_resumes && !m_facts.m_id.empty();
   if (aPhase == Phase::Run && begins) {
     // Published before the first event, so that other VMs know the origin even
@@ -413,11 +460,45 @@
     [this] { OnNoResponse(); });
 }
 
+void
+RoutedRequest::BeginAttempt(const UpstreamPtr& aUpstream, Phase aPhase)
+{
+  m_phase = aPhase;
+  m_upstream = aUpstream;
+  m_heldAnswer = {};
+  m_pendingEnd = AttemptEnd::Broken;
+  m_streaming = false;
+  m_hasEvents = false;
+  m_callFailure.reset();
+  m_closedByUpstream = false;
+  m_sentAt = m_shared.m_loop.Now();
+  aUpstream->m_health.OnStart(m_sentAt);
+  m_lastBytesAt = m_sentAt;
+  m_shared.m_loop.CancelTimer(m_attemptTimer);
+}
+
+UpstreamCallOptions
+RoutedRequest::CallOptions(const UpstreamPtr& aUpstream, Phase aPhase)
+{
+  return { .m_head = HeadFor(*aUpstream, aPhase),
+           .m_body = m_request.m_body,
+           .m_isHead = m_request.m_head.m_method == "HEAD",
+           .m_maxReuseIdle = m_route->MayRepeat() || aPhase == Phase::Prefill
+                               ? kMaxReuseIdleRepeatable
+                               : kMaxReuseIdleNonRepeatable,
+           .m_headTimeout = HeadTimeout(aPhase),
+           .m_bodyTimeout = BodyTimeout(),
+           .m_wholeTimeout =
+             aPhase == Phase::Prefill ? HeadTimeout(aPhase) : 0ms };
+}
+
 std::string
 RoutedRequest::HeadFor(const Upstream& aUpstream, Phase aPhase) const
 {
   Dispatch dispatch{ .m_timeLeft = TimeLeft(),
-                     .m_upstreamId = aUpstream.m_entry.m_key.m_id,
+                     .m_upstreamId = aPhase == Phase::Relay
+                                       ? std::string()
+                                       : aUpstream.m_entry.m_key.m_id,
                      .m_prefillOnly = aPhase == Phase::Prefill,
                      .m_prefillAddress = {},
                      .m_prefillHandle = {},
@@ -437,6 +518,11 @@
     fields.push_back(
       { "Content-Length", std::to_string(m_request.m_body->size()) });
   }
+  if (aPhase == Phase::Relay) {
+    AddRelayFacts({ .m_configVersion = m_routing->m_version,
+                    .m_softwareVersion = m_softwareVersion },
+                  fields);
+  }
   return WriteRequestHead(head.m_method, head.m_target, fields);
 }
 
@@ -469,6 +555,9 @@
 void
 RoutedRequest::OnNoResponse()
 {
+  if (m_upstream != nullptr && m_phase != Phase::Relay) {
+    m_shared.OnNoAnswer(m_upstream->m_entry);
+  }
   if (m_upstream != nullptr &&
       m_upstream->m_health.OnNoResponse(m_sentAt, m_shared.m_loop.Now())) {
     m_shared.m_log.Write(LogEvent("upstream_suspected")
@@ -485,6 +574,7 @@
 {
   m_shared.m_loop.CancelTimer(m_attemptTimer);
   ReleaseCall();
+  NoteLink(aEnd);
   // An idle connection may end at any time, which says nothing of its upstream.
   bool staleConnection = aEnd == AttemptEnd::NotConnected && m_callFailure &&
                          m_callFailure->m_reused;
@@ -515,6 +605,7 @@
       AfterPrefill(aEnd);
       return;
     case Phase::Run:
+    case Phase::Relay:
       AfterRun(aEnd);
       return;
   }
@@ -527,7 +618,9 @@
                 aEnd == AttemptEnd::Refused || aEnd == AttemptEnd::Replaced;
   m_runs += notRun ? 0 : 1;
   m_refusals += notRun ? 1 : 0;
-  m_budgetedSends += aEnd == AttemptEnd::NotConnected ? 0 : 1;
+  // What a VM sent before it refused counts in its own budget.
+  bool refusedByVm = m_phase == Phase::Relay && notRun;
+  m_budgetedSends += aEnd == AttemptEnd::NotConnected || refusedByVm ? 0 : 1;
   if (aEnd == AttemptEnd::Refused && !m_prefillHandle.empty()) {
     m_prefillUpstream->m_health.OnHandleLost(m_shared.m_loop.Now());
   }
@@ -557,10 +650,13 @@
 RoutedRequest::TryAgain()
 {
   m_events.TakeRest();
+  m_brokenAt = m_lastBytesAt;
+  if ((m_phase == Phase::Relay || AreLinksCut()) && TryRelay()) {
+    return;
+  }
   m_prefillHandle.clear();
   m_prefillUpstream = nullptr;
   m_skipPrefill = true;
-  m_brokenAt = m_lastBytesAt;
   bool reserve =
     ServedByEngines() && Service()->m_reservationLifetime.count() > 0;
   if (reserve) {
@@ -580,6 +676,8 @@
       return "prefill";
     case Phase::Run:
       return "run";
+    case Phase::Relay:
+      return "relay";
   }
   return "?";
 }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -38,12 +38,42 @@
   StreamVersions& m_versions;
   CrashReports& m_crashes;
   UpstreamPermits& m_permits;
+  LinkState& m_links; ///< to all upstreams
+  RelayTable& m_relays;
+  std::map<std::string, LinkState> m_serviceLinks; ///< by service
+  std::map<std::string, TimePoint> m_reachedAt;    ///< last answer, by service
 
   RetryBudget& BudgetOf(const std::string& aService);
   /// An answer of an upstream says that it leaves: it gets no more requests.
   void OnLeaving(const UpstreamKey& aUpstream);
+  void OnUpstreamAnswer(const std::string& aService);
+  void OnNoAnswer(const UpstreamEntry& aUpstream);
+  /// Returns whether this VM's links to all upstreams, or to those of aService,
+  /// are cut.
+  bool AreLinksCut(const std::string& aService) const;
+  /// Returns whether a request may try an upstream of aService.
+  bool TakeTrial(const std::string& aService);
 };
 
+/// What the VM that passes a request on tells the one that serves it.
+struct RelayFacts
+{
+  /// Version of the routing configuration by which it is routed, at least.
+  std::uint64_t m_configVersion{ 0 };
+  /// The software version that runs the stream, if it is chosen already.
+  std::optional<std::string> m_softwareVersion;
+};
+
+/// Reads the fields of a request that another VM has passed on, and removes
+/// them.
+/// @throws Error (InvalidRequest) if one is missing or malformed
+RelayFacts
+TakeRelayFacts(HttpHeaders& aFields);
+
+/// Adds the fields that TakeRelayFacts() reads.
+void
+AddRelayFacts(const RelayFacts& aFacts, HttpHeaders& aFields);
+
 /// A caller's request with its route in the configuration at its receipt.
 struct RoutedRequestOptions
 {
@@ -52,6 +82,8 @@
   RequestFacts m_facts;
   RoutingPtr m_routing; ///< keeps m_route alive
   const Route* m_route{ nullptr };
+  /// Set if another VM has passed the request on; it isn't passed on again.
+  std::optional<RelayFacts> m_relayed;
   std::function<void()> m_onEnd; ///< called last, after the answer
 };
 
@@ -82,6 +114,7 @@
     Reserve, ///< reserves memory of a decode engine
     Prefill, ///< a prefill engine processes the prompt
     Run,     ///< the request itself
+    Relay,   ///< the request itself, passed on by another VM
   };
 
   /// An answer that is held until it is complete.
@@ -137,6 +170,21 @@
   /// allows it; without a permit, the phase goes on at another upstream.
   void Send(const UpstreamPtr& aUpstream, Phase aPhase);
   void SendNow(const UpstreamPtr& aUpstream, Phase aPhase);
+  void BeginAttempt(const UpstreamPtr& aUpstream, Phase aPhase);
+  UpstreamCallOptions CallOptions(const UpstreamPtr& aUpstream, Phase aPhase);
+  /// Passes the request to a VM that reaches upstreams, if that may help.
+  /// @return whether it did, or the request has ended
+  bool TryRelay();
+  bool MayRelay() const;
+  bool AreLinksCut() const;
+  /// Records what an attempt's end tells of this VM's links.
+  void NoteLink(AttemptEnd aEnd);
+  /// Reads the answer of a VM that the request was passed to.
+  void ClassifyRelayHead(const AnswerHead& aHead);
+  /// Reads an answer that an upstream signed.
+  void ClassifySigned(const AnswerHead& aHead);
+  /// Names the upstream in an answer to another VM.
+  void AddRelayField(HttpHeaders& aFields) const;
   void OnNoPermit(Phase aPhase);
   /// Ends the request since the last Pick() found only upstreams whose limits
   /// are used up.
@@ -197,6 +245,7 @@
   const Route* m_route;
   std::string m_service;
   std::vector<std::string> m_traits; ///< what may crash upstreams
+  std::optional<RelayFacts> m_relayed;
   std::function<void()> m_onEnd;
 
   TimePoint m_received;
@@ -214,6 +263,9 @@
   std::set<UpstreamKey> m_excluded;
   std::uint32_t m_prefills{ 0 }; ///< prefills that reached an engine
   std::uint32_t m_prefillTries{ 0 };
+  std::uint32_t m_relays{ 0 }; ///< VMs that the request was passed to
+  /// The last attempt at an upstream was left without an answer.
+  bool m_linkFailed{ false };
   std::uint32_t m_runs{ 0 };     ///< attempts that may have run
   std::uint32_t m_refusals{ 0 }; ///< attempts known not to have run
   /// Sends that reached an upstream, without reservations and successful
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -39,6 +39,11 @@
 void
 RoutedRequest::ClassifyHead(const AnswerHead& aHead)
 {
+  if (m_phase == Phase::Relay) {
+    ClassifyRelayHead(aHead);
+    return;
+  }
+  m_shared.OnUpstreamAnswer(m_service);
   AnswerFacts facts = m_shared.m_dialect.ReadAnswer(aHead);
   if (facts.m_leaving && !facts.m_replaced) {
     m_shared.OnLeaving(m_upstream->m_entry.m_key);
@@ -76,9 +81,16 @@
                "unsigned answer with status " + std::to_string(aHead.m_status));
     return;
   }
+  ClassifySigned(aHead);
+}
+
+void
+RoutedRequest::ClassifySigned(const AnswerHead& aHead)
+{
   SetPendingEnd(EndOfStatus(aHead.m_status));
-  m_streaming = m_phase == Phase::Run && IsStream() && aHead.m_status == 200 &&
-                IsEventStream(aHead);
+  bool isRun = m_phase == Phase::Run || m_phase == Phase::Relay;
+  m_streaming =
+    isRun && IsStream() && aHead.m_status == 200 && IsEventStream(aHead);
   if (m_answerBegun && !m_streaming) {
     EndAttempt(AttemptEnd::Broken,
                "the stream was not resumed; the answer has status " +
@@ -114,8 +126,8 @@
     ForwardEvents(events);
     return;
   }
-  if (m_phase == Phase::Run && m_answerBegun &&
-      m_pendingEnd == AttemptEnd::Answered) {
+  bool isRun = m_phase == Phase::Run || m_phase == Phase::Relay;
+  if (isRun && m_answerBegun && m_pendingEnd == AttemptEnd::Answered) {
     WriteToCaller(aBytes); // an answer too long to be held
     return;
   }
@@ -123,8 +135,7 @@
   if (m_heldAnswer.m_body.size() <= kMaxHeldAnswerBytes) {
     return;
   }
-  if (m_phase != Phase::Run || m_pendingEnd != AttemptEnd::Answered ||
-      m_answerBegun) {
+  if (!isRun || m_pendingEnd != AttemptEnd::Answered || m_answerBegun) {
     EndUnlessRefused(AttemptEnd::Broken, "the answer is too long to be held");
     return;
   }
@@ -163,6 +174,7 @@
       fields.push_back(field);
     }
   }
+  AddRelayField(fields);
   m_answerBegun = true;
   PinSoftwareVersion();
   m_firstEventAt = m_shared.m_loop.Now();
--- a/src/router_request_crashes.cpp
+++ b/src/router_request_crashes.cpp
@@ -9,7 +9,7 @@
 void
 RoutedRequest::ReportRun(AttemptEnd aEnd)
 {
-  if (m_phase == Phase::Reserve) {
+  if (m_phase == Phase::Reserve || m_phase == Phase::Relay) {
     return;
   }
   const UpstreamKey& upstream = m_upstream->m_entry.m_key;
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -18,6 +18,7 @@
       fields.push_back(field);
     }
   }
+  AddRelayField(fields);
   int status = aAnswer.m_head.m_status;
   m_exchange->Respond(
     status, aAnswer.m_head.m_reason, std::move(fields), aAnswer.m_body);
@@ -37,6 +38,9 @@
 void
 RoutedRequest::Finish(NextStep aStep)
 {
+  if (aStep != NextStep::PassOn && TryRelay()) {
+    return;
+  }
   switch (aStep) {
     case NextStep::PassOn:
       Deliver(*m_failure);
@@ -116,10 +120,12 @@
   }
   bool wasSent = ReleaseCall();
   m_shared.m_loop.CancelTimer(m_attemptTimer);
+  NoteLink(aEnd);
   m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
   LogAttempt(aEnd, aReason);
   ReportRun(aEnd);
-  m_runs += m_phase == Phase::Run && wasSent ? 1 : 0;
+  bool isRun = m_phase == Phase::Run || m_phase == Phase::Relay;
+  m_runs += isRun && wasSent ? 1 : 0;
 }
 
 void
@@ -182,6 +188,12 @@
   if (m_limited) {
     event.Add("limited", "yes");
   }
+  if (m_relays > 0) {
+    event.Add("relays", static_cast<std::int64_t>(m_relays));
+  }
+  if (m_relayed) {
+    event.Add("relayed", "yes");
+  }
   if (!m_facts.m_promptParts.empty()) {
     event.Add("parts", JoinedParts());
   }
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -30,6 +30,9 @@
 void
 RoutedRequest::Reserve()
 {
+  if (m_unansweredReserves > 0 && AreLinksCut() && TryRelay()) {
+    return;
+  }
   UpstreamPtr engine = m_reserveRefusals < kMaxFullEngineTries &&
                            m_unansweredReserves < kMaxUnansweredReserves
                          ? Pick(EngineStage::Decode, {})
@@ -40,9 +43,10 @@
   }
   bool onlyLimited = m_permitWait && m_reserveRefusals == 0 &&
                      m_unansweredReserves == 0 && !m_answerBegun;
+  bool noneAnswered = m_reserveRefusals == 0 && m_unansweredReserves > 0;
   if (onlyLimited) {
     RefuseForLimits();
-  } else {
+  } else if (!noneAnswered || !TryRelay()) {
     WaitForMemory();
   }
 }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -38,6 +38,7 @@
   , m_pool(m_loop)
   , m_upstreams(aOptions.m_location)
   , m_admission(m_loop)
+  , m_relays(aOptions.m_location)
   , m_engineCalls(m_loop,
                   m_pool,
                   m_log,
@@ -63,7 +64,11 @@
               .m_origins = m_origins,
               .m_versions = m_versions,
               .m_crashes = m_crashes,
-              .m_permits = m_permits }
+              .m_permits = m_permits,
+              .m_links = m_links,
+              .m_relays = m_relays,
+              .m_serviceLinks = {},
+              .m_reachedAt = {} }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
   , m_origins({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
@@ -107,6 +112,7 @@
   m_loop.CancelTimer(m_tickTimer);
   // Ends the remaining requests as if their callers had disconnected.
   m_callers.reset();
+  m_relayListener.reset();
   m_requests.clear();
 }
 
@@ -133,6 +139,14 @@
                            .m_maxConnections = m_options.m_maxConnections,
                            .m_silenceTimeout = kCallerAckTimeout },
     static_cast<CallerHandlerI&>(*this));
+  if (!m_options.m_relayAddress.empty()) {
+    m_relayListener = std::make_unique<CallerListener>(
+      m_loop,
+      StreamListenerOptions{ .m_address = m_options.m_relayAddress,
+                             .m_maxConnections = m_options.m_maxConnections,
+                             .m_silenceTimeout = kCallerAckTimeout },
+      m_relayHandler);
+  }
   m_suspended = SuspendedTime();
   m_lastTick = m_loop.Now();
   m_sourceContactAt = m_lastTick;
@@ -157,17 +171,53 @@
 
 void
 RouterTask::OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest)
+{
+  Accept(aExchange, aRequest, false);
+}
+
+void
+RouterTask::Accept(const CallerExchangePtr& aExchange,
+                   CallerRequest& aRequest,
+                   bool aRelayed)
 {
   try {
-    StartRequest(aExchange, aRequest);
+    std::optional<RelayFacts> relayed;
+    if (aRelayed) {
+      relayed = TakeRelayFacts(aRequest.m_head.m_fields);
+      CheckRelayed(*relayed);
+    }
+    StartRequest(aExchange, aRequest, relayed);
   } catch (const Error& error) {
     Reject(*aExchange, aRequest, error);
   }
 }
 
+void
+RouterTask::CheckRelayed(const RelayFacts& aFacts) const
+{
+  bool isOlder = m_routes.Config() == nullptr ||
+                 m_routes.Config()->m_version < aFacts.m_configVersion;
+  if (isOlder || m_links.IsCut(m_loop.Now())) {
+    throw Error(ErrorKind::NotReady,
+                isOlder ? "this VM has an older configuration"
+                        : "this VM is cut off from upstreams, too",
+                "Pass the request on to another VM.")
+      .WithRetryAfter(kNoUpstreamRetryAfter);
+  }
+}
+
+CallerLimits
+RouterTask::RelayHandler::Limits() const
+{
+  CallerLimits limits = m_task.Limits();
+  limits.m_maxHead += kRelayHeadMargin;
+  return limits;
+}
+
 void
 RouterTask::StartRequest(const CallerExchangePtr& aExchange,
-                         CallerRequest& aRequest)
+                         CallerRequest& aRequest,
+                         const std::optional<RelayFacts>& aRelayed)
 {
   if (m_routes.Config() == nullptr) {
     throw Error(ErrorKind::NotReady,
@@ -192,6 +242,7 @@
                           .m_facts = std::move(facts),
                           .m_routing = m_routes.Config(),
                           .m_route = route,
+                          .m_relayed = aRelayed,
                           .m_onEnd = [this, key] { RemoveLater(key); } });
   *key = request.get();
   RoutedRequest& started = *request;
@@ -453,6 +504,7 @@
   m_versions.Expire();
   m_crashes.Expire();
   m_permits.Expire();
+  m_relays.Expire(now);
   SetRoles();
   LogReadiness();
   if (m_leaving) {
@@ -516,6 +568,9 @@
     return;
   }
   m_callers->CloseIdle();
+  if (m_relayListener != nullptr) {
+    m_relayListener->CloseIdle();
+  }
   if (!m_requests.empty() && !late) {
     return;
   }
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -36,6 +36,26 @@
   }
 
 private:
+  /// Takes the requests that other VMs pass on.
+  struct RelayHandler : CallerHandlerI
+  {
+    explicit RelayHandler(RouterTask& aTask)
+      : m_task(aTask)
+    {
+    }
+    void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override
+    {
+      m_task.Accept(aExchange, aRequest, true);
+    }
+    void OnBadRequest(const Error& aError) override
+    {
+      m_task.OnBadRequest(aError);
+    }
+    CallerLimits Limits() const override;
+    bool IsLeaving() const override { return m_task.m_leaving; }
+    RouterTask& m_task;
+  };
+
   /// Hands requests of the port for peers or for operators to a function.
   struct Handler : HttpHandlerI
   {
@@ -57,8 +77,15 @@
   void OnBadRequest(const Error& aError) override;
   CallerLimits Limits() const override;
   bool IsLeaving() const override { return m_leaving; }
+  /// @param aRelayed  another VM has passed the request on
+  void Accept(const CallerExchangePtr& aExchange,
+              CallerRequest& aRequest,
+              bool aRelayed);
   void StartRequest(const CallerExchangePtr& aExchange,
-                    CallerRequest& aRequest);
+                    CallerRequest& aRequest,
+                    const std::optional<RelayFacts>& aRelayed);
+  /// @throws Error (NotReady) if this VM can't serve the request
+  void CheckRelayed(const RelayFacts& aFacts) const;
   /// Destroys a request after its current event.
   /// @param aKey  the request, set once it is created
   void RemoveLater(const std::shared_ptr<RoutedRequest*>& aKey);
@@ -95,6 +122,9 @@
   /// @throws std::exception if a field is malformed; no item is applied then
   void ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply);
   void MergePeers(const Json::Value& aPeers);
+  /// Adds what this VM offers to VMs that are cut off.
+  void AddRelayOffer(Json::Value& aMessage) const;
+  void MergeRelayOffer(const std::string& aVm, const Json::Value& aOffer);
   /// Reads the digest of crashes in a message; ignores a malformed one.
   void MergeCrashes(const Json::Value& aMessage);
 
@@ -130,6 +160,8 @@
   ConnectionPool m_pool;
   UpstreamTable m_upstreams;
   Admission m_admission;
+  LinkState m_links;
+  RelayTable m_relays;
   EngineCalls m_engineCalls;
   RouterShared m_shared;
   Directory m_directory;
@@ -143,6 +175,8 @@
   CrashReports m_crashes;
   UpstreamPermits m_permits;
   RpcServer m_rpc;
+  RelayHandler m_relayHandler{ *this };
+  std::unique_ptr<CallerListener> m_relayListener;
   Handler m_peerHandler;
   Handler m_operatorHandler;
   std::unique_ptr<HttpServerI> m_peerServer;
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -410,6 +410,68 @@
   BOOST_TEST(extra <= options.m_ratio * requests + options.m_slack);
 }
 
+// ------------------------------------------------------- links, relays
+
+BOOST_AUTO_TEST_CASE(links_count_as_cut_once_several_upstreams_give_no_answer)
+{
+  LinkState links;
+  BOOST_TEST(!links.OnNoAnswer({ "a", 1 }, 12, kStart));
+  BOOST_TEST(!links.OnNoAnswer({ "a", 1 }, 12, kStart));
+  BOOST_TEST(!links.OnNoAnswer({ "b", 1 }, 12, kStart));
+  BOOST_TEST(links.OnNoAnswer({ "c", 1 }, 12, kStart));
+  BOOST_TEST(links.IsCut(kStart));
+  BOOST_TEST(!links.OnNoAnswer({ "d", 1 }, 12, kStart)); // no news
+  BOOST_TEST(links.TakeTrial(kStart));
+  BOOST_TEST(!links.TakeTrial(kStart));
+  BOOST_TEST(links.TakeTrial(kStart + kLinkTrialPeriod));
+  BOOST_TEST(links.OnAnswer(kStart));
+  BOOST_TEST(!links.IsCut(kStart));
+}
+
+BOOST_AUTO_TEST_CASE(links_are_not_cut_while_an_upstream_answers)
+{
+  LinkState links;
+  for (const char* id : { "a", "b", "c", "d" }) {
+    BOOST_TEST(!links.OnNoAnswer({ id, 1 }, 12, kStart));
+    links.OnAnswer(kStart);
+  }
+  // Failures at times far apart aren't one event.
+  TimePoint now = kStart;
+  for (const char* id : { "a", "b", "c", "d" }) {
+    BOOST_TEST(!links.OnNoAnswer({ id, 1 }, 12, now));
+    now += kLinkEvidenceTime;
+  }
+  // One crashed upstream of a service of one doesn't look like a cut.
+  LinkState one;
+  BOOST_TEST(!one.OnNoAnswer({ "a", 1 }, 1, kStart));
+}
+
+BOOST_AUTO_TEST_CASE(a_relay_is_chosen_by_service_and_distance)
+{
+  RelayTable relays(ThreeDomains());
+  auto pick = [&](const std::string& aService, bool aAny) {
+    UpstreamPtr found = relays.Pick({ .m_service = aService,
+                                      .m_fromDomain = {},
+                                      .m_excluded = {},
+                                      .m_softwareVersion = {} },
+                                    aAny,
+                                    kStart);
+    return found == nullptr ? "" : found->m_entry.m_key.m_id;
+  };
+  relays.Put({ "far:1", "far:2", "b1", { "s" } }, kStart);
+  BOOST_TEST(pick("s", false) == "far:1");
+  relays.Put({ "near:1", "near:2", "a1", { "s" } }, kStart);
+  BOOST_TEST(pick("s", false) == "near:1");
+  BOOST_TEST(pick("t", false).empty());
+  relays.Put({ "far:1", "far:2", "b1", { "t" } }, kStart);
+  BOOST_TEST(pick("t", true) == "far:1");
+  relays.Remove("near:1");
+  BOOST_TEST(pick("s", false).empty());
+  BOOST_TEST(pick("s", true) == "far:1");
+  relays.Expire(kStart + kRelayOfferLifetime + 1ms);
+  BOOST_TEST(relays.IsEmpty());
+}
+
 // ------------------------------------------------------- engines' memory
 
 namespace {
--- a/tests/router_fixture.h
+++ b/tests/router_fixture.h
@@ -92,6 +92,7 @@
     return { .m_callerAddress = "127.0.0.1:0",
              .m_peerAddress = "127.0.0.1:0",
              .m_operatorAddress = "127.0.0.1:0",
+             .m_relayAddress = "127.0.0.1:0",
              .m_location = { .m_failureDomain = "z1",
                              .m_regions = { { "z1", "r1" } } },
              .m_retryBudget = { .m_ratio = 10 } };
--- a/tests/router_relay_test.cpp
+++ b/tests/router_relay_test.cpp
@@ -155,6 +155,26 @@
   std::optional<OtherVm> m_cutVm;
 };
 
+/// Two VMs that are both cut off.
+struct BothCutOff : CutOff
+{
+  BothCutOff()
+  {
+    m_loop.Do([this] {
+      for (const auto& server : m_servers) {
+        std::string entry = server->Entry("plain", "");
+        std::string address = server->Address();
+        entry.replace(
+          entry.find(address), address.size(), m_deadPort.Address());
+        m_store->Put("servers/" + server->Id(), entry);
+      }
+    });
+    RouterOptions options = Options();
+    options.m_seeds = { "127.0.0.1:" + std::to_string(m_cutVm->PeerPort()) };
+    m_loop.Do([&] { m_router->Reload(options); });
+  }
+};
+
 struct HangingCutOff : CutOff
 {
   HangingCutOff()
@@ -177,3 +197,62 @@
 {
   CheckAllServed();
 }
+
+BOOST_FIXTURE_TEST_CASE(a_request_that_a_relay_may_have_run_is_not_sent_again,
+                        CutOff)
+{
+  BOOST_TEST(WaitFor(
+    [this] { return AskCutVm("/safe/", "r").starts_with("HTTP/1.1 200 "); }));
+  m_loop.Do([this] {
+    for (const auto& server : m_servers) {
+      server->SetScript([](const PublishedCall& aCall) {
+        aCall.m_exchange->Begin(
+          200, "OK", PublishedServer::SignedFields(aCall));
+        aCall.m_exchange->Abort();
+        return true;
+      });
+    }
+  });
+  std::string answer = AskCutVm("/once/", "once");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+  int received = m_loop.Do([this] {
+    int count = 0;
+    for (const auto& server : m_servers) {
+      for (const CallerRequest& request : server->Received()) {
+        const std::string* id =
+          FindField(request.m_head.m_fields, "X-Shallotford-Request-Id");
+        count += id != nullptr && *id == "once" ? 1 : 0;
+      }
+    }
+    return count;
+  });
+  BOOST_TEST(received == 1);
+}
+
+BOOST_FIXTURE_TEST_CASE(vms_that_are_all_cut_off_refuse_requests, BothCutOff)
+{
+  for (const char* path : { "/safe/", "/once/", "/once/", "/safe/" }) {
+    std::string answer = AskCutVm(path, "r");
+    BOOST_TEST(answer.starts_with("HTTP/1.1 503 "));
+    BOOST_TEST(Has(answer, "Retry-After: "));
+    BOOST_TEST(Has(answer, "\"run\":\"no\""));
+  }
+}
+
+BOOST_FIXTURE_TEST_CASE(a_relays_answer_tells_which_upstream_leaves, CutOff)
+{
+  m_loop.Do([this] { m_servers[0]->SetLeaving(); });
+  int requests = 0;
+  BOOST_TEST(WaitFor([&] {
+    std::string answer = AskCutVm("/safe/", "r" + std::to_string(++requests));
+    BOOST_TEST(!Has(answer, "Shallotford-Relay"));
+    return CountLogLines("event=upstream_leaving") == 2U;
+  }));
+}
+
+BOOST_FIXTURE_TEST_CASE(fields_of_relays_have_no_meaning_for_callers, CutOff)
+{
+  std::string answer = Ask("/safe/", "r1", "Shallotford-Relay-Config: 99\r\n");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(!Has(answer, "Shallotford-Relay"));
+}
