--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -131,10 +131,13 @@
   }
   upstream.m_expiresAt.reset();
   upstream.m_heldUntil = {};
+  // A server that leaves never becomes ready again, so the order of its
+  // reports doesn't matter for this.
+  bool draining = upstream.m_entry.m_draining || aEntry.m_draining;
+  upstream.m_entry.m_draining = draining;
   if (aEntry.m_sequence < upstream.m_entry.m_sequence) {
     return;
   }
-  bool draining = upstream.m_entry.m_draining || aEntry.m_draining;
   upstream.m_entry = aEntry;
   upstream.m_entry.m_draining = draining;
 }
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -259,6 +259,18 @@
   BOOST_TEST(PickId(table, kStart) == "u");
 }
 
+BOOST_AUTO_TEST_CASE(a_too_high_report_number_does_not_hide_that_one_leaves)
+{
+  UpstreamTable table(ThreeDomains());
+  UpstreamEntry entry = MakeEntry("u", "a1");
+  entry.m_sequence = UINT64_MAX;
+  table.Put(entry);
+  entry.m_sequence = 5;
+  entry.m_draining = true;
+  table.Put(entry);
+  BOOST_TEST(PickId(table, kStart).empty());
+}
+
 BOOST_AUTO_TEST_CASE(a_removed_entry_that_is_listed_again_is_held_first)
 {
   UpstreamTable table(ThreeDomains());
--- a/tests/router_vms_test.cpp
+++ b/tests/router_vms_test.cpp
@@ -35,6 +35,43 @@
   BOOST_TEST(Ask("/safe/", "r1").starts_with("HTTP/1.1 200 "));
 }
 
+BOOST_FIXTURE_TEST_CASE(an_odd_entry_of_a_server_does_not_stop_the_others,
+                        Plain)
+{
+  auto entry = [](const std::string& aPort, const std::string& aSlots) {
+    return R"({"service":"plain","address":"127.0.0.1:)" + aPort +
+           R"(","zone":"z1","state":"ready","born":1,"seq":1,"slots":)" +
+           aSlots + "}";
+  };
+  std::vector<std::string> odd{ std::string(100'000, '['),
+                                entry("1", std::string(100'000, '[')),
+                                entry("1", "1e999"),
+                                entry("1", "18446744073709551616"),
+                                entry("1", "4294967296"),
+                                entry("1", "-1"),
+                                entry("1", "1.5"),
+                                entry("65536", "8"),
+                                entry("99999999999999999999", "8"),
+                                entry("-1", "8"),
+                                entry("0", "8"),
+                                "[]",
+                                "7",
+                                "null",
+                                "" };
+  m_loop.Do([&] {
+    for (std::size_t i = 0; i < odd.size(); ++i) {
+      m_store->Put("servers/odd" + std::to_string(i), odd[i]);
+    }
+  });
+  BOOST_TEST(
+    WaitFor([&] { return CountLogLines("event=item_ignored") == odd.size(); }));
+  BOOST_TEST(Knows(2));
+  // Later changes are followed.
+  m_loop.Do([this] { m_store->Remove("servers/i-a"); });
+  BOOST_TEST(WaitFor([this] { return Knows(1); }));
+  BOOST_TEST(Ask("/safe/", "r1").starts_with("HTTP/1.1 200 "));
+}
+
 BOOST_FIXTURE_TEST_CASE(routing_continues_without_the_store, Plain)
 {
   for (StoreFault fault : { StoreFault::Unavailable, StoreFault::NoAnswer }) {
