Don't trust a refusal without a request's id on a reused connection

A report of another operator: a faulty server wrote an earlier refusal once more on a kept connection, and callers were told 'not run' for requests that ran.

Here a refusal that names an earlier request was dropped before. One that names none was taken as the answer: the caller got 503 while the server ran the request, and a retry could have run it a second time.

Change: on a reused connection, a refusal of a run that names no request breaks the attempt off, and the request may have run. The stand-in of servers names the request in its refusals, as the platform's servers do.

--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -55,6 +55,15 @@
     EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
     return;
   }
+  // It may be an earlier request's refusal, written once more.
+  bool isUnclear = m_phase == Phase::Run && facts.m_requestId.empty() &&
+                   !m_facts.m_id.empty() && m_call->IsReused() &&
+                   (facts.m_replaced || facts.m_notExecuted);
+  if (isUnclear) {
+    EndAttempt(AttemptEnd::Broken,
+               "a refusal on a reused connection names no request");
+    return;
+  }
   if (facts.m_replaced) {
     SetPendingEnd(AttemptEnd::Replaced);
     return;
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -173,6 +173,7 @@
       m_lastBytesAt = m_loop.Now();
     }
   }
+  bool IsReused() const override { return m_reused; }
   void OnConnected() override
   {
     Arm(std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline -
@@ -357,6 +358,7 @@
   }
   void PauseReading() override {}
   void ResumeReading() override {}
+  bool IsReused() const override { return false; }
 
 private:
   std::shared_ptr<bool> m_pending{ std::make_shared<bool>(true) };
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -58,6 +58,8 @@
   virtual bool Cancel() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
+  /// Returns whether an earlier request had used the connection.
+  virtual bool IsReused() const = 0;
 };
 
 /// Numbers of requests for which a ConnectionPool opened a connection or reused
--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -244,6 +244,42 @@
   BOOST_TEST(!IsComplete(answer));
 }
 
+namespace {
+
+/// Refusals that an upstream writes once more, with and without the id of the
+/// request that they answered.
+const std::array<std::string, 3> kRepeatedRefusals = {
+  "HTTP/1.1 503 Full\r\nX-Shallotford-Request-Id: r1\r\n"
+  "X-Shallotford-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n",
+  "HTTP/1.1 503 Full\r\nX-Shallotford-Not-Executed: 1\r\n"
+  "Content-Length: 0\r\n\r\n",
+  "HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n",
+};
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_refusal_written_again_is_no_answer_to_the_next_request,
+                       data::make(kRepeatedRefusals),
+                       refusal)
+{
+  m_loop.Do([this] { m_store->Remove("servers/i-1"); });
+  BOOST_TEST(WaitFor([this] { return Has(Metrics(), "_upstreams 1\n"); }));
+  RawSocket first(Port());
+  first.Send(Request("/once/", "r1", "body", "Connection: close\r\n"));
+  auto upstream = NextAttempt();
+  upstream->Send("HTTP/1.1 503 Full\r\nX-Shallotford-Request-Id: r1\r\n"
+                 "X-Shallotford-Not-Executed: 1\r\nContent-Length: 0\r\n\r\n");
+  BOOST_TEST(first.ReadToEnd().starts_with("HTTP/1.1 503 "));
+  RawSocket second(Port());
+  second.Send(Request("/once/", "r2", "body", "Connection: close\r\n"));
+  upstream->ReadUntil("Request-Id: r2");
+  // The upstream runs the second request.
+  upstream->Send(refusal);
+  std::string answer = second.ReadToEnd();
+  BOOST_TEST(answer.starts_with("HTTP/1.1 502 "), answer);
+}
+
 BOOST_DATA_TEST_CASE_F(RawUpstreams,
                        a_plain_answer_on_a_stream_route_is_passed_on,
                        data::make(kFramings),
--- a/tools/standin_published.cpp
+++ b/tools/standin_published.cpp
@@ -309,7 +309,10 @@
 PublishedServer::AnswerNotRun(const PublishedCall& aCall)
 {
   aCall.m_exchange->Respond(
-    503, "Service Unavailable", { { "X-Shallotford-Not-Executed", "1" } }, "");
+    503,
+    "Service Unavailable",
+    { { kRequestId, aCall.m_id }, { "X-Shallotford-Not-Executed", "1" } },
+    "");
 }
 
 void
