Show that an error of the next upstream stays out of a begun stream

A report of another operator: a stream broke off, the next server answered with an error, and clients found its text in the middle of their stream, or a stream that looked complete.

It can't happen here: eight kinds of error answers, among them one with the type of a stream, leave the stream cut, without their text.

--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -246,6 +246,48 @@
 
 namespace {
 
+/// Answers of an upstream that doesn't go on with a stream.
+std::vector<std::string>
+ErrorAnswers()
+{
+  const std::string id = "X-Shallotford-Request-Id: r1\r\n";
+  const std::string signature = "X-Shallotford-Response-Signature: m\r\n";
+  const std::string body = "Content-Length: 9\r\n\r\nerrortext";
+  return {
+    "HTTP/1.1 500 Error\r\n" + id + signature + body,
+    "HTTP/1.1 500 Error\r\n" + id + signature +
+      "Content-Type: text/event-stream\r\n" + body,
+    "HTTP/1.1 500 Error\r\n" + id + body,
+    "HTTP/1.1 200 OK\r\n" + id + "Content-Type: text/event-stream\r\n" + body,
+    "HTTP/1.1 200 OK\r\n" + id + signature +
+      "Content-Type: application/json\r\n" + body,
+    "HTTP/1.1 503 Full\r\n" + id + "X-Shallotford-Not-Executed: 1\r\n" + body,
+    "HTTP/1.1 421 Misdirected Request\r\n" + body,
+    "errortext\r\n\r\n",
+  };
+}
+
+} // namespace
+
+BOOST_DATA_TEST_CASE_F(
+  RawUpstreams,
+  an_error_of_the_next_upstream_stays_out_of_a_begun_stream,
+  data::make(ErrorAnswers()),
+  error)
+{
+  auto caller = Call("/resumed/x");
+  Answer(*NextAttempt(), "chunked", Event(1) + kCutEvent, Close::Reset);
+  auto next = NextAttempt();
+  next->Send(error);
+  next->Close();
+  std::string answer = caller->ReadToEnd();
+  BOOST_TEST(!Has(answer, "errortext"));
+  BOOST_TEST(answer.rfind("HTTP/1.1 ") == 0U);
+  BOOST_TEST(!IsComplete(answer));
+}
+
+namespace {
+
 /// Refusals that an upstream writes once more, with and without the id of the
 /// request that they answered.
 const std::array<std::string, 3> kRepeatedRefusals = {
