Let the soak restore the store and open the ports of relays

The store comes back from a copy that is 0.5 to 3 s old, in a new era, and what it lost is written again within a second.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -64,7 +64,8 @@
     def __init__(self, soak, number):
         self.soak = soak
         self.name = f"vm-{number}"
-        self.ports = {n: free_port() for n in ("callers", "peers", "operators")}
+        self.ports = {n: free_port()
+                      for n in ("callers", "peers", "operators", "relays")}
         self.proxy = Proxy(self.ports["callers"])
         self.store_proxy = Proxy(soak.world.store.port)
         self.file = os.path.join(soak.folder, self.name + ".json")
@@ -258,7 +259,8 @@
         planned = [self.stop_daemon, self.hang_up, self.reconfigure,
                    self.drain_server, self.limit_server]
         unplanned = [self.kill_daemon, self.pause_daemon, self.cut_link,
-                     self.reset_link, self.store_mood, self.spoil_server,
+                     self.reset_link, self.store_mood, self.restore_store,
+                     self.spoil_server,
                      self.crash_server, self.crashing_request]
         choices = planned if self.planned_only else planned + unplanned
         running = set()
@@ -336,6 +338,18 @@
         self.world.store.mood = "well"
         self.world.store.reset_all()
 
+    async def restore_store(self):
+        """The store comes back from a copy; what it lost is written again."""
+        copy = self.world.store.revision
+        await asyncio.sleep(self.random.uniform(0.5, 3))
+        if self.world.store.revision < copy:
+            return  # another one has gone back further
+        lost = self.world.store.go_back(copy)
+        await asyncio.sleep(self.random.uniform(0, 1))
+        for key, item in lost.items():
+            if self.world.store.items.get(key, {}) != item:
+                self.world.store.write_again(key, item)
+
     async def spoil_server(self):
         server = self.random.choice(self.world.servers)
         server.fault = self.random.choice(
--- a/scripts/soak_world.py
+++ b/scripts/soak_world.py
@@ -155,6 +155,7 @@
         super().__init__()
         self.items = {}
         self.history = []
+        self.era = 1
         self.revision = 1
         self.mood = "well"  # or "busy", "silent", "compacted", "slow"
         self.changed = asyncio.Event()
@@ -166,6 +167,21 @@
     def remove(self, key):
         self._add(key, {"removed": True})
 
+    def go_back(self, revision):
+        """Comes back from an older copy; returns the last lost change of each
+        key."""
+        lost = {i["key"]: i for i in self.history if i["revision"] > revision}
+        self.history = [i for i in self.history if i["revision"] <= revision]
+        self.items = {i["key"]: i for i in self.history}
+        self.revision = revision
+        self.era += 1
+        self.reset_all()
+        return lost
+
+    def write_again(self, key, lost):
+        self._add(key, {name: value for name, value in lost.items()
+                        if name in ("value", "removed")})
+
     def _add(self, key, item):
         self.revision += 1
         item = {"key": key, "revision": self.revision, **item}
@@ -184,7 +200,8 @@
             path, _, query = first.split(" ")[1].partition("?")
             status, body = await self._answer(
                 path, urllib.parse.parse_qs(query))
-            write_answer(writer, status, {}, json.dumps(body))
+            write_answer(writer, status, {"Store-Era": self.era},
+                         json.dumps(body))
             await writer.drain()
 
     async def _answer(self, path, query):
@@ -198,6 +215,8 @@
             self.mood = "well"
             return 410, {}
         after = int(query["after"][0])
+        if after > self.revision:
+            return 410, {}
         if after >= self.revision:
             wait = int(query["wait-ms"][0]) / 1000
             try:
