--- a/tests/router_relay_test.cpp
+++ b/tests/router_relay_test.cpp
@@ -27,7 +27,8 @@
     address.sin_family = AF_INET;
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
     socklen_t size = sizeof address;
-    ::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size);
+    BOOST_REQUIRE(
+      ::bind(m_socket, reinterpret_cast<sockaddr*>(&address), size) == 0);
     ::getsockname(m_socket, reinterpret_cast<sockaddr*>(&address), &size);
     m_port = ntohs(address.sin_port);
     if (!aHangs) {
@@ -38,7 +39,7 @@
     // attempts.
     for (int& filler : m_fillers) {
       filler = ::socket(AF_INET, SOCK_STREAM | SOCK_NONBLOCK, 0);
-      ::connect(filler, reinterpret_cast<sockaddr*>(&address), size);
+      (void)::connect(filler, reinterpret_cast<sockaddr*>(&address), size);
     }
   }
   ~DeadPort()
