--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -160,6 +160,10 @@
     TakeField(m_heldAnswer.m_head.m_fields, kUpstreamField);
   std::optional<UpstreamKey> upstream =
     name ? ReadUpstreamKey(*name) : std::nullopt;
+  if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
+    EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
+    return;
+  }
   if (facts.m_leaving && upstream) {
     m_shared.OnLeaving(*upstream);
   }
