Judge the links anew after a pause of the process

Cause: after a pause all attempts under way end without an answer at once, which looked like a cut of this VM's links. And connections to VMs that pass requests on were kept as idle ones, though the steady clock doesn't count the time of a suspension; those to upstreams were closed.

Change: a detected pause forgets what was judged of the links, and closes all idle connections, to upstreams and to VMs.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -821,6 +821,8 @@
                   std::size_t aUpstreams,
                   TimePoint aNow);
   bool IsCut(TimePoint aNow) const { return aNow < m_cutUntil; }
+  /// This process paused, so that attempts ended for want of its own time.
+  void Forget() { *this = {}; }
   /// Returns whether a request may try an upstream while the links are cut, and
   /// counts it.
   bool TakeTrial(TimePoint aNow);
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -334,9 +334,11 @@
   }
   m_log.Write(LogEvent("paused", LogLevel::Warning).Add("pause", pause));
   m_permits.OnPause();
-  for (const UpstreamPtr& upstream : m_upstreams.All()) {
-    m_pool.CloseIdle(upstream->m_entry.m_key);
+  m_links.Forget();
+  for (auto& [service, links] : m_shared.m_serviceLinks) {
+    links.Forget();
   }
+  m_pool.CloseAllIdle();
 }
 
 void
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -449,4 +449,10 @@
   m_idle.erase(aKey);
 }
 
+void
+ConnectionPool::CloseAllIdle()
+{
+  m_idle.clear();
+}
+
 } // namespace shallotford
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -86,6 +86,7 @@
                                        UpstreamCallHandlerI& aHandler);
   /// Closes the idle connections to aKey.
   void CloseIdle(const UpstreamKey& aKey);
+  void CloseAllIdle();
   const ConnectionPoolCounts& Counts() const { return m_counts; }
 
 private:
--- a/tests/router_relay_test.cpp
+++ b/tests/router_relay_test.cpp
@@ -297,6 +297,21 @@
   BOOST_TEST(!Has(answer, "Shallotford-Relay"));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_pause_of_the_process_is_no_cut, CutOff)
+{
+  BOOST_TEST(WaitFor(
+    [this] { return AskCutVm("/safe/", "r").starts_with("HTTP/1.1 200 "); }));
+  std::size_t cuts = CountLogLines("event=links_cut");
+  m_loop.Do([] { std::this_thread::sleep_for(2s); });
+  BOOST_TEST(WaitFor([this] { return CountLogLines("event=paused") == 2U; }));
+  // The links are judged anew.
+  BOOST_TEST(AskCutVm("/safe/", "r2").starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(WaitFor([&] {
+    AskCutVm("/safe/", "r3");
+    return CountLogLines("event=links_cut") > cuts;
+  }));
+}
+
 BOOST_FIXTURE_TEST_CASE(broken_runs_of_a_vm_that_is_cut_off_convict_nothing,
                         BrokenOff)
 {
