Refuse a relayed request at once without links to its service

Cause: a VM that had lost its links to one service only still tried its servers for requests that others passed to it, up to four connection attempts, while the caller's time ran. Only a VM without links to any service refused at once.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -114,6 +114,11 @@
   if (!tries && TryRelay()) {
     return;
   }
+  if (!tries && m_relayed) {
+    // The VM that has the caller chooses another one.
+    Finish(DecideEnd(Progress()));
+    return;
+  }
   if (ServedByEngines()) {
     StartAtEngines();
   } else {
--- a/tests/router_relay_test.cpp
+++ b/tests/router_relay_test.cpp
@@ -331,3 +331,41 @@
   BOOST_TEST(CountLogLines("quarantined=yes") == 0U);
   BOOST_TEST(Ask("/safe/same", "last").starts_with("HTTP/1.1 200 "));
 }
+
+BOOST_FIXTURE_TEST_CASE(a_relay_without_links_to_the_service_refuses_at_once,
+                        CutOff)
+{
+  // The first VM loses the servers of one service, too.
+  m_loop.Do([this] {
+    for (const auto& server : m_servers) {
+      if (server->Id() < "i-d") {
+        std::string entry = server->Entry("plain", "");
+        std::string address = server->Address();
+        entry.replace(
+          entry.find(address), address.size(), m_deadPort.Address());
+        m_store->Put("servers/" + server->Id(), entry);
+        server->Close();
+      }
+    }
+  });
+  BOOST_TEST(WaitFor([this] {
+    Ask("/safe/", "own");
+    return Ask("/fixed/", "f").starts_with("HTTP/1.1 200 ") &&
+           CountLogLines("event=links_cut service=plain") >= 1U;
+  }));
+  std::size_t refused = 0;
+  for (int i = 0; i < 4; ++i) {
+    std::string id = "relayed" + std::to_string(i);
+    BOOST_TEST(AskCutVm("/once/", id).starts_with("HTTP/1.1 503 "));
+    refused += m_loop.Do([&] {
+      const auto& lines = m_log.Lines();
+      return static_cast<std::size_t>(
+        std::count_if(lines.begin(), lines.end(), [&](const auto& aLine) {
+          return Has(aLine, "request_end request=" + id) &&
+                 Has(aLine, "relayed=yes") && Has(aLine, " refusals=0 ");
+        }));
+    });
+  }
+  // One request in kLinkTrialPeriod may try the servers.
+  BOOST_TEST(refused >= 2U);
+}
