Take a relay's internal error for a request that may have run

Cause: of a peer's own statuses only 502 and 504 counted as uncertain. With 500 the request went on to another VM, though the peer doesn't say that it has not run.

Change: each status from 500 on but 503 is uncertain.

Result: found by reading; no test makes a peer answer 500, as no path of a relayed request is known to.

--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -168,12 +168,12 @@
     m_shared.OnLeaving(*upstream);
   }
   if (!facts.m_isSigned) {
-    // The VM's own answer. Of these, only 502 and 504 don't promise that the
+    // The VM's own answer. Of its statuses from 500 on, only 503 says that the
     // request has not run.
-    constexpr int kBadGateway = 502;
-    constexpr int kGatewayTimeout = 504;
+    constexpr int kFirstServerError = 500;
+    constexpr int kUnavailable = 503;
     bool mayHaveRun =
-      aHead.m_status == kBadGateway || aHead.m_status == kGatewayTimeout;
+      aHead.m_status >= kFirstServerError && aHead.m_status != kUnavailable;
     SetPendingEnd(mayHaveRun ? AttemptEnd::Broken : AttemptEnd::Refused);
     return;
   }
