Ask one predicate on each path that sends whether an upstream takes requests

Cause: a request that had waited, for a permit or with a reservation, checked again only whether its upstream is draining, not whether it is held since an older copy of the store lists it again.

Change: Upstream::TakesRequests() says both, and is asked where an upstream is chosen, when a permit comes, and before a reserved engine runs a request. Prefills, reservations, runs and retries all go through these.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -375,6 +375,14 @@
   std::optional<TimePoint> m_expiresAt;
   /// No request is sent to it before this time.
   TimePoint m_heldUntil{};
+
+  /// Returns whether requests may be sent to it, by what is known of its entry
+  /// and of its leaving. Each path that sends asks this last, as it may have
+  /// waited since the upstream was chosen.
+  bool TakesRequests(TimePoint aNow) const
+  {
+    return !m_entry.m_draining && aNow >= m_heldUntil;
+  }
 };
 using UpstreamPtr = std::shared_ptr<Upstream>;
 
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -268,8 +268,8 @@
 {
   for (const auto& [key, upstream] : m_upstreams) {
     const UpstreamEntry& entry = upstream->m_entry;
-    if (entry.m_service == aService && !entry.m_draining &&
-        IsOfVersion(entry, aSoftwareVersion) && aNow >= upstream->m_heldUntil &&
+    if (entry.m_service == aService && upstream->TakesRequests(aNow) &&
+        IsOfVersion(entry, aSoftwareVersion) &&
         upstream->m_health.IsUsable(aNow)) {
       return true;
     }
@@ -290,7 +290,7 @@
                            TimePoint aNow) const
 {
   const UpstreamEntry& entry = aUpstream.m_entry;
-  return !entry.m_draining && aNow >= aUpstream.m_heldUntil &&
+  return aUpstream.TakesRequests(aNow) &&
          entry.m_service == aRequest.m_service &&
          entry.m_stage == aRequest.m_stage &&
          IsOfVersion(entry, aRequest.m_softwareVersion) &&
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -267,8 +267,8 @@
 RoutedRequest::PickForRun()
 {
   if (!m_reservation.empty()) {
-    const UpstreamEntry& reserved = m_reservedEngine->m_entry;
-    if (!reserved.m_draining && !m_excluded.contains(reserved.m_key)) {
+    bool isExcluded = m_excluded.contains(m_reservedEngine->m_entry.m_key);
+    if (!isExcluded && m_reservedEngine->TakesRequests(m_shared.m_loop.Now())) {
       return m_reservedEngine;
     }
     ReleaseReservation();
@@ -317,7 +317,7 @@
       if (alive.expired() || m_ended) {
         return;
       }
-      if (aGranted && !aUpstream->m_entry.m_draining) {
+      if (aGranted && aUpstream->TakesRequests(m_shared.m_loop.Now())) {
         SendNow(aUpstream, aPhase);
       } else {
         OnNoPermit(aPhase);
