Hold relisted entries by the heartbeat of the deployment

Cause: an entry that an older copy of the store lists again was held for 6 s, which is more than the lease only where heartbeats come every 2 s or faster.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -39,6 +39,7 @@
   /// Time for which the platform keeps the changes of what it publishes, in
   /// seconds; 0 if that isn't known.
   double m_history{ 0 };
+  double m_heartbeat{ 1.2 }; ///< seconds between upstreams' heartbeats
   /// True when the whole system starts for the first time and has no requests
   /// yet.
   bool m_firstStart{ false };
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -414,7 +414,10 @@
   /// The source has gone back in time and holds the removed entry of aId again.
   /// Until the entry has outlasted the lease of an upstream that is gone, its
   /// upstream gets no requests.
-  void OnRelisted(const std::string& aId, TimePoint aNow);
+  /// @param aHeartbeat  period of upstreams' heartbeats
+  void OnRelisted(const std::string& aId,
+                  std::chrono::milliseconds aHeartbeat,
+                  TimePoint aNow);
   /// An answer of the upstream says that it leaves.
   /// @return whether that is news
   bool OnLeaving(const UpstreamKey& aKey);
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -171,6 +171,8 @@
   std::size_t m_maxConnections{ 2048 };
   /// Longest time from the stop signal to the end of the process.
   std::chrono::milliseconds m_drainTime{ 8'000 };
+  /// Period of the heartbeats that keep upstreams' entries.
+  std::chrono::milliseconds m_heartbeat{ 1'200 };
   /// All VMs start for the first time.
   bool m_firstStart{ false };
   /// Request shape by which engines' roles are set at the first start; zeros
--- a/src/config.h
+++ b/src/config.h
@@ -428,9 +428,11 @@
 constexpr std::chrono::milliseconds kMassRemovalGrace = 4'000ms;
 /// Silence of the directory's source in which entries' leases may run out.
 constexpr std::chrono::milliseconds kMinSourceOutage = 3'000ms;
-/// Time for which a removed entry must be listed again by a source that went
-/// back in time until its upstream is used: more than the lease of entries.
-constexpr std::chrono::milliseconds kRelistedEntryHold = 6'000ms;
+/// Heartbeats of an upstream after whose absence its entry's lease ends.
+constexpr int kHeartbeatsPerLease = 3;
+/// Added to the lease for the time in which a source that went back in time
+/// must go on listing a removed entry until its upstream is used.
+constexpr std::chrono::milliseconds kRelistedEntryMargin = 2'000ms;
 /// Removed upstreams that are remembered as leaving, at most.
 constexpr std::size_t kMaxLeftUpstreams = 1'000;
 /// Smallest share of a service's entries whose removal at one time counts as
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -46,6 +46,7 @@
                                 SecondsToMilliseconds(routing.m_retryWindow) },
            .m_maxConnections = aSettings.m_maxConnections,
            .m_drainTime = SecondsToMilliseconds(routing.m_drainTime),
+           .m_heartbeat = SecondsToMilliseconds(routing.m_heartbeat),
            .m_firstStart = routing.m_firstStart,
            .m_typicalRequest = { .m_promptTokens = routing.m_typicalPrompt,
                                  .m_outputTokens = routing.m_typicalOutput } };
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -143,11 +143,14 @@
 }
 
 void
-UpstreamTable::OnRelisted(const std::string& aId, TimePoint aNow)
+UpstreamTable::OnRelisted(const std::string& aId,
+                          std::chrono::milliseconds aHeartbeat,
+                          TimePoint aNow)
 {
   for (const auto& [key, upstream] : m_upstreams) {
     if (key.m_id == aId) {
-      upstream->m_heldUntil = aNow + kRelistedEntryHold;
+      upstream->m_heldUntil =
+        aNow + kHeartbeatsPerLease * aHeartbeat + kRelistedEntryMargin;
     }
   }
 }
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -113,7 +113,8 @@
   if (item.m_upstream) {
     ApplyUpstream(*item.m_upstream, aFrom);
     if (aItem.m_relisted) {
-      m_upstreams.OnRelisted(item.m_upstreamId, m_loop.Now());
+      m_upstreams.OnRelisted(
+        item.m_upstreamId, m_options.m_heartbeat, m_loop.Now());
       m_log.Write(
         LogEvent("upstream_relisted").Add("upstream", item.m_upstreamId));
     }
