Name what stood twice: distance costs, runs, and lost configurations

Cause: found by reading the change as a newcomer. The cost of a distance was written twice, the question whether an attempt runs the request four times, and the era of a lost configuration was set aside and put back around a call.

Change: DistanceCost() and IsRun() have one definition each; ApplyItem() is told the era of its item. No decision changes.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -278,6 +278,10 @@
                 const std::string& aFrom,
                 const std::string& aTo);
 
+/// Returns the cost of a distance, in units of a fully used upstream.
+double
+DistanceCost(Distance aDistance);
+
 /// How an attempt at an upstream ended.
 enum class AttemptEnd
 {
--- a/src/config.h
+++ b/src/config.h
@@ -426,6 +426,8 @@
 /// usable if many entries of their service are removed: the source has lost
 /// the entries, and upstreams that run publish them again.
 constexpr std::chrono::milliseconds kMassRemovalGrace = 4'000ms;
+/// Stands for an era before the current one, whichever it was.
+constexpr std::uint64_t kLostEra = 0;
 /// Silence of the directory's source in which entries' leases may run out.
 constexpr std::chrono::milliseconds kMinSourceOutage = 3'000ms;
 /// Heartbeats of an upstream after whose absence its entry's lease ends.
--- a/src/route_relays.cpp
+++ b/src/route_relays.cpp
@@ -9,24 +9,6 @@
 
 namespace shallotford {
 
-namespace {
-
-double
-DistanceCost(Distance aDistance)
-{
-  switch (aDistance) {
-    case Distance::SameDomain:
-      return 0;
-    case Distance::SameRegion:
-      return kSameRegionCost;
-    case Distance::OtherRegion:
-      return kOtherRegionCost;
-  }
-  return 0;
-}
-
-} // namespace
-
 // ------------------------------------------------------------------ links
 
 bool
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -17,20 +17,6 @@
   return found == aLocation.m_regions.end() ? aDomain : found->second;
 }
 
-double
-DistanceCost(Distance aDistance)
-{
-  switch (aDistance) {
-    case Distance::SameDomain:
-      return 0;
-    case Distance::SameRegion:
-      return kSameRegionCost;
-    case Distance::OtherRegion:
-      return kOtherRegionCost;
-  }
-  return 0;
-}
-
 /// Returns how many requests an upstream serves at once without delay.
 double
 Concurrency(const UpstreamEntry& aEntry)
@@ -76,6 +62,20 @@
 
 } // namespace
 
+double
+DistanceCost(Distance aDistance)
+{
+  switch (aDistance) {
+    case Distance::SameDomain:
+      return 0;
+    case Distance::SameRegion:
+      return kSameRegionCost;
+    case Distance::OtherRegion:
+      return kOtherRegionCost;
+  }
+  return 0;
+}
+
 std::string_view
 ToString(EngineStage aStage)
 {
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -213,7 +213,7 @@
   MergeCrashes(aReply);
   m_permits.Merge(aReply["limits"]);
   if (aReply.isMember("lost_configuration")) {
-    ApplyLostRouting(aReply["lost_configuration"]);
+    ApplyItem(ItemFromJson(aReply["lost_configuration"]), kLostEra, "peer");
   }
   if (!aReply.isMember("delta")) {
     return;
@@ -235,16 +235,6 @@
   m_source.SkipTo(m_directory.Position());
 }
 
-void
-RouterTask::ApplyLostRouting(const Json::Value& aItem)
-{
-  DirectoryItem item = ItemFromJson(aItem);
-  std::uint64_t era = std::exchange(m_routingEra, 0);
-  ApplyItem(item, "peer");
-  bool isApplied = m_routingItem.m_value == item.m_value;
-  m_routingEra = isApplied ? 0 : era;
-}
-
 void
 RouterTask::OnOperator(HttpExchangeI& aExchange, const HttpRequest& aRequest)
 {
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -73,7 +73,7 @@
     BeginEra(aDelta, aFrom);
   }
   for (const DirectoryItem& item : m_directory.Apply(aDelta, m_loop.Now())) {
-    ApplyItem(item, aFrom);
+    ApplyItem(item, aDelta.m_era, aFrom);
     if (!aDelta.m_isSnapshot) {
       // Other VMs may have read the changes one by one.
       m_versions.RecordCapacities();
@@ -85,7 +85,9 @@
 }
 
 void
-RouterTask::ApplyItem(const DirectoryItem& aItem, std::string_view aFrom)
+RouterTask::ApplyItem(const DirectoryItem& aItem,
+                      std::uint64_t aEra,
+                      std::string_view aFrom)
 {
   DecodedItem item;
   try {
@@ -104,7 +106,7 @@
                      m_routes.Config()->m_version == item.m_routing->m_version;
     if (isInForce) {
       m_routingItem = aItem;
-      m_routingEra = m_directory.Position().m_era;
+      m_routingEra = aEra;
     }
   }
   if (!item.m_upstreamId.empty()) {
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -162,6 +162,11 @@
   void StartRun();
   void ReleaseReservation();
   static std::string_view ToString(Phase aPhase);
+  /// Returns whether the attempt runs the request, here or through another VM.
+  bool IsRun() const
+  {
+    return m_phase == Phase::Run || m_phase == Phase::Relay;
+  }
   UpstreamPtr Pick(EngineStage aStage, const std::string& aFromDomain);
   UpstreamPtr PickForRun();
   bool HasRoomFor(const Upstream& aUpstream) const;
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -97,9 +97,8 @@
 RoutedRequest::ClassifySigned(const AnswerHead& aHead)
 {
   SetPendingEnd(EndOfStatus(aHead.m_status));
-  bool isRun = m_phase == Phase::Run || m_phase == Phase::Relay;
   m_streaming =
-    isRun && IsStream() && aHead.m_status == 200 && IsEventStream(aHead);
+    IsRun() && IsStream() && aHead.m_status == 200 && IsEventStream(aHead);
   if (m_answerBegun && !m_streaming) {
     EndAttempt(AttemptEnd::Broken,
                "the stream was not resumed; the answer has status " +
@@ -135,8 +134,7 @@
     ForwardEvents(events);
     return;
   }
-  bool isRun = m_phase == Phase::Run || m_phase == Phase::Relay;
-  if (isRun && m_answerBegun && m_pendingEnd == AttemptEnd::Answered) {
+  if (IsRun() && m_answerBegun && m_pendingEnd == AttemptEnd::Answered) {
     WriteToCaller(aBytes); // an answer too long to be held
     return;
   }
@@ -144,7 +142,7 @@
   if (m_heldAnswer.m_body.size() <= kMaxHeldAnswerBytes) {
     return;
   }
-  if (!isRun || m_pendingEnd != AttemptEnd::Answered || m_answerBegun) {
+  if (!IsRun() || m_pendingEnd != AttemptEnd::Answered || m_answerBegun) {
     EndUnlessRefused(AttemptEnd::Broken, "the answer is too long to be held");
     return;
   }
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -124,8 +124,7 @@
   m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
   LogAttempt(aEnd, aReason);
   ReportRun(aEnd);
-  bool isRun = m_phase == Phase::Run || m_phase == Phase::Relay;
-  m_runs += isRun && wasSent ? 1 : 0;
+  m_runs += IsRun() && wasSent ? 1 : 0;
 }
 
 void
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -106,7 +106,10 @@
   void BeginEra(const DirectoryDelta& aDelta, std::string_view aFrom);
   /// The directory's source answers.
   void OnSourceContact();
-  void ApplyItem(const DirectoryItem& aItem, std::string_view aFrom);
+  /// @param aEra  in which the item was published
+  void ApplyItem(const DirectoryItem& aItem,
+                 std::uint64_t aEra,
+                 std::string_view aFrom);
   void ApplyRouting(const RoutingPtr& aRouting, std::string_view aFrom);
   void ApplyUpstream(const UpstreamEntry& aEntry, std::string_view aFrom);
 
@@ -117,7 +120,6 @@
   /// Adds the configuration in force to a reply if the source has lost it and
   /// the calling VM has an older one.
   void AddLostRouting(const Json::Value& aParams, Json::Value& aReply) const;
-  void ApplyLostRouting(const Json::Value& aItem);
   void OnGossipReply(const std::string& aPeer, const PeerResult& aResult);
   /// @throws std::exception if a field is malformed; no item is applied then
   void ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply);
