Don't take the loss of one service for a cut from all upstreams

Cause: three unanswered attempts at upstreams of one service, with no answer in between, counted as a cut of this VM's links to all upstreams. A VM that had lost one service only then refused what others passed to it for services that it reached ("this VM is cut off from upstreams, too" in the log of the test), withdrew its offer, and passed its own requests on. And the upstreams of a service that have to stay silent were counted over all stages, though a request tries those of one.

Change: links are judged by service alone, against the upstreams of the stage that was tried. A VM is cut off if its links to one service are cut and no service has answered within 3 s.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -830,7 +830,7 @@
   /// @return whether the links were cut until now
   bool OnAnswer(TimePoint aNow);
   /// An attempt at an upstream ended, or goes on, without an answer.
-  /// @param aUpstreams  known ones of the set
+  /// @param aUpstreams  known ones of the set that requests try
   /// @return whether the links are cut from now on
   bool OnNoAnswer(const UpstreamKey& aUpstream,
                   std::size_t aUpstreams,
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -264,7 +264,7 @@
       return true;
     }
   }
-  return m_links.IsCut(now) && !m_relays.IsEmpty();
+  return m_shared.IsCutOff() && !m_relays.IsEmpty();
 }
 
 void
@@ -280,7 +280,7 @@
   set("waiting_for_memory", static_cast<double>(m_admission.Size()));
   set("live_vms", static_cast<double>(m_shared.m_liveVms));
   set("source_up", m_sourceUp ? 1 : 0);
-  set("links_cut", m_links.IsCut(m_loop.Now()) ? 1 : 0);
+  set("links_cut", m_shared.IsCutOff() ? 1 : 0);
   set("directory_revision",
       static_cast<double>(m_directory.Position().m_revision));
   set("directory_era", static_cast<double>(m_directory.Position().m_era));
--- a/src/router_relays.cpp
+++ b/src/router_relays.cpp
@@ -10,7 +10,7 @@
 RouterTask::AddRelayOffer(Json::Value& aMessage) const
 {
   TimePoint now = m_loop.Now();
-  if (m_relayListener == nullptr || m_leaving || m_links.IsCut(now)) {
+  if (m_relayListener == nullptr || m_leaving || m_shared.IsCutOff()) {
     return;
   }
   std::string address = m_options.m_relayAddress;
@@ -57,7 +57,7 @@
 {
   bool isOlder = m_routes.Config() == nullptr ||
                  m_routes.Config()->m_version < aFacts.m_configVersion;
-  if (isOlder || m_links.IsCut(m_loop.Now())) {
+  if (isOlder || m_shared.IsCutOff()) {
     throw Error(ErrorKind::NotReady,
                 isOlder ? "this VM has an older configuration"
                         : "this VM is cut off from upstreams, too",
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -38,7 +38,6 @@
   StreamVersions& m_versions;
   CrashReports& m_crashes;
   UpstreamPermits& m_permits;
-  LinkState& m_links; ///< to all upstreams
   RelayTable& m_relays;
   std::map<std::string, LinkState> m_serviceLinks; ///< by service
   std::map<std::string, TimePoint> m_reachedAt;    ///< last answer, by service
@@ -48,8 +47,10 @@
   void OnLeaving(const UpstreamKey& aUpstream);
   void OnUpstreamAnswer(const std::string& aService);
   void OnNoAnswer(const UpstreamEntry& aUpstream);
-  /// Returns whether this VM's links to all upstreams, or to those of aService,
-  /// are cut.
+  /// Returns whether this VM's links to all upstreams are cut: those to one
+  /// service at least, and no other service has answered lately.
+  bool IsCutOff() const;
+  /// Returns whether the links to the upstreams of aService are cut.
   bool AreLinksCut(const std::string& aService) const;
   /// Returns whether a request may try an upstream of aService.
   bool TakeTrial(const std::string& aService);
--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -132,8 +132,7 @@
                     .m_softwareVersion = {} };
   // Without links to any upstream, this VM can't tell that a service is down.
   TimePoint now = m_shared.m_loop.Now();
-  UpstreamPtr relay =
-    m_shared.m_relays.Pick(pick, m_shared.m_links.IsCut(now), now);
+  UpstreamPtr relay = m_shared.m_relays.Pick(pick, m_shared.IsCutOff(), now);
   bool isExtra = m_budgetedSends > 0;
   if (relay == nullptr || (isExtra && !TakeRetryBudget())) {
     return false;
--- a/src/router_shared.cpp
+++ b/src/router_shared.cpp
@@ -4,6 +4,8 @@
 #include "config.h"
 #include "router_request.h"
 
+#include <algorithm>
+
 namespace shallotford {
 
 RetryBudget&
@@ -30,7 +32,6 @@
 {
   TimePoint now = m_loop.Now();
   m_reachedAt[aService] = now;
-  m_links.OnAnswer(now);
   if (!m_serviceLinks[aService].OnAnswer(now)) {
     return;
   }
@@ -45,17 +46,21 @@
 RouterShared::OnNoAnswer(const UpstreamEntry& aUpstream)
 {
   TimePoint now = m_loop.Now();
-  m_links.OnNoAnswer(aUpstream.m_key, m_upstreams.Size(), now);
   std::vector<UpstreamPtr> all = m_upstreams.AllOf(aUpstream.m_service);
+  // A request tries upstreams of one stage, until one of them answers.
+  auto tried =
+    std::count_if(all.begin(), all.end(), [&](const UpstreamPtr& aOther) {
+      return aOther->m_entry.m_stage == aUpstream.m_stage;
+    });
   bool areCut = m_serviceLinks[aUpstream.m_service].OnNoAnswer(
-    aUpstream.m_key, all.size(), now);
+    aUpstream.m_key, static_cast<std::size_t>(tried), now);
   if (!areCut) {
     return;
   }
   m_log.Write(LogEvent("links_cut", LogLevel::Warning)
                 .Add("service", aUpstream.m_service)
                 .Add("upstreams", static_cast<std::int64_t>(all.size()))
-                .Add("all_services", m_links.IsCut(now) ? "yes" : "no")
+                .Add("all_services", IsCutOff() ? "yes" : "no")
                 .Add("relays", m_relays.IsEmpty() ? "none" : "known"));
   m_metrics.Count("links_cut_total", "");
   for (const UpstreamPtr& upstream : all) {
@@ -64,12 +69,27 @@
 }
 
 bool
-RouterShared::AreLinksCut(const std::string& aService) const
+RouterShared::IsCutOff() const
 {
   TimePoint now = m_loop.Now();
+  bool isReached = std::any_of(
+    m_reachedAt.begin(), m_reachedAt.end(), [now](const auto& aService) {
+      return now - aService.second < kLinkEvidenceTime;
+    });
+  return !isReached && std::any_of(m_serviceLinks.begin(),
+                                   m_serviceLinks.end(),
+                                   [now](const auto& aService) {
+                                     return aService.second.IsCut(now);
+                                   });
+}
+
+bool
+RouterShared::AreLinksCut(const std::string& aService) const
+{
   auto found = m_serviceLinks.find(aService);
-  return m_links.IsCut(now) ||
-         (found != m_serviceLinks.end() && found->second.IsCut(now));
+  bool isCut =
+    found != m_serviceLinks.end() && found->second.IsCut(m_loop.Now());
+  return isCut || IsCutOff();
 }
 
 bool
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -64,7 +64,6 @@
               .m_versions = m_versions,
               .m_crashes = m_crashes,
               .m_permits = m_permits,
-              .m_links = m_links,
               .m_relays = m_relays,
               .m_serviceLinks = {},
               .m_reachedAt = {} }
@@ -334,7 +333,6 @@
   }
   m_log.Write(LogEvent("paused", LogLevel::Warning).Add("pause", pause));
   m_permits.OnPause();
-  m_links.Forget();
   for (auto& [service, links] : m_shared.m_serviceLinks) {
     links.Forget();
   }
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -162,7 +162,6 @@
   ConnectionPool m_pool;
   UpstreamTable m_upstreams;
   Admission m_admission;
-  LinkState m_links;
   RelayTable m_relays;
   EngineCalls m_engineCalls;
   RouterShared m_shared;
--- a/tests/router_relay_test.cpp
+++ b/tests/router_relay_test.cpp
@@ -195,6 +195,37 @@
   }
 };
 
+/// The first VM loses the servers of service "plain", too.
+struct OneServiceLost : CutOff
+{
+  OneServiceLost()
+  {
+    m_loop.Do([this] {
+      for (const auto& server : m_servers) {
+        if (server->Id() < "i-d") {
+          std::string entry = server->Entry("plain", "");
+          std::string address = server->Address();
+          entry.replace(
+            entry.find(address), address.size(), m_deadPort.Address());
+          m_store->Put("servers/" + server->Id(), entry);
+          server->Close();
+        }
+      }
+    });
+    BOOST_TEST(WaitFor([this] {
+      Ask("/safe/", "own");
+      return CountLogLines("event=links_cut service=plain") >= 1U;
+    }));
+    BOOST_TEST(WaitFor([this] { return IsRelayed("/fixed/"); }));
+  }
+  bool IsRelayed(const std::string& aPath)
+  {
+    std::string id = "f" + std::to_string(++m_asked);
+    return AskCutVm(aPath, id).starts_with("HTTP/1.1 200 ");
+  }
+  int m_asked{ 0 };
+};
+
 /// Two VMs that are both cut off.
 struct BothCutOff : CutOff
 {
@@ -333,26 +364,8 @@
 }
 
 BOOST_FIXTURE_TEST_CASE(a_relay_without_links_to_the_service_refuses_at_once,
-                        CutOff)
+                        OneServiceLost)
 {
-  // The first VM loses the servers of one service, too.
-  m_loop.Do([this] {
-    for (const auto& server : m_servers) {
-      if (server->Id() < "i-d") {
-        std::string entry = server->Entry("plain", "");
-        std::string address = server->Address();
-        entry.replace(
-          entry.find(address), address.size(), m_deadPort.Address());
-        m_store->Put("servers/" + server->Id(), entry);
-        server->Close();
-      }
-    }
-  });
-  BOOST_TEST(WaitFor([this] {
-    Ask("/safe/", "own");
-    return Ask("/fixed/", "f").starts_with("HTTP/1.1 200 ") &&
-           CountLogLines("event=links_cut service=plain") >= 1U;
-  }));
   std::size_t refused = 0;
   for (int i = 0; i < 4; ++i) {
     std::string id = "relayed" + std::to_string(i);
@@ -369,3 +382,14 @@
   // One request in kLinkTrialPeriod may try the servers.
   BOOST_TEST(refused >= 2U);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_vm_that_lost_one_service_relays_requests_for_others,
+                        OneServiceLost)
+{
+  for (int i = 0; i < 5; ++i) {
+    Ask("/safe/", "own" + std::to_string(i));
+    BOOST_TEST(IsRelayed("/fixed/"));
+    std::string id = "m" + std::to_string(i);
+    BOOST_TEST(Ask("/fixed/", id).starts_with("HTTP/1.1 200 "));
+  }
+}
