Log the age of requests, the loop's delay and sends without a caller

Cause: the logs can't tell which of the hypotheses about sends for callers that had left holds.

Change: request_end has read_delay, from the arrival at the machine to the reading; loop_held_up names the delay of the periodic work from 100 ms on, and sent_without_caller a send whose caller's end has already arrived. Histograms and a counter show the same. The arrival comes from the kernel (TCP_INFO), or from the last poll() where the kernel doesn't tell.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -264,6 +264,12 @@
   virtual std::size_t Buffered() const = 0;
   /// Returns the bytes that the socket has taken since the connection opened.
   virtual std::uint64_t BytesSent() const = 0;
+  /// Returns how long ago the peer's last bytes arrived at this machine,
+  /// whether or not they are read yet. The kernel keeps it in its clock ticks.
+  virtual Duration SinceArrival() const = 0;
+  /// Returns whether the peer's end or a reset has arrived, whether or not the
+  /// bytes before it are read yet.
+  virtual bool HasPeerLeft() const = 0;
   /// Sends the end after all queued bytes; reading goes on.
   virtual void FinishWriting() = 0;
   /// Destroying it will reset the connection instead of ending it in order.
--- a/src/config.h
+++ b/src/config.h
@@ -338,6 +338,8 @@
 constexpr std::chrono::milliseconds kRouterTick = 500ms;
 /// The same during a planned stop.
 constexpr std::chrono::milliseconds kLeavingTick = 100ms;
+/// Delay of the router's periodic work from which it is logged.
+constexpr std::chrono::milliseconds kLongLoopDelay = 100ms;
 constexpr std::chrono::milliseconds kGossipPeriod = 1'000ms;
 /// Other VMs that keep a stream's origin.
 constexpr std::size_t kOriginReplicas = 4;
--- a/src/daemon_metrics.cpp
+++ b/src/daemon_metrics.cpp
@@ -39,10 +39,9 @@
   std::uint64_t m_count{ 0 };
 };
 
-constexpr std::array<std::string_view, 3> kLatencyNames = {
-  "first_token_seconds",
-  "per_token_seconds",
-  "request_seconds",
+constexpr std::array<std::string_view, 5> kLatencyNames = {
+  "first_token_seconds", "per_token_seconds",  "request_seconds",
+  "read_delay_seconds",  "loop_delay_seconds",
 };
 
 using Labelled = std::map<std::string, std::map<std::string, double>>;
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -16,6 +16,8 @@
   FirstToken, ///< from receipt to the first token sent to the caller
   PerToken,   ///< mean time between an answer's tokens
   Request,    ///< from receipt to the end of the request
+  ReadDelay,  ///< from a request's arrival at this machine to its reading
+  LoopDelay,  ///< of the router's periodic work, behind its time
 };
 
 class Metrics
--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -197,11 +197,26 @@
     RunPosted();
     m_timers.RunDue(Now());
     m_timers.Arm();
+    m_polledBefore = std::exchange(m_polledAt, Now());
+    m_turnHasEvents = false;
     lws_service(m_context, HasPosted() ? -1 : 0);
   }
   m_thread = std::thread::id{};
 }
 
+void
+Loop::OnDescriptorEvent()
+{
+  if (std::exchange(m_turnHasEvents, true)) {
+    return;
+  }
+  // A poll() that took longer than the turn before it had to wait, so nothing
+  // had arrived before it.
+  TimePoint now = Now();
+  bool hasWaited = now - m_polledAt > m_polledAt - m_polledBefore;
+  m_arrivedAfter = hasWaited ? now : m_polledBefore;
+}
+
 void
 Loop::Stop()
 {
--- a/src/net_loop.h
+++ b/src/net_loop.h
@@ -42,6 +42,13 @@
                                       HttpHandlerI& aHandler) override;
   void ReloadCertificates() override;
 
+  /// To be called by each event of a descriptor.
+  void OnDescriptorEvent();
+  /// Returns the time after which everything arrived that this turn reads, as
+  /// far as the loop knows: it doesn't see the time that it waits for the
+  /// processor inside poll().
+  TimePoint ArrivedAfter() const { return m_arrivedAfter; }
+
   lws_context* Context() const { return m_context; }
   ArrivalWatch& Arrivals() { return m_arrivals; }
   lws_vhost* Vhost() const { return m_vhost; }
@@ -74,6 +81,10 @@
   std::vector<std::function<void()>> m_posted; ///< guarded by m_mutex
   std::atomic<bool> m_stop{ false };
   std::atomic<std::thread::id> m_thread;
+  TimePoint m_polledAt{};     ///< begin of this turn's poll()
+  TimePoint m_polledBefore{}; ///< begin of the one before
+  bool m_turnHasEvents{ false };
+  TimePoint m_arrivedAfter{};
   std::set<HttpServer*> m_servers;
   std::vector<std::shared_ptr<HttpServer*>> m_serverSlots;
   std::unique_ptr<HttpClient> m_client;
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -4,6 +4,7 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -189,6 +190,9 @@
                 std::size_t /*aLength*/)
 {
   auto* stream = static_cast<Stream*>(PolledDescriptor::OwnerOf(aWsi));
+  if (stream != nullptr) {
+    stream->m_loop.OnDescriptorEvent();
+  }
   switch (aReason) {
     case LWS_CALLBACK_RAW_RX_FILE:
       if (stream != nullptr) {
@@ -299,6 +303,27 @@
   }
 }
 
+Duration
+Stream::SinceArrival() const
+{
+  tcp_info info{};
+  socklen_t length = sizeof info;
+  int failed = ::getsockopt(
+    m_descriptor->Descriptor(), IPPROTO_TCP, TCP_INFO, &info, &length);
+  std::chrono::milliseconds known(failed != 0 ? 0 : info.tcpi_last_data_recv);
+  return std::max<Duration>(known, m_loop.Now() - m_loop.ArrivedAfter());
+}
+
+bool
+Stream::HasPeerLeft() const
+{
+  if (m_broken || m_peerFinished) {
+    return true;
+  }
+  pollfd item{ m_descriptor->Descriptor(), POLLRDHUP, 0 };
+  return ::poll(&item, 1, 0) > 0;
+}
+
 void
 Stream::FinishWriting()
 {
@@ -427,6 +452,7 @@
     PolledDescriptor::OnClosed(aWsi);
   }
   if (listener != nullptr && aReason == LWS_CALLBACK_RAW_RX_FILE) {
+    listener->m_loop.OnDescriptorEvent();
     listener->AcceptAll();
   }
   return 0;
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -76,6 +76,8 @@
   void Write(std::string_view aBytes) override;
   std::size_t Buffered() const override { return m_queued.size() - m_offset; }
   std::uint64_t BytesSent() const override { return m_sent; }
+  Duration SinceArrival() const override;
+  bool HasPeerLeft() const override;
   void FinishWriting() override;
   void ResetOnDestroy() override { m_descriptor->ResetOnDestroy(); }
   /// Reports a connection that failed at once, in a later turn of the loop.
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -42,6 +42,7 @@
   void Write(std::string_view aBytes) override;
   void End() override;
   void Abort() override;
+  bool HasCallerLeft() const override;
   std::size_t Buffered() const override;
   void OnDrained(std::function<void()> aCallback) override
   {
@@ -129,13 +130,16 @@
       return;
     }
     if (m_exchange != nullptr) {
+      if (m_pipelined.empty()) {
+        m_pipelinedAt = ArrivalTime();
+      }
       m_pipelined.append(aBytes);
       if (m_pipelined.size() > kMaxPipelinedBytes) {
         m_stream->PauseReading();
       }
       return;
     }
-    ReadRequests(aBytes);
+    ReadRequests(aBytes, m_reader->IsInside() ? m_arrivedAt : ArrivalTime());
   }
 
   void OnPeerFinished() override { OnCallerLeft(); }
@@ -206,6 +210,8 @@
     m_listener.Remove(this);
   }
 
+  bool HasCallerLeft() const { return m_stream->HasPeerLeft(); }
+
   std::size_t Buffered() const { return m_stream->Buffered(); }
 
 private:
@@ -221,7 +227,9 @@
     if (aHead.m_expectsContinue && aHead.m_framing != BodyFraming::None) {
       m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
     }
-    m_request = { .m_head = aHead, .m_body = nullptr };
+    m_request = { .m_head = aHead,
+                  .m_body = nullptr,
+                  .m_arrivedAt = m_arrivedAt };
     m_maxBody = limits.m_maxBody;
     Arm(limits.m_headTimeout);
   }
@@ -243,10 +251,17 @@
 
   void OnEnd() override { m_complete = true; }
 
+  TimePoint ArrivalTime() const
+  {
+    return m_loop.Now() - m_stream->SinceArrival();
+  }
+
   /// Reads bytes until one request is complete.
-  void ReadRequests(std::string_view aBytes)
+  /// @param aArrivedAt  time at which the request's first bytes arrived
+  void ReadRequests(std::string_view aBytes, TimePoint aArrivedAt)
   {
     bool wasInside = m_reader->IsInside();
+    m_arrivedAt = aArrivedAt;
     std::size_t taken = 0;
     try {
       taken = m_reader->Feed(aBytes, *this);
@@ -256,6 +271,7 @@
     }
     if (m_complete) {
       m_pipelined.assign(aBytes.substr(taken));
+      m_pipelinedAt = aArrivedAt;
       Deliver();
       return;
     }
@@ -335,7 +351,7 @@
     std::string pipelined = std::move(m_pipelined);
     m_pipelined.clear();
     m_stream->ResumeReading();
-    ReadRequests(pipelined);
+    ReadRequests(pipelined, m_pipelinedAt);
   }
 
   void ReleaseBody()
@@ -398,7 +414,9 @@
   /// The answer being sent ends with the connection.
   bool m_untilClose{ false };
   bool m_closing{ false };
-  std::string m_pipelined; ///< bytes after the request that is being answered
+  TimePoint m_arrivedAt{};   ///< of the request that is being received
+  std::string m_pipelined;   ///< bytes after the request that is being answered
+  TimePoint m_pipelinedAt{}; ///< time at which the first of them arrived
   std::shared_ptr<CallerExchange> m_exchange;
   TimersI::TimerId m_timer{ 0 };
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
@@ -449,6 +467,12 @@
   }
 }
 
+bool
+CallerExchange::HasCallerLeft() const
+{
+  return m_connection == nullptr || m_connection->HasCallerLeft();
+}
+
 std::size_t
 CallerExchange::Buffered() const
 {
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -14,6 +14,9 @@
 {
   RequestHead m_head;
   std::shared_ptr<const std::string> m_body;
+  /// Time at which the begin of its head arrived at this machine, which may be
+  /// long before it was read.
+  TimePoint m_arrivedAt{};
 };
 
 /// Sends the answer to one request. Held by shared pointer; once the caller has
@@ -36,6 +39,9 @@
   /// Closes the connection without the answer's last chunk, so that the caller
   /// sees that the answer is incomplete.
   virtual void Abort() = 0;
+  /// Returns whether the caller has disconnected, also if the loop hasn't met
+  /// the event yet.
+  virtual bool HasCallerLeft() const = 0;
   /// Returns the bytes that wait to be sent to the caller.
   virtual std::size_t Buffered() const = 0;
   /// Calls aCallback each time all buffered bytes have been sent.
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -56,6 +56,8 @@
   if (!m_relayed) {
     m_shared.BudgetOf(m_service).OnRequest(m_received);
   }
+  m_shared.m_metrics.Observe(Latency::ReadDelay,
+                             m_received - m_request.m_arrivedAt);
   m_exchange->OnClosed([this] { OnCallerDisconnected(); });
   m_exchange->OnDrained([this] {
     if (m_call != nullptr) {
@@ -402,6 +404,14 @@
   m_pendingEnd = AttemptEnd::Broken;
   m_streaming = false;
   m_hasEvents = false;
+  if (m_exchange->HasCallerLeft()) {
+    m_shared.m_metrics.Count("sent_without_caller_total", "");
+    m_shared.m_log.Write(LogEvent("sent_without_caller", LogLevel::Warning)
+                           .Add("request", m_facts.m_id)
+                           .Add("phase", ToString(aPhase))
+                           .Add("upstream", aUpstream->m_entry.m_key.m_id)
+                           .Add("age", Duration(Elapsed())));
+  }
   m_callFailure.reset();
   m_closedByUpstream = false;
   m_sentAt = m_shared.m_loop.Now();
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -173,7 +173,8 @@
     .Add("runs", static_cast<std::int64_t>(m_runs))
     .Add("refusals", static_cast<std::int64_t>(m_refusals))
     .Add("prefills", static_cast<std::int64_t>(m_prefills))
-    .Add("took", took);
+    .Add("took", took)
+    .Add("read_delay", m_received - m_request.m_arrivedAt);
   if (m_prefillUpstream != nullptr) {
     event.Add("prefill", m_prefillUpstream->m_entry.m_key.m_id);
   }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -328,6 +328,14 @@
   Duration late = m_loop.Now() - m_lastTick - kRouterTick;
   Duration pause = std::max(suspended - m_suspended, late);
   m_suspended = suspended;
+  m_metrics.Observe(Latency::LoopDelay, std::max(late, Duration::zero()));
+  if (late >= kLongLoopDelay) {
+    m_log.Write(
+      LogEvent("loop_held_up")
+        .Add("delay", late)
+        .Add("requests", static_cast<std::int64_t>(m_requests.size()))
+        .Add("connections", static_cast<std::int64_t>(m_callers->Count())));
+  }
   if (pause < kMinDetectedPause) {
     return;
   }
