Read what has arrived before timers that came due meanwhile run

Cause: a turn of the loop ran timers before it read sockets. After a hold-up the timer of an attempt came before the answer that had been there in time: the VM took it for silence, gave the upstream up and sent the request again.

Change: a timer runs only after a poll() that began, or ended, when it was due; what had arrived by then has been read.

Result: bytes_that_arrived_before_a_timer_was_due_come_first failed before ("timer" came first) and passes.

--- a/src/net_loop.cpp
+++ b/src/net_loop.cpp
@@ -195,11 +195,15 @@
   m_thread = std::this_thread::get_id();
   while (!m_stop.exchange(false)) {
     RunPosted();
-    m_timers.RunDue(Now());
-    m_timers.Arm();
     m_polledBefore = std::exchange(m_polledAt, Now());
+    m_timers.Arm();
     m_turnHasEvents = false;
-    lws_service(m_context, HasPosted() ? -1 : 0);
+    bool mayWait = !HasPosted() && !m_timers.IsDue(m_polledAt);
+    lws_service(m_context, mayWait ? 0 : -1);
+    // Only timers that were due when poll() returned: what had arrived by then
+    // has been read, so a loop that was held up takes no late reading for
+    // silence.
+    m_timers.RunDue(std::max(m_polledAt, m_timers.ExpiredAt()));
   }
   m_thread = std::thread::id{};
 }
--- a/src/net_timers.cpp
+++ b/src/net_timers.cpp
@@ -98,6 +98,7 @@
 {
   std::uint64_t expirations = 0;
   if (::read(m_descriptor, &expirations, sizeof expirations) > 0) {
+    m_expiredAt = m_armed;
     m_armed = TimePoint::max();
   }
 }
--- a/src/net_timers.h
+++ b/src/net_timers.h
@@ -29,6 +29,13 @@
   void Arm();
   /// Makes the timerfd unreadable again.
   void Acknowledge();
+  /// Returns whether a timer is due at aNow.
+  bool IsDue(TimePoint aNow) const
+  {
+    return !m_order.empty() && m_order.begin()->first <= aNow;
+  }
+  /// Returns the time for which the descriptor was last found readable.
+  TimePoint ExpiredAt() const { return m_expiredAt; }
 
 private:
   struct Timer
@@ -40,6 +47,7 @@
   int m_descriptor;
   TimersI::TimerId m_lastId{ 0 };
   TimePoint m_armed{ TimePoint::max() };
+  TimePoint m_expiredAt{};
   std::set<std::pair<TimePoint, TimersI::TimerId>> m_order;
   std::unordered_map<TimersI::TimerId, Timer> m_timers;
 };
