Read new connections and write answers in the turn of their event

Cause: a request on a new connection waited for a second poll() until it was read, and written bytes waited for another one. On a VM that is short of processor time each is a turn of up to some hundred milliseconds, in which callers leave.

Change: an accepted connection is read at once, and bytes are given to the socket when they are written; what it doesn't take waits for its event, which also reports errors. An answer's head and body leave in one write. While connections wait beyond those accepted in one turn, the age of their requests counts from the turn in which they may have come.

--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -255,6 +255,20 @@
   }
 }
 
+void
+Stream::ReadFirst(TimePoint aArrivedAfter)
+{
+  if (m_handler == nullptr) {
+    return;
+  }
+  std::weak_ptr<bool> alive = m_alive;
+  m_acceptedAfter = aArrivedAfter;
+  OnReadable();
+  if (!alive.expired()) {
+    m_acceptedAfter = TimePoint::max();
+  }
+}
+
 void
 Stream::OnWritable()
 {
@@ -297,8 +311,8 @@
   }
   bool wasEmpty = Buffered() == 0;
   m_queued.append(aBytes);
-  if (wasEmpty && !m_connecting) {
-    // One write for all that is queued in this turn of the loop.
+  if (wasEmpty && !m_connecting && !SendQueued()) {
+    // Errors are reported by an event, not from inside this call.
     m_descriptor->WantWritable();
   }
 }
@@ -311,7 +325,8 @@
   int failed = ::getsockopt(
     m_descriptor->Descriptor(), IPPROTO_TCP, TCP_INFO, &info, &length);
   std::chrono::milliseconds known(failed != 0 ? 0 : info.tcpi_last_data_recv);
-  return std::max<Duration>(known, m_loop.Now() - m_loop.ArrivedAfter());
+  TimePoint after = std::min(m_loop.ArrivedAfter(), m_acceptedAfter);
+  return std::max<Duration>(known, m_loop.Now() - after);
 }
 
 bool
@@ -337,7 +352,7 @@
 }
 
 bool
-Stream::Flush()
+Stream::SendQueued()
 {
   while (Buffered() > 0) {
     ssize_t count = ::send(m_descriptor->Descriptor(),
@@ -345,12 +360,6 @@
                            Buffered(),
                            MSG_NOSIGNAL);
     if (count < 0) {
-      if (errno == EAGAIN || errno == EINTR) {
-        m_drainDue = true;
-        m_descriptor->WantWritable();
-        return true;
-      }
-      Break(errno);
       return false;
     }
     m_offset += static_cast<std::size_t>(count);
@@ -358,6 +367,21 @@
   }
   m_queued.clear();
   m_offset = 0;
+  return true;
+}
+
+bool
+Stream::Flush()
+{
+  if (!SendQueued()) {
+    if (errno == EAGAIN || errno == EINTR) {
+      m_drainDue = true;
+      m_descriptor->WantWritable();
+      return true;
+    }
+    Break(errno);
+    return false;
+  }
   m_drainDue = true;
   if (m_finish && !m_finished) {
     m_finished = true;
@@ -461,24 +485,34 @@
 void
 StreamListener::AcceptAll()
 {
+  if (!m_isBacklogged) {
+    m_arrivedAfter = m_loop.ArrivedAfter();
+  }
   for (std::size_t i = 0; i < kAcceptsPerTurn; ++i) {
     SocketGuard guard(::accept4(m_descriptor->Descriptor(),
                                 nullptr,
                                 nullptr,
                                 SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (guard.Get() < 0) {
+      m_isBacklogged = false;
       return;
     }
     SetTcpOptions(guard.Get(), m_options.m_silenceTimeout);
-    std::unique_ptr<StreamI> stream;
+    std::unique_ptr<Stream> stream;
     try {
       stream = std::make_unique<Stream>(m_loop, guard.Get(), false, nullptr);
     } catch (const Error&) {
       return; // no room: the peer's connection is closed
     }
     guard.Release();
+    Stream* accepted = stream.get();
+    std::weak_ptr<bool> alive = accepted->Alive();
     m_onAccept(std::move(stream));
+    if (!alive.expired()) {
+      accepted->ReadFirst(m_arrivedAfter);
+    }
   }
+  m_isBacklogged = true;
 }
 
 std::unique_ptr<StreamI>
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -80,6 +80,10 @@
   bool HasPeerLeft() const override;
   void FinishWriting() override;
   void ResetOnDestroy() override { m_descriptor->ResetOnDestroy(); }
+  /// Reads what a newly accepted connection brought with it.
+  /// @param aArrivedAfter  it opened after this time
+  void ReadFirst(TimePoint aArrivedAfter);
+  std::weak_ptr<bool> Alive() const { return m_alive; }
   /// Reports a connection that failed at once, in a later turn of the loop.
   void BreakLater(int aError);
   void PauseReading() override;
@@ -89,7 +93,11 @@
   void OnReadable();
   void OnWritable();
   void FinishConnecting();
-  /// Gives queued bytes to the socket. Returns false if the connection broke.
+  /// Gives queued bytes to the socket. Returns false, with errno set, unless it
+  /// took all of them.
+  bool SendQueued();
+  /// The same on an event, which reports the end. Returns false if the
+  /// connection broke.
   bool Flush();
   /// Returns the socket's own error number, or 0.
   int PendingError() const;
@@ -109,6 +117,8 @@
   bool m_broken{ false };
   bool m_paused{ false };
   bool m_drainDue{ false }; ///< OnDrained() is owed
+  /// What the first read brings has arrived after this time.
+  TimePoint m_acceptedAfter{ TimePoint::max() };
   /// Tells running callbacks that the object is gone.
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
@@ -134,6 +144,9 @@
   StreamListenerOptions m_options;
   std::function<void(std::unique_ptr<StreamI>)> m_onAccept;
   std::uint16_t m_port{ 0 };
+  /// The last turn left connections that wait to be accepted.
+  bool m_isBacklogged{ false };
+  TimePoint m_arrivedAfter{}; ///< connections that are accepted now
   std::unique_ptr<PolledDescriptor> m_descriptor;
 };
 
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -162,10 +162,11 @@
     if (!m_toHead || FindField(aFields, "content-length") == nullptr) {
       aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
     }
-    m_stream->Write(WriteAnswerHead(aStatus, aReason, aFields));
+    std::string answer = WriteAnswerHead(aStatus, aReason, aFields);
     if (!m_toHead) {
-      m_stream->Write(aBody);
+      answer.append(aBody);
     }
+    m_stream->Write(answer);
     EndAnswer();
   }
 
