Judge requests by their arrival, and ask for the caller before each send

Callers saw nothing; upstreams got requests after their callers had closed the connection, and more time than the callers had left.

Cause: a VM that is short of processor time reads a request long after it arrived. Its deadline began at the reading, and the end of the caller's connection was met as an event, after the send that it should have prevented. The class: an age that is counted from the reading, and work that goes on since an event hasn't been met yet.

Change: a request's age, deadline, latency target and place in the queue for memory count from its arrival. Before each send (reservation, prefill, run, retry, relay) and again when the connection is ready, which may be much later, the VM asks the socket whether the caller has left, and whether time is left. Nothing is sent otherwise: a request without a caller ends as cancelled, one without time is refused as not run. A head that waited for its connection is written anew with the time left. A run takes its reservation and tells other VMs of its stream when it leaves, so a run that never leaves releases its memory.

--- a/src/config.h
+++ b/src/config.h
@@ -224,6 +224,9 @@
 /// unacknowledged for this time.
 constexpr std::chrono::milliseconds kUpstreamAckTimeout = 3'000ms;
 constexpr std::chrono::milliseconds kConnectTimeout = 250ms;
+/// A head that waited for its connection for longer is written anew, with the
+/// time left by then.
+constexpr std::chrono::milliseconds kMaxDeadlineAge = 50ms;
 constexpr std::size_t kMaxAnswerHeadBytes = 64u << 10;
 /// Lifetime of an idle connection whose upstream doesn't state its own timeout.
 constexpr std::chrono::milliseconds kDefaultIdleTime = 4'000ms;
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -36,7 +36,7 @@
   , m_traits(TraitsOf(m_service, m_request, m_facts))
   , m_relayed(std::move(aOptions.m_relayed))
   , m_onEnd(std::move(aOptions.m_onEnd))
-  , m_received(aShared.m_loop.Now())
+  , m_received(m_request.m_arrivedAt)
   , m_deadline(m_received +
                std::min(m_facts.m_deadline.value_or(m_route->m_timeout),
                         m_route->m_timeout))
@@ -54,10 +54,10 @@
 RoutedRequest::Start()
 {
   if (!m_relayed) {
-    m_shared.BudgetOf(m_service).OnRequest(m_received);
+    m_shared.BudgetOf(m_service).OnRequest(m_shared.m_loop.Now());
   }
-  m_shared.m_metrics.Observe(Latency::ReadDelay,
-                             m_received - m_request.m_arrivedAt);
+  m_readDelay = m_shared.m_loop.Now() - m_received;
+  m_shared.m_metrics.Observe(Latency::ReadDelay, m_readDelay);
   m_exchange->OnClosed([this] { OnCallerDisconnected(); });
   m_exchange->OnDrained([this] {
     if (m_call != nullptr) {
@@ -66,6 +66,9 @@
   });
   m_deadlineTimer =
     m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
+  if (EndIfObsolete()) {
+    return;
+  }
   if (IsStream() && m_relayed && m_relayed->m_softwareVersion) {
     ContinueStream(m_relayed->m_softwareVersion);
   } else if (IsStream() && m_facts.m_resumes) {
@@ -353,10 +356,61 @@
   Finish(DecideEnd(Progress()));
 }
 
+bool
+RoutedRequest::EndIfObsolete()
+{
+  if (m_exchange->HasCallerLeft()) {
+    m_shared.m_metrics.Count("left_before_send_total", "");
+    OnCallerDisconnected();
+    return true;
+  }
+  if (TimeLeft() == 0ms) {
+    EndAtDeadline(AttemptEnd::Abandoned);
+    return true;
+  }
+  return false;
+}
+
+std::optional<std::string>
+RoutedRequest::OnReadyToSend(std::string aHead)
+{
+  if (EndIfObsolete()) {
+    return {};
+  }
+  if (m_phase == Phase::Reserve) {
+    return aHead;
+  }
+  if (m_shared.m_loop.Now() - m_sentAt > kMaxDeadlineAge) {
+    aHead = HeadFor(*m_upstream, m_phase);
+  }
+  if (m_phase == Phase::Run) {
+    OnRunLeaves();
+  }
+  return aHead;
+}
+
+void
+RoutedRequest::OnRunLeaves()
+{
+  bool begins = IsStream() && !m_facts.m_resumes && !m_facts.m_id.empty();
+  if (begins) {
+    // Published before the first event, so that other VMs know the origin even
+    // if this one is lost right after it.
+    m_shared.m_origins.Publish(
+      { .m_requestId = m_facts.m_id,
+        .m_softwareVersion = m_upstream->m_entry.m_softwareVersion,
+        .m_attempt = m_runs + m_refusals + 1 });
+  }
+  if (!m_reservation.empty()) {
+    --m_reservedEngine->m_reserved;
+    m_reservation.clear();
+  }
+}
+
 void
 RoutedRequest::SendNow(const UpstreamPtr& aUpstream, Phase aPhase)
 {
-  if (RefuseIfConvicted()) {
+  if (EndIfObsolete() || RefuseIfConvicted()) {
     return;
   }
   if (aPhase == Phase::Run && m_budgetedSends > 0 && !TakeRetryBudget()) {
@@ -377,19 +431,6 @@
   }
   m_call = m_shared.m_pool.Start(
     aUpstream->m_entry, CallOptions(aUpstream, aPhase), *this);
-  bool begins = IsStream() && !m_facts.m_resumes && !m_facts.m_id.empty();
-  if (aPhase == Phase::Run && begins) {
-    // Published before the first event, so that other VMs know the origin even
-    // if this one is lost right after it.
-    m_shared.m_origins.Publish(
-      { .m_requestId = m_facts.m_id,
-        .m_softwareVersion = aUpstream->m_entry.m_softwareVersion,
-        .m_attempt = m_runs + m_refusals + 1 });
-  }
-  if (aPhase == Phase::Run && !m_reservation.empty()) {
-    --m_reservedEngine->m_reserved;
-    m_reservation.clear();
-  }
   m_attemptTimer = m_shared.m_loop.RunAfter(
     ServedByEngines() ? kEngineNoResponseTimeout : kNoResponseTimeout,
     [this] { OnNoResponse(); });
@@ -404,14 +445,6 @@
   m_pendingEnd = AttemptEnd::Broken;
   m_streaming = false;
   m_hasEvents = false;
-  if (m_exchange->HasCallerLeft()) {
-    m_shared.m_metrics.Count("sent_without_caller_total", "");
-    m_shared.m_log.Write(LogEvent("sent_without_caller", LogLevel::Warning)
-                           .Add("request", m_facts.m_id)
-                           .Add("phase", ToString(aPhase))
-                           .Add("upstream", aUpstream->m_entry.m_key.m_id)
-                           .Add("age", Duration(Elapsed())));
-  }
   m_callFailure.reset();
   m_closedByUpstream = false;
   m_sentAt = m_shared.m_loop.Now();
@@ -603,6 +636,7 @@
   bool reserve =
     ServedByEngines() && Service()->m_reservationLifetime.count() > 0;
   if (reserve) {
+    ReleaseReservation(); // of a run that never left
     OnMayReserve();
   } else {
     StartRun();
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -104,6 +104,7 @@
   /// More requests than before are refused, as they crash upstreams.
   void OnConviction();
 
+  std::optional<std::string> OnReadyToSend(std::string aHead) override;
   void OnAnswerHead(const AnswerHead& aHead) override;
   void OnAnswerBody(std::string_view aBytes) override;
   void OnAnswerEnd() override;
@@ -176,7 +177,13 @@
   /// allows it; without a permit, the phase goes on at another upstream.
   void Send(const UpstreamPtr& aUpstream, Phase aPhase);
   void SendNow(const UpstreamPtr& aUpstream, Phase aPhase);
+  /// Ends the request if nobody waits for its answer any more. Asked before
+  /// each send, since the loop meets events late if it is held up.
+  /// @return whether it has ended
+  bool EndIfObsolete();
   void BeginAttempt(const UpstreamPtr& aUpstream, Phase aPhase);
+  /// The run is about to be sent.
+  void OnRunLeaves();
   UpstreamCallOptions CallOptions(const UpstreamPtr& aUpstream, Phase aPhase);
   /// Passes the request to a VM that reaches upstreams, if that may help.
   /// @return whether it did, or the request has ended
@@ -234,6 +241,8 @@
   void Finish(NextStep aStep);
   void Refuse();
   void OnDeadline();
+  /// @param aEnd  of the attempt under way
+  void EndAtDeadline(AttemptEnd aEnd);
   void OnCallerDisconnected();
   /// Logs the request's end and calls m_onEnd, which may destroy this object.
   /// @param aStatus  of the answer, 0 without one
@@ -254,7 +263,8 @@
   std::optional<RelayFacts> m_relayed;
   std::function<void()> m_onEnd;
 
-  TimePoint m_received;
+  TimePoint m_received; ///< at this machine, before it was read
+  Duration m_readDelay{};
   TimePoint m_deadline;
   TimersI::TimerId m_deadlineTimer{ 0 };
   /// Until the answer's head the one for OnNoResponse(), then the one of an
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -105,8 +105,13 @@
 RoutedRequest::OnDeadline()
 {
   bool noAnswer = m_heldAnswer.m_head.m_status == 0;
-  AbandonCall(noAnswer ? AttemptEnd::TimedOut : AttemptEnd::Abandoned,
-              "the request's time is over");
+  EndAtDeadline(noAnswer ? AttemptEnd::TimedOut : AttemptEnd::Abandoned);
+}
+
+void
+RoutedRequest::EndAtDeadline(AttemptEnd aEnd)
+{
+  AbandonCall(aEnd, "the request's time is over");
   RequestProgress progress = Progress();
   progress.m_timeLeft = std::chrono::milliseconds::zero();
   Finish(DecideEnd(progress));
@@ -174,7 +179,7 @@
     .Add("refusals", static_cast<std::int64_t>(m_refusals))
     .Add("prefills", static_cast<std::int64_t>(m_prefills))
     .Add("took", took)
-    .Add("read_delay", m_received - m_request.m_arrivedAt);
+    .Add("read_delay", m_readDelay);
   if (m_prefillUpstream != nullptr) {
     event.Add("prefill", m_prefillUpstream->m_entry.m_key.m_id);
   }
--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -125,6 +125,9 @@
   if (!MayRelay()) {
     return false;
   }
+  if (EndIfObsolete()) {
+    return true;
+  }
   PickRequest pick{ .m_service = m_service,
                     .m_fromDomain = {},
                     .m_excluded = m_excluded,
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -133,9 +133,13 @@
     , m_sentBefore(m_connection->Socket().BytesSent())
   {
     m_connection->Attach(this);
-    m_connection->Socket().Write(m_options.m_head);
-    if (m_options.m_body != nullptr) {
-      m_connection->Socket().Write(*m_options.m_body);
+    if (m_reused) {
+      // The handler isn't called from inside Start().
+      m_loop.Post([this, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired()) {
+          SendRequest();
+        }
+      });
     }
     m_deadline = m_loop.Now() + m_options.m_headTimeout;
     Arm(m_reused ? m_options.m_headTimeout
@@ -178,6 +182,7 @@
   {
     Arm(std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline -
                                                               m_loop.Now()));
+    SendRequest();
   }
 
   void OnBytes(std::string_view aBytes) override
@@ -232,6 +237,26 @@
 
   bool IsCancelled() const { return m_connection == nullptr; }
 
+  void SendRequest()
+  {
+    if (IsCancelled()) {
+      return;
+    }
+    if (m_loop.Now() >= m_deadline) {
+      OnTimer();
+      return;
+    }
+    std::optional<std::string> bytes =
+      m_handler.OnReadyToSend(std::move(m_options.m_head));
+    if (!bytes || IsCancelled()) {
+      return;
+    }
+    if (m_options.m_body != nullptr) {
+      bytes->append(*m_options.m_body);
+    }
+    m_connection->Socket().Write(*bytes);
+  }
+
   void Finish()
   {
     if (IsCancelled()) {
@@ -334,6 +359,7 @@
   bool m_closedByUpstream{ false };
   bool m_paused{ false };
   std::chrono::milliseconds m_idleLifetime{ 0 };
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
 
 /// A request whose connection could not be started.
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -25,6 +25,15 @@
 {
 public:
   virtual ~UpstreamCallHandlerI() = default;
+  /// The connection can take the request, which leaves right after this call:
+  /// time has passed since Start().
+  /// @param aHead  as given to Start()
+  /// @return the head to send, or nothing if the request must not be sent any
+  ///         more; the call is cancelled then
+  virtual std::optional<std::string> OnReadyToSend(std::string aHead)
+  {
+    return aHead;
+  }
   virtual void OnAnswerHead(const AnswerHead& aHead) = 0;
   virtual void OnAnswerBody(std::string_view aBytes) = 0;
   virtual void OnAnswerEnd() = 0;
