Spread crash reports from VM to VM instead of by a call to each

Callers saw late answers, timeouts and refusals on a large fleet whenever upstreams broke off answers.

Cause: each broken run was reported to each other VM by a call of its own, on a connection of its own, and so was each upstream that answered again. With 295 VMs 240 broken runs a second are 70,000 calls a second; each VM spent its processor time on calls, and weighed the evidence anew for each. Requests then waited for the processor until their callers left.

Change: with more than 16 other VMs a report goes to three VMs in a round of 200 ms, and each VM that it is new to does the same, for four rounds. All reports of a round are one call, and the evidence of a call is weighed once. Up to 16 VMs get calls of their own as before.

--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -179,6 +179,14 @@
   /// Returns whether a request with these traits is refused.
   bool IsConvicted(const std::vector<std::string>& aFingerprints,
                    TimePoint aNow) const;
+  /// Takes in what a call reports, without an answer to its sender.
+  /// @return what is known of a crash's batch
+  /// @throws Error (InvalidRequest) if it is malformed; nothing is changed
+  CrashVerdict Apply(const Json::Value& aCall, TimePoint aNow);
+  /// Weighs what Apply() and other calls bring from now on only in
+  /// EndReports(), once for all.
+  void BeginReports() { m_isCollecting = true; }
+  void EndReports(TimePoint aNow);
   /// Answers another VM's call, or the coordinator's own.
   /// @param aMaxDigest  maximum size of the digest in the reply, in bytes
   /// @throws Error (InvalidRequest) if it is malformed; nothing is changed
@@ -200,6 +208,8 @@
   std::vector<std::string> Convicted(TimePoint aNow) const;
 
 private:
+  bool m_isCollecting{ false }; ///< between BeginReports() and EndReports()
+  bool m_isUnweighed{ false };  ///< evidence came in meanwhile
   struct Entry
   {
     PoisonStatus m_status{ PoisonStatus::Clear };
--- a/src/config.h
+++ b/src/config.h
@@ -380,6 +380,23 @@
 /// between two tries.
 constexpr std::uint32_t kCrashReportTries = 3;
 constexpr std::chrono::milliseconds kCrashReportRetryDelay = 300ms;
+/// With at most this many other VMs each gets a call of its own for each
+/// report. With more, reports go on from VM to VM.
+constexpr std::size_t kMaxDirectReportPeers = 16;
+/// VMs that a report is passed on to in a round, the time from one round to the
+/// next, and the rounds in which a VM passes a report on. report_spread_test
+/// shows that 360 VMs have it in time.
+constexpr std::size_t kReportFanout = 3;
+constexpr std::chrono::milliseconds kReportRoundPeriod = 200ms;
+constexpr std::uint32_t kRoundsPerReport = 4;
+/// Reports in one call, and reports that wait for their rounds; then the oldest
+/// is dropped.
+constexpr std::size_t kMaxReportsPerRound = 128;
+constexpr std::size_t kMaxWaitingReports = 1'024;
+/// Time for which a report is known, so that it isn't passed on again.
+constexpr std::chrono::milliseconds kReportMemory = 30'000ms;
+constexpr std::size_t kMaxReportIdBytes = 256;
+constexpr const char* kReportSpreadMethod = "reports";
 constexpr std::size_t kMaxCrashDigestBytes = 4'096;
 constexpr const char* kCrashReportMethod = "suspect";
 /// Retry-After of a request that is refused since requests like it crash
--- a/src/ledger_poison_evidence.cpp
+++ b/src/ledger_poison_evidence.cpp
@@ -236,9 +236,22 @@
   return support;
 }
 
+void
+PoisonTracker::EndReports(TimePoint aNow)
+{
+  m_isCollecting = false;
+  if (std::exchange(m_isUnweighed, false)) {
+    Reassess(aNow);
+  }
+}
+
 std::vector<std::string>
 PoisonTracker::Reassess(TimePoint aNow)
 {
+  if (m_isCollecting) {
+    m_isUnweighed = true;
+    return {};
+  }
   Support former = std::move(m_support);
   m_support = Assess();
   std::vector<std::string> convicted;
--- a/src/ledger_poison_wire.cpp
+++ b/src/ledger_poison_wire.cpp
@@ -147,10 +147,8 @@
   }
 }
 
-Json::Value
-PoisonTracker::Serve(const Json::Value& aCall,
-                     std::size_t aMaxDigest,
-                     TimePoint aNow)
+CrashVerdict
+PoisonTracker::Apply(const Json::Value& aCall, TimePoint aNow)
 {
   if (!aCall.isObject()) {
     ThrowBadMessage("the call is no object");
@@ -158,9 +156,8 @@
   std::string name = TextFrom(aCall, "call");
   std::string engine = TextFrom(aCall, "engine");
   CheckName(engine);
-  Json::Value reply(Json::objectValue);
+  CrashVerdict verdict;
   if (name == kCrash) {
-    CrashVerdict verdict;
     try {
       std::vector<std::string> batch = NamesFrom(aCall["batch"]);
       for (const std::string& fingerprint : batch) {
@@ -170,17 +167,6 @@
     } catch (const Json::Exception& exception) {
       ThrowBadMessage(exception.what());
     }
-    reply["suspects"] = ToJson(verdict.m_suspects);
-    reply["convicted"] = ToJson(verdict.m_convicted);
-    reply["sound"] = ToJson(verdict.m_sound);
-  } else if (name == kGrant) {
-    std::string fingerprint = TextFrom(aCall, "request");
-    if (Find(fingerprint, aNow) == nullptr && !UsesEvidence()) {
-      // The calling VM knows of a crash that was not reported to this one.
-      Change(fingerprint, PoisonStatus::Suspect, aNow);
-    }
-    reply["granted"] = Grant(fingerprint, engine, aNow);
-    reply["status"] = std::string(ToString(StatusOf(fingerprint, aNow)));
   } else if (name == kRunEnded) {
     if (!aCall["complete"].isBool()) {
       ThrowBadMessage("\"complete\" is missing");
@@ -194,6 +180,32 @@
     ThrowBadMessage("unknown call \"" + name + "\"");
   }
   EvictExcess();
+  return verdict;
+}
+
+Json::Value
+PoisonTracker::Serve(const Json::Value& aCall,
+                     std::size_t aMaxDigest,
+                     TimePoint aNow)
+{
+  Json::Value reply(Json::objectValue);
+  if (aCall.isObject() && aCall["call"] == kGrant) {
+    std::string engine = TextFrom(aCall, "engine");
+    CheckName(engine);
+    std::string fingerprint = TextFrom(aCall, "request");
+    if (Find(fingerprint, aNow) == nullptr && !UsesEvidence()) {
+      // The calling VM knows of a crash that was not reported to this one.
+      Change(fingerprint, PoisonStatus::Suspect, aNow);
+    }
+    reply["granted"] = Grant(fingerprint, engine, aNow);
+    reply["status"] = std::string(ToString(StatusOf(fingerprint, aNow)));
+    EvictExcess();
+  } else {
+    CrashVerdict verdict = Apply(aCall, aNow);
+    reply["suspects"] = ToJson(verdict.m_suspects);
+    reply["convicted"] = ToJson(verdict.m_convicted);
+    reply["sound"] = ToJson(verdict.m_sound);
+  }
   reply["digest"] = Digest(aMaxDigest, aNow);
   return reply;
 }
--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -42,6 +42,7 @@
   , m_tracker({ .m_suspectLifetime = kCrashEvidenceLifetime,
                 .m_convictLifetime = kConvictionLifetime,
                 .m_convictingCrashes = kConvictingCrashes })
+  , m_issuer(Hex(aParts.m_random.Next()))
 {
 }
 
@@ -152,6 +153,7 @@
 CrashReports::Expire()
 {
   m_tracker.Expire(m_parts.m_loop.Now());
+  m_spread.Expire(m_parts.m_loop.Now());
   std::erase_if(m_crashedAt, [this](const auto& aEntry) {
     return !m_tracker.HasCrashed(aEntry.first);
   });
@@ -178,25 +180,146 @@
 {
   TimePoint now = m_parts.m_loop.Now();
   Json::Value reply = m_tracker.Serve(aCall, kMaxCrashDigestBytes, now);
-  const std::string upstream = aCall["engine"].asString();
-  if (m_tracker.HasCrashed(upstream)) {
-    m_crashedAt.try_emplace(upstream, now);
-  } else {
-    m_crashedAt.erase(upstream);
-  }
+  NoteCrashed(aCall["engine"].asString());
   NoteConvictions("peer");
   return reply;
 }
 
 void
-CrashReports::SendToAll(const Json::Value& aCall)
+CrashReports::NoteCrashed(const std::string& aUpstream)
+{
+  if (m_tracker.HasCrashed(aUpstream)) {
+    m_crashedAt.try_emplace(aUpstream, m_parts.m_loop.Now());
+  } else {
+    m_crashedAt.erase(aUpstream);
+  }
+}
+
+void
+CrashReports::SendToAll(const Json::Value& aCall, std::string aId)
 {
-  for (const std::string& peer :
-       m_parts.m_peers.Reachable(m_parts.m_loop.Now())) {
+  std::vector<std::string> peers =
+    m_parts.m_peers.Reachable(m_parts.m_loop.Now());
+  if (peers.size() > kMaxDirectReportPeers) {
+    if (aId.empty()) {
+      aId = m_issuer + "/" + std::to_string(++m_lastReport);
+    }
+    Spread({ .m_id = std::move(aId), .m_call = aCall });
+    return;
+  }
+  for (const std::string& peer : peers) {
     Send(peer, aCall, kCrashReportTries);
   }
 }
 
+void
+CrashReports::Spread(const SpreadReport& aReport)
+{
+  if (m_spread.Add(aReport, m_parts.m_loop.Now())) {
+    ArmRound();
+  }
+}
+
+void
+CrashReports::ArmRound()
+{
+  if (m_spread.IsEmpty() || std::exchange(m_hasRound, true)) {
+    return;
+  }
+  m_parts.m_loop.RunAfter(kReportRoundPeriod,
+                          [this, alive = std::weak_ptr<bool>(m_alive)] {
+                            if (!alive.expired()) {
+                              SendRound();
+                            }
+                          });
+}
+
+void
+CrashReports::SendRound()
+{
+  m_hasRound = false;
+  Json::Value reports(Json::arrayValue);
+  for (const SpreadReport& report : m_spread.NextRound()) {
+    Json::Value entry(Json::arrayValue);
+    entry.append(report.m_id);
+    entry.append(report.m_call);
+    reports.append(std::move(entry));
+  }
+  Json::Value params(Json::objectValue);
+  params["reports"] = std::move(reports);
+  std::vector<std::string> peers =
+    m_parts.m_peers.Reachable(m_parts.m_loop.Now());
+  for (std::size_t i = 0; i < kReportFanout && !peers.empty(); ++i) {
+    std::size_t chosen = m_parts.m_random.Below(peers.size());
+    std::swap(peers.at(chosen), peers.back());
+    m_parts.m_peerCalls.Call(
+      peers.back(),
+      kReportSpreadMethod,
+      params,
+      [this, alive = std::weak_ptr<bool>(m_alive)](const PeerResult& aResult) {
+        // Other VMs pass the reports on, too.
+        if (!alive.expired() && std::holds_alternative<PeerFailure>(aResult)) {
+          m_parts.m_metrics.Count("crash_report_failures_total", "");
+        }
+      });
+    peers.pop_back();
+  }
+  ArmRound();
+}
+
+Json::Value
+CrashReports::OnSpread(const Json::Value& aParams)
+{
+  const Json::Value& reports = aParams["reports"];
+  if (!reports.isArray()) {
+    throw RpcError(kRpcInvalidParams, "\"reports\" is no list");
+  }
+  std::size_t malformed = 0;
+  std::size_t read = 0;
+  m_tracker.BeginReports();
+  for (const Json::Value& entry : reports) {
+    if (++read > kMaxReportsPerRound) {
+      break;
+    }
+    bool hasFields = entry.isArray() && entry.size() == 2 &&
+                     entry[0].isString() &&
+                     entry[0].asString().size() <= kMaxReportIdBytes;
+    try {
+      if (hasFields) {
+        TakeReport({ .m_id = entry[0].asString(), .m_call = entry[1] });
+      }
+    } catch (const Error&) {
+      hasFields = false;
+    }
+    malformed += hasFields ? 0 : 1;
+  }
+  m_tracker.EndReports(m_parts.m_loop.Now());
+  if (malformed > 0) {
+    m_parts.m_metrics.Count("reports_malformed_total", "", malformed);
+  }
+  NoteConvictions("peer");
+  return Json::Value(Json::objectValue);
+}
+
+void
+CrashReports::TakeReport(const SpreadReport& aReport)
+{
+  if (m_spread.IsKnown(aReport.m_id)) {
+    return;
+  }
+  CrashVerdict verdict = m_tracker.Apply(aReport.m_call, m_parts.m_loop.Now());
+  NoteCrashed(aReport.m_call["engine"].asString());
+  Spread(aReport);
+  // A VM that ran a trait whole tells all, since the one that suspects it may
+  // not know. All that do so make one report.
+  for (const std::string& trait : verdict.m_sound) {
+    if (m_tracker.IsNamed(trait)) {
+      SendToAll(SuspectCall::RunEnded(trait, kAnyUpstream, true),
+                aReport.m_id + "/" + trait);
+    }
+  }
+}
+
 void
 CrashReports::Send(const std::string& aPeer,
                    const Json::Value& aCall,
--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -8,6 +8,7 @@
 #include "daemon_metrics.h"
 #include "daemon_peer.h"
 #include "router_caller.h"
+#include "router_spread.h"
 #include "shallotford/ledger.h"
 #include "shallotford/router.h"
 #include "shallotford/rpc.h"
@@ -28,6 +29,7 @@
   const PeerList& m_peers;
   LogI& m_log;
   Metrics& m_metrics;
+  RandomI& m_random;
 };
 
 /// Used by one task only.
@@ -58,13 +60,27 @@
   /// Serves another VM's report.
   /// @throws Error (InvalidRequest) if it is malformed
   Json::Value OnReport(const Json::Value& aCall);
+  /// Takes reports of any VM that another one passes on.
+  /// @throws RpcError if the call is malformed; malformed reports in it are
+  ///         left out
+  Json::Value OnSpread(const Json::Value& aParams);
 
 private:
   /// @param aTries  how often the call may be made until it is answered
   void Send(const std::string& aPeer,
             const Json::Value& aCall,
             std::uint32_t aTries);
-  void SendToAll(const Json::Value& aCall);
+  /// Sends a report to each VM, or passes it on if there are many.
+  /// @param aId  the same at all VMs that make this report; empty for a report
+  ///             of this VM alone
+  void SendToAll(const Json::Value& aCall, std::string aId = {});
+  void Spread(const SpreadReport& aReport);
+  void ArmRound();
+  void SendRound();
+  /// @throws Error (InvalidRequest) if it is malformed
+  void TakeReport(const SpreadReport& aReport);
+  /// Notes whether an upstream that a report is about has crashed.
+  void NoteCrashed(const std::string& aUpstream);
   void SendCrashes();
   void OnReply(const Json::Value& aReply);
   void OnSendFailed(const std::string& aPeer,
@@ -83,6 +99,10 @@
   /// Traits of this VM's runs at crashed upstreams that are not yet reported.
   std::map<std::string, std::vector<std::string>> m_unreported;
   std::set<std::string> m_convicted; ///< as last logged
+  ReportSpread m_spread;
+  bool m_hasRound{ false }; ///< a round is due
+  std::string m_issuer; ///< of the ids of this VM's reports, since its start
+  std::uint64_t m_lastReport{ 0 };
   std::function<void()> m_onConviction;
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -71,7 +71,7 @@
   , m_peerCalls(m_loop, {})
   , m_origins({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
   , m_versions({ m_loop, m_source, m_decoder, m_origins, m_log, m_metrics })
-  , m_crashes({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
+  , m_crashes({ m_loop, m_peerCalls, m_peers, m_log, m_metrics, m_random })
   , m_permits({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
   , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
     aExchange.Respond(200,
@@ -95,6 +95,9 @@
   m_rpc.AddMethod(kCrashReportMethod, [this](const Json::Value& aParams) {
     return m_crashes.OnReport(aParams);
   });
+  m_rpc.AddMethod(kReportSpreadMethod, [this](const Json::Value& aParams) {
+    return m_crashes.OnSpread(aParams);
+  });
   m_rpc.AddMethod(kPermitMethod, [this](const Json::Value& aParams) {
     return m_permits.OnAsk(aParams);
   });
--- a/tests/router_crashes_test.cpp
+++ b/tests/router_crashes_test.cpp
@@ -4,6 +4,7 @@
 #define BOOST_TEST_MODULE router_crashes
 #include <boost/test/unit_test.hpp>
 
+#include "config.h"
 #include "router_fixture.h"
 
 using namespace shallotford;
@@ -234,3 +235,27 @@
   }
   BOOST_TEST(Crashes() == before);
 }
+
+BOOST_FIXTURE_TEST_CASE(a_large_fleet_learns_from_crashes_that_one_vm_saw,
+                        CrashingEngines)
+{
+  constexpr std::size_t kMore = kMaxDirectReportPeers + 2;
+  RouterOptions options = Options();
+  options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+  std::vector<std::unique_ptr<OtherVm>> more;
+  for (std::size_t i = 0; i < kMore; ++i) {
+    more.push_back(
+      std::make_unique<OtherVm>(*this, options, m_store->Address()));
+  }
+  std::string all = "shallotford_live_vms " + std::to_string(kMore + 2) + "\n";
+  BOOST_TEST_REQUIRE(WaitFor([&] { return Has(Metrics(), all); }));
+  for (int i = 0; i < 10 && Crashes() < 5; ++i) {
+    AskBad(Port());
+  }
+  BOOST_TEST(WaitFor([&] { return Convictions() == kMore + 2; }));
+  std::size_t before = SendsOfBadPart();
+  for (const auto& vm : more) {
+    BOOST_TEST(AskBad(vm->Port()).starts_with("HTTP/1.1 503 "));
+  }
+  BOOST_TEST(SendsOfBadPart() == before);
+}
