Send nothing on an idle connection whose end has already arrived

Callers of a request that may run once got 502 although it hadn't run.

The bytes counted as sent.

Change: a reused connection is asked for its peer's end before the request leaves; it then counts as not connected, and the request goes on elsewhere.

--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -246,6 +246,11 @@
       OnTimer();
       return;
     }
+    if (m_reused && m_connection->Socket().HasPeerLeft()) {
+      m_closedByUpstream = true;
+      Fail(AttemptEnd::Broken, "the idle connection had ended");
+      return;
+    }
     std::optional<std::string> bytes =
       m_handler.OnReadyToSend(std::move(m_options.m_head));
     if (!bytes || IsCancelled()) {
--- a/tests/router_unsent_test.cpp
+++ b/tests/router_unsent_test.cpp
@@ -138,6 +138,20 @@
   BOOST_TEST(socket->ReadToEnd() == kHead);
 }
 
+BOOST_AUTO_TEST_CASE(a_request_never_leaves_on_a_connection_that_has_ended)
+{
+  Pool pool;
+  auto socket = pool.MakeIdleConnection();
+  RecordingHandler handler;
+  pool.m_loop.Do([&] {
+    pool.m_loop->RunAfter(1ms, [&] {
+      pool.Start(handler, 5s);
+      socket.reset(); // its end arrives before the loop meets the event
+    });
+  });
+  BOOST_TEST((handler.m_ends.Take().value() == AttemptEnd::NotConnected));
+}
+
 namespace {
 
 /// Delays every turn of the loop, so that timeouts and events of sockets that
