Don't use permits whose answer was read too late

Cause: with sockets read before timers, an answer that came in time but was read after a hold-up brings permits for sends of an earlier time; the timer had ended the call before.

Change: an answer that is read later than the call's timeout counts as none.

Result: upstream_limits_test and router_limits_test pass. There is no test of the case itself.

--- a/src/router_permits.cpp
+++ b/src/router_permits.cpp
@@ -303,6 +303,7 @@
   params["wanted"] = wanted;
   params["sends"] = aAsk->m_sends;
   params["debt"] = aAsk->m_debt;
+  aAsk->m_sentAt = m_parts.m_loop.Now();
   m_parts.m_loop.CancelTimer(aAsk->m_timer);
   aAsk->m_timer = m_parts.m_loop.RunAfter(
     kPermitTimeout, [this, aAsk, aOwner, alive = std::weak_ptr<bool>(m_alive)] {
@@ -339,6 +340,11 @@
     EndFailed(aAsk, aOwner, "the answer is malformed");
     return;
   }
+  // Permits hold for sends at the time of the answer.
+  if (m_parts.m_loop.Now() - aAsk->m_sentAt >= kPermitTimeout) {
+    EndFailed(aAsk, aOwner, "the answer was read too late");
+    return;
+  }
   if (!reply["owner"].isString()) {
     Merge(reply["limits"]);
     End(aAsk,
--- a/src/router_permits.h
+++ b/src/router_permits.h
@@ -72,6 +72,7 @@
     std::uint32_t m_debt{ 0 };
     bool m_redirected{ false };
     bool m_answered{ false };
+    TimePoint m_sentAt{};
     TimersI::TimerId m_timer{ 0 };
   };
   using AskPtr = std::shared_ptr<Ask>;
