Read the changes up to a take-up before its stream's version is computed

Callers who took a stream up at a VM that was out of step got text of two software versions.

Cause: if no other VM remembers a stream, its version is computed from the published upstreams. A VM used what it knew as long as its store had answered within 3 s. In that time a version may have joined, of which others began streams.

Change: the source can be asked for the changes up to now (a watch that doesn't wait). So it doesn't matter how long the VM was cut off or stood still.

--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -131,6 +131,10 @@
   virtual void Start(DirectoryListenerI& aListener) = 0;
   /// Continues after aPosition; all changes up to it came from another VM.
   virtual void SkipTo(const DirectoryPosition& aPosition) = 0;
+  /// Reads what has changed up to now; its events come before aDone.
+  /// @param aDone  called once, unless the source is destroyed before: whether
+  ///               the listener knows all changes before this call
+  virtual void Refresh(std::function<void(bool aIsCurrent)> aDone) = 0;
   /// Reads the past changes that the source still has.
   /// @param aDone  called once, unless the source is destroyed before; gets
   ///               nothing if they can't be read
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -106,28 +106,49 @@
 
 void
 StreamVersions::FindFromId(const StreamQuery& aQuery, const Found& aDone)
+{
+  // Other VMs may have begun the stream at a version that this one, if it was
+  // cut off or held up, hasn't heard of.
+  m_parts.m_source.Refresh(
+    [this, aQuery, aDone, alive = std::weak_ptr<bool>(m_alive)](
+      bool aIsCurrent) {
+      if (alive.expired()) {
+        return;
+      }
+      if (aIsCurrent) {
+        FindFromHistory(aQuery, aDone);
+      } else {
+        EndFind(aQuery, aDone, false);
+      }
+    });
+}
+
+void
+StreamVersions::FindFromHistory(const StreamQuery& aQuery, const Found& aDone)
 {
   if (m_history.Knows(BegunAfter(aQuery))) {
-    EndFind(aQuery, aDone);
+    EndFind(aQuery, aDone, true);
     return;
   }
   bool wasReadJustNow =
     m_historyReadAt &&
     m_parts.m_loop.Now() - *m_historyReadAt < kMinHistoryInterval;
   if (wasReadJustNow) {
-    EndFind(aQuery, aDone);
+    EndFind(aQuery, aDone, true);
     return;
   }
-  ReadHistory([this, aQuery, aDone] { EndFind(aQuery, aDone); });
+  ReadHistory([this, aQuery, aDone] { EndFind(aQuery, aDone, true); });
 }
 
 void
-StreamVersions::EndFind(const StreamQuery& aQuery, const Found& aDone) const
+StreamVersions::EndFind(const StreamQuery& aQuery,
+                        const Found& aDone,
+                        bool aIsCurrent) const
 {
   TimePoint now = m_parts.m_loop.Now();
   Duration silence = now - m_sourceAnsweredAt;
   std::optional<std::string> version;
-  if (silence < kMaxSourceSilence) {
+  if (aIsCurrent && silence < kMaxSourceSilence) {
     version =
       m_history.Find(aQuery.m_service, aQuery.m_streamId, BegunAfter(aQuery));
   }
@@ -138,6 +159,7 @@
       .Add("stream", aQuery.m_streamId)
       .Add("service", aQuery.m_service)
       .Add("software", version.value_or("uncertain"))
+      .Add("current", aIsCurrent ? "yes" : "no")
       .Add("history", m_history.Knows(BegunAfter(aQuery)) ? "known" : "unknown")
       .Add("source_age", silence));
   aDone(version);
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -69,7 +69,11 @@
   /// draining ones.
   bool ListsSeveralVersions() const;
   void FindFromId(const StreamQuery& aQuery, const Found& aDone);
-  void EndFind(const StreamQuery& aQuery, const Found& aDone) const;
+  void FindFromHistory(const StreamQuery& aQuery, const Found& aDone);
+  /// @param aIsCurrent  the published entries are known up to the query
+  void EndFind(const StreamQuery& aQuery,
+               const Found& aDone,
+               bool aIsCurrent) const;
   void ReadHistory(std::function<void()> aDone);
   void OnHistory(const std::optional<DirectoryHistory>& aHistory);
   std::vector<UpstreamChange> ChangesOf(const DirectoryHistory& aHistory) const;
--- a/tests/router_versions_test.cpp
+++ b/tests/router_versions_test.cpp
@@ -254,6 +254,67 @@
   BOOST_TEST(Versions("unnamed").empty());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_vm_out_of_step_joins_no_text_of_two_versions, Plain)
+{
+  // The other VM has a store of its own, which falls silent before version 2
+  // joins; it knows no peers.
+  std::map<std::string, std::vector<std::string>> versions;
+  auto add = [&](const std::string& aId, const std::string& aSoftware) {
+    PublishedServer& engine = AddServer(aId, "model", "decode", aSoftware);
+    m_loop.Do([&] {
+      engine.SetScript(
+        [&versions, &engine, aSoftware](const PublishedCall& aCall) {
+          if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+            return false;
+          }
+          versions[aCall.m_id].push_back(aSoftware);
+          engine.BeginStream(aCall);
+          aCall.m_exchange->Write(Event(1));
+          aCall.m_exchange->Abort();
+          return true;
+        });
+    });
+    return &engine;
+  };
+  PublishedServer* first = add("i-1", "v1");
+  auto store = m_loop.Do([&] {
+    auto made = std::make_unique<PublishedStore>(*m_loop);
+    made->Put("op/config", ConfigText(1));
+    made->Put("servers/i-a", m_a->Entry("plain", ""));
+    made->Put("servers/i-1", first->Entry("model", "decode"));
+    return made;
+  });
+  RouterOptions options = Options();
+  options.m_firstStart = true;
+  {
+    OtherVm other(*this, options, store->Address());
+    BOOST_TEST(WaitFor([&] { return TwoVersions::Answers(other); }));
+    m_loop.Do([&] { store->SetFault(StoreFault::NoAnswer); });
+    add("i-2", "v2");
+    BOOST_TEST(WaitFor([this] { return Knows(4); }));
+    std::size_t atSecond = 0;
+    for (int i = 0; i < kStreams; ++i) {
+      std::string begun = "f" + std::to_string(i);
+      std::string next = "n" + std::to_string(i);
+      BOOST_TEST(Has(Ask("/fixed/x", begun), Event(1)));
+      std::string version = m_loop.Do([&] { return versions[begun].front(); });
+      atSecond += version == "v2" ? 1 : 0;
+      TwoVersions::TakeUp(other.Port(), next, begun);
+      bool joined = m_loop.Do([&] {
+        return !versions[next].empty() && versions[next].front() != version;
+      });
+      BOOST_TEST(!joined);
+    }
+    BOOST_TEST(atSecond > 0u);
+  }
+  m_loop.Do([&] {
+    for (const auto& server : m_servers) {
+      server->SetScript({});
+    }
+    store.reset();
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(many_take_ups_do_not_each_read_the_history, TwoVersions)
 {
   // An engine that has just started, and whose creation the store no longer
