Name the request in the line of its rejection

Change: the line has the request's id. This commit also adds the test that an upstream which stops inside its answer's head gave no answer; no code had to change for it.

Result: a_request_without_a_route_gets_404 looks for the id; router_test passes.

--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -261,6 +261,16 @@
     .WithRetryAfter(kLeavingRetryAfter);
 }
 
+std::string
+RouterTask::IdOf(const RequestHead& aHead) const
+{
+  try {
+    return m_dialect.ReadRequest(aHead).m_id;
+  } catch (const Error&) {
+    return {}; // the request is rejected for a malformed field
+  }
+}
+
 void
 RouterTask::Reject(CallerExchangeI& aExchange,
                    const CallerRequest& aRequest,
@@ -268,6 +278,7 @@
 {
   RespondError(aExchange, aError);
   m_log.Write(LogEvent("request_rejected")
+                .Add("request", IdOf(aRequest.m_head))
                 .Add("target", aRequest.m_head.m_target)
                 .Add("code", ToString(aError.Kind()))
                 .Add("reason", aError.what()));
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -92,6 +92,8 @@
   /// @throws Error (ShuttingDown) if the request would not end in time
   void RefuseWhileLeaving(const Route& aRoute,
                           const RequestFacts& aFacts) const;
+  /// Returns a request's id, or "" if its fields are malformed.
+  std::string IdOf(const RequestHead& aHead) const;
   void Reject(CallerExchangeI& aExchange,
               const CallerRequest& aRequest,
               const Error& aError);
--- a/tests/router_test.cpp
+++ b/tests/router_test.cpp
@@ -46,6 +46,7 @@
 BOOST_FIXTURE_TEST_CASE(a_request_without_a_route_gets_404, Plain)
 {
   BOOST_TEST(Ask("/none/", "r1").starts_with("HTTP/1.1 404 "));
+  BOOST_TEST(CountLogLines("event=request_rejected request=r1 ") == 1u);
 }
 
 BOOST_FIXTURE_TEST_CASE(configured_limits_are_enforced, Plain)
@@ -174,6 +175,41 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(an_upstream_that_stops_inside_its_head_gave_no_answer,
+                        Plain)
+{
+  RawListener upstream;
+  m_loop.Do([&] {
+    std::string entry = m_a->Entry("plain", "");
+    std::string address = m_a->Address();
+    entry.replace(entry.find(address), address.size(), upstream.Address());
+    m_store->Put("servers/i-raw", entry);
+    m_store->Remove("servers/i-a");
+    m_store->Remove("servers/i-b");
+  });
+  BOOST_TEST(WaitFor([this] { return Knows(1); }));
+  const std::string head = "HTTP/1.1 200 OK\r\n"
+                           "X-Shallotford-Response-Signature: mark\r\n"
+                           "Content-Length: 0\r\n\r\n";
+  int number = 0;
+  for (std::size_t size : { std::size_t{ 12 },
+                            head.find("Content-Length"),
+                            head.size() - 3,
+                            head.size() - 1 }) {
+    RawSocket socket(Port());
+    std::string id = "r" + std::to_string(number++);
+    socket.Send(Request("/once/" + id, id, "body", "Connection: close\r\n"));
+    std::unique_ptr<RawSocket> connection = upstream.Accept();
+    BOOST_TEST_REQUIRE(connection != nullptr);
+    connection->ReadUntil("\r\n\r\nbody");
+    connection->Send(head.substr(0, size));
+    connection.reset();
+    std::string answer = socket.ReadToEnd();
+    BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+    BOOST_TEST(!Has(answer, "mark"));
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(an_upstreams_failure_is_passed_on_unchanged, Plain)
 {
   ScriptBoth([](const PublishedCall& aCall) {
