--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -160,6 +160,20 @@
   BOOST_TEST(!chunked->Finish(cut));
 }
 
+BOOST_AUTO_TEST_CASE(an_answer_that_ends_inside_its_head_is_none)
+{
+  const std::string head =
+    "HTTP/1.1 200 OK\r\nX-Mark: m\r\nContent-Length: 0\r\n\r\n";
+  for (std::size_t size = 0; size < head.size(); ++size) {
+    auto reader = MakeAnswerReader(kMaxHead);
+    Recorder recorder;
+    reader->Feed(head.substr(0, size), recorder);
+    BOOST_TEST(!reader->Finish(recorder));
+    BOOST_TEST(recorder.m_answer.m_status == 0);
+    BOOST_TEST(recorder.m_ends == 0);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(interim_answers_are_dropped)
 {
   auto reader = MakeAnswerReader(kMaxHead);
