Take what can end while a VM stops, and answer what doesn't

Callers of a VM that stopped got connections that ended without an answer, also for requests that may not be repeated (LOST).

Cause: a stream of unknown length was taken for one without tokens, so a stopping VM accepted streams that it couldn't end; what was left at the end was cut, also requests that could have been answered. And the stop counted from the turn of the loop that met the signal, which may come late.

Change: StreamTimes remembers how long the streams of each route took in the last half minute; a stream of unknown length is taken to be as long as the longest, or as its whole time if there was none, and known lengths take as much more time as the slowest one did. 0.7 s before the time is up each request that is left gets the answer that it can still get (503 if it hasn't run, 502, or the end of a begun stream without its last chunk), and 0.3 s later the process ends. The stop counts from the signal.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -557,6 +557,41 @@
              std::chrono::milliseconds aDeadline,
              std::uint32_t aOutputTokens);
 
+/// How long the streams of each route took lately, which bounds what a VM that
+/// is stopping may still accept.
+class StreamTimes
+{
+public:
+  /// A stream ended in order.
+  /// @param aOutputTokens  upper bound, or 0 if it isn't known
+  void OnEnd(const Route& aRoute,
+             std::uint32_t aOutputTokens,
+             Duration aTook,
+             TimePoint aNow);
+  /// Returns the time within which a request ends: ExpectedTime(), or more if
+  /// streams took longer lately. A stream of unknown length takes as long as
+  /// the longest one lately, or all of its time if there was none.
+  Duration Expected(const Route& aRoute,
+                    std::chrono::milliseconds aDeadline,
+                    std::uint32_t aOutputTokens,
+                    TimePoint aNow) const;
+
+private:
+  /// The longest streams of one span of time.
+  struct Span
+  {
+    TimePoint m_from{};
+    Duration m_longest{};
+    double m_slowest{ 0 }; ///< longest time as a share of ExpectedTime()
+  };
+  struct Spans
+  {
+    Span m_current;
+    Span m_before;
+  };
+  std::map<std::string, Spans> m_routes; ///< by name
+};
+
 /// How a request continues or ends after an attempt.
 enum class NextStep
 {
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -194,7 +194,9 @@
   virtual void Start() = 0;
   /// Begins the planned stop; aOnDrained is called once all requests and
   /// connections have ended or the drain time is over.
-  virtual void Drain(std::function<void()> aOnDrained) = 0;
+  /// @param aAskedAt  time from which the drain time counts; not later than now
+  virtual void Drain(std::function<void()> aOnDrained,
+                     TimePoint aAskedAt = TimePoint::max()) = 0;
   /// Applies the settings that may change while it runs: the seeds.
   virtual void Reload(const RouterOptions& aOptions) = 0;
   virtual std::uint16_t CallerPort() const = 0;
--- a/src/config.h
+++ b/src/config.h
@@ -465,8 +465,13 @@
 /// A planned stop goes on accepting requests for this time, until balancers
 /// notice it.
 constexpr std::chrono::milliseconds kDrainAcceptTime = 2'800ms;
-/// The process ends this long before its time for a planned stop is over.
+/// Requests end this long before the time for a planned stop is over.
 constexpr std::chrono::milliseconds kDrainMargin = 700ms;
+/// After that the process has this time to send the answers of the requests
+/// that haven't ended.
+constexpr std::chrono::milliseconds kStopAnswerTime = 300ms;
+/// Time for which the longest stream of a route is remembered, at least.
+constexpr std::chrono::milliseconds kStreamTimesSpan = 30'000ms;
 /// Longest time to generate one token, used to estimate whether a stream ends
 /// before a planned stop does.
 constexpr std::chrono::microseconds kMaxTokenTime = 6'000us;
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -154,7 +154,11 @@
   SettingsWatch watch(*loop, *router, *log, aFile);
   {
     SignalTask signals(
-      [&] { loop->Post([&] { router->Drain([&] { loop->Stop(); }); }); },
+      [&] {
+        loop->Post([&, askedAt = loop->Now()] {
+          router->Drain([&] { loop->Stop(); }, askedAt);
+        });
+      },
       [&] { loop->Post([&] { watch.Check(); }); });
     loop->Run();
   }
--- a/src/route_request.cpp
+++ b/src/route_request.cpp
@@ -59,6 +59,54 @@
     longest, aRoute.m_latencyTarget + aOutputTokens * kMaxTokenTime);
 }
 
+void
+StreamTimes::OnEnd(const Route& aRoute,
+                   std::uint32_t aOutputTokens,
+                   Duration aTook,
+                   TimePoint aNow)
+{
+  Spans& spans = m_routes[aRoute.m_name];
+  if (aNow - spans.m_current.m_from >= kStreamTimesSpan) {
+    spans.m_before = std::exchange(spans.m_current, { .m_from = aNow });
+  }
+  Span& span = spans.m_current;
+  span.m_longest = std::max(span.m_longest, aTook);
+  if (aOutputTokens > 0) {
+    Duration expected = ExpectedTime(aRoute, aRoute.m_timeout, aOutputTokens);
+    span.m_slowest =
+      std::max(span.m_slowest, std::chrono::duration<double>(aTook) / expected);
+  }
+}
+
+Duration
+StreamTimes::Expected(const Route& aRoute,
+                      std::chrono::milliseconds aDeadline,
+                      std::uint32_t aOutputTokens,
+                      TimePoint aNow) const
+{
+  Duration longest = std::min(aDeadline, aRoute.m_timeout);
+  if (aRoute.m_kind != RouteKind::Stream) {
+    return longest;
+  }
+  Duration took{};
+  double slowest = 1;
+  if (auto found = m_routes.find(aRoute.m_name); found != m_routes.end()) {
+    for (const Span& span :
+         { found->second.m_current, found->second.m_before }) {
+      if (aNow - span.m_from < 2 * kStreamTimesSpan) {
+        took = std::max(took, span.m_longest);
+        slowest = std::max(slowest, span.m_slowest);
+      }
+    }
+  }
+  if (aOutputTokens == 0) {
+    return took == Duration::zero() ? longest : std::min(longest, took);
+  }
+  Duration expected = ExpectedTime(aRoute, aDeadline, aOutputTokens);
+  return std::min(longest,
+                  std::chrono::duration_cast<Duration>(expected * slowest));
+}
+
 NextStep
 DecideEnd(const RequestProgress& aProgress)
 {
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -39,6 +39,7 @@
   CrashReports& m_crashes;
   UpstreamPermits& m_permits;
   RelayTable& m_relays;
+  StreamTimes m_streamTimes;
   std::map<std::string, LinkState> m_serviceLinks; ///< by service
   std::map<std::string, TimePoint> m_reachedAt;    ///< last answer, by service
 
@@ -101,6 +102,8 @@
   ~RoutedRequest() override;
 
   void Start();
+  /// Ends the request with the answer that it can still get, as this VM stops.
+  void OnStop();
   /// More requests than before are refused, as they crash upstreams.
   void OnConviction();
 
@@ -272,6 +275,7 @@
   TimersI::TimerId m_attemptTimer{ 0 };
   std::chrono::milliseconds m_retryAfter; ///< sent if the request is refused
   bool m_limited{ false };                ///< refused for upstreams' limits
+  bool m_stopped{ false };                ///< ended by this VM's stop
   bool m_quarantined{ false }; ///< refused, as requests like it crash upstreams
   bool m_ended{ false };
 
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -117,6 +117,17 @@
   Finish(DecideEnd(progress));
 }
 
+void
+RoutedRequest::OnStop()
+{
+  if (m_ended) {
+    return;
+  }
+  m_stopped = true;
+  AbandonCall(AttemptEnd::Abandoned, "this VM stops");
+  Finish(DecideEnd(Progress()));
+}
+
 void
 RoutedRequest::AbandonCall(AttemptEnd aEnd, const std::string& aReason)
 {
@@ -166,6 +177,10 @@
     m_shared.m_admission.OnFreed(QueueName());
   }
   Duration took = m_shared.m_loop.Now() - m_received;
+  if (m_answerBegun && IsStream() && aOutcome == "answered") {
+    m_shared.m_streamTimes.OnEnd(
+      *m_route, m_facts.m_outputTokens, took, m_shared.m_loop.Now());
+  }
   LogEvent event("request_end",
                  aOutcome == "answered" ? LogLevel::Info : LogLevel::Warning);
   event.Add("request", m_facts.m_id)
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -65,6 +65,7 @@
               .m_crashes = m_crashes,
               .m_permits = m_permits,
               .m_relays = m_relays,
+              .m_streamTimes = {},
               .m_serviceLinks = {},
               .m_reachedAt = {} }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
@@ -249,9 +250,11 @@
   }
   Duration since = m_loop.Now() - m_leavingSince;
   Duration left = m_options.m_drainTime - kDrainMargin - since;
-  Duration expected = ExpectedTime(aRoute,
-                                   aFacts.m_deadline.value_or(aRoute.m_timeout),
-                                   aFacts.m_outputTokens);
+  Duration expected = m_shared.m_streamTimes.Expected(
+    aRoute,
+    aFacts.m_deadline.value_or(aRoute.m_timeout),
+    aFacts.m_outputTokens,
+    m_loop.Now());
   if (since < kDrainAcceptTime && expected < left) {
     return;
   }
@@ -376,12 +379,12 @@
 // ---------------------------------------------------------- planned stop
 
 void
-RouterTask::Drain(std::function<void()> aOnDrained)
+RouterTask::Drain(std::function<void()> aOnDrained, TimePoint aAskedAt)
 {
   if (std::exchange(m_leaving, true)) {
     return;
   }
-  m_leavingSince = m_loop.Now();
+  m_leavingSince = std::min(aAskedAt, m_loop.Now());
   m_onDrained = std::move(aOnDrained);
   m_log.Write(
     LogEvent("drain_begins")
@@ -393,10 +396,16 @@
 RouterTask::CheckDrained()
 {
   Duration since = m_loop.Now() - m_leavingSince;
-  bool late = since >= m_options.m_drainTime - kDrainMargin;
-  if (since < kDrainAcceptTime) {
+  Duration end = m_options.m_drainTime - kDrainMargin;
+  bool late = since >= end + kStopAnswerTime;
+  if (since < std::min<Duration>(kDrainAcceptTime, end)) {
     return;
   }
+  if (since >= end) {
+    for (const auto& [key, request] : m_requests) {
+      request->OnStop();
+    }
+  }
   m_callers->CloseIdle();
   if (m_relayListener != nullptr) {
     m_relayListener->CloseIdle();
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -26,7 +26,7 @@
   ~RouterTask() override;
 
   void Start() override;
-  void Drain(std::function<void()> aOnDrained) override;
+  void Drain(std::function<void()> aOnDrained, TimePoint aAskedAt) override;
   void Reload(const RouterOptions& aOptions) override;
   std::uint16_t CallerPort() const override { return m_callers->Port(); }
   std::uint16_t PeerPort() const override { return m_peerServer->Port(); }
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -289,6 +289,34 @@
 
 // -------------------------------------------------------------- requests
 
+BOOST_AUTO_TEST_CASE(streams_may_take_as_long_as_the_longest_one_lately)
+{
+  Route route = MakeRoute("r", "h", "/");
+  route.m_kind = RouteKind::Stream;
+  route.m_timeout = 14'000ms;
+  route.m_latencyTarget = 900ms;
+  StreamTimes times;
+  auto expected = [&](std::uint32_t aTokens, TimePoint aNow) {
+    return times.Expected(route, 14'000ms, aTokens, aNow);
+  };
+  Duration usual = ExpectedTime(route, 14'000ms, 70);
+  BOOST_TEST((expected(0, kStart) == 14'000ms));
+  BOOST_TEST((expected(70, kStart) == usual));
+  times.OnEnd(route, 0, 1'500ms, kStart);
+  BOOST_TEST((expected(0, kStart) == 1'500ms));
+  BOOST_TEST((expected(70, kStart) == usual));
+  times.OnEnd(route, 70, 2 * usual, kStart);
+  BOOST_TEST((expected(0, kStart) == 2 * usual));
+  BOOST_TEST((expected(70, kStart) == 2 * usual));
+  BOOST_TEST((times.Expected(route, 800ms, 70, kStart) == 800ms));
+  TimePoint later = kStart + kStreamTimesSpan;
+  times.OnEnd(route, 70, 1'000ms, later);
+  BOOST_TEST((expected(70, later) == 2 * usual));
+  later += 2 * kStreamTimesSpan;
+  BOOST_TEST((expected(0, later) == 14'000ms));
+  BOOST_TEST((expected(70, later) == usual));
+}
+
 BOOST_AUTO_TEST_CASE(a_request_needs_its_whole_time_or_that_of_its_tokens)
 {
   Route route = MakeRoute("r", "h", "/");
