Send no call of the older client once its time is over

Cause: with sockets read before timers, a connection that opened while the loop was held up was met before the timer of its call, and the call left although its time was over.

Change: the call fails as not sent in that case.

--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -150,6 +150,11 @@
   if (IsOver()) {
     return -1;
   }
+  // A connection that opens while the loop is held up is met before the timer.
+  if (m_client->GetLoop().Now() - m_activity >= m_call.m_headersTimeout) {
+    Fail("the time for the answer's headers was over before the call was sent");
+    return -1;
+  }
   std::string text = HeaderText();
   if (text.size() + LWS_PRE > aRoom) {
     Fail("the headers exceed " + std::to_string(aRoom) + " bytes");
--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -115,7 +115,8 @@
     m_runs == 0 || (progress.m_mayRepeat && m_runs < progress.m_maxAttempts);
   bool canGoOn = !m_answerBegun || progress.m_canResume;
   return !m_relayed && m_relays < kMaxRelays && mayRun && canGoOn &&
-         !m_quarantined && !m_limited && !m_stopped && (m_linkFailed || AreLinksCut()) &&
+         !m_quarantined && !m_limited && !m_stopped &&
+         (m_linkFailed || AreLinksCut()) &&
          progress.m_timeLeft >= kMinAttemptTime;
 }
 
