Put the state of collecting reports beside the other state

Cause: two members stood before the types of the class. Found when reading the change as a newcomer.

--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -208,8 +208,6 @@
   std::vector<std::string> Convicted(TimePoint aNow) const;
 
 private:
-  bool m_isCollecting{ false }; ///< between BeginReports() and EndReports()
-  bool m_isUnweighed{ false };  ///< evidence came in meanwhile
   struct Entry
   {
     PoisonStatus m_status{ PoisonStatus::Clear };
@@ -284,6 +282,8 @@
   /// Traits known to be sound, with the end of their last whole run.
   std::map<std::string, TimePoint, std::less<>> m_sound;
   std::set<std::pair<TimePoint, std::string>> m_soundByAge;
+  bool m_isCollecting{ false }; ///< between BeginReports() and EndReports()
+  bool m_isUnweighed{ false };  ///< evidence came in meanwhile
 };
 
 /// Returns the VM that coordinates the suspects of aService, or "" if there is
