review: streams taken up after the store lost its history join two versions (ORDER)

Claimed: a history that was discarded early counts as one of history-s, so servers that left leave no trace and the other version is taken for certain.

--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -141,6 +141,7 @@
         super().__init__()
         self.items, self.history = {}, []
         self.revision = 1
+        self.discarded = 0  # changes up to here are no longer available
         self.changed = asyncio.Event()
 
     def put(self, key, value):
@@ -157,6 +158,14 @@
             self.revision += 1
             self._add({"key": key, "revision": self.revision, "removed": True})
 
+    def discard_history(self):
+        """Forgets all changes so far; what holds stays. Waiting watches are
+        cut."""
+        self.discarded = self.revision
+        self.history = []
+        for writer in list(self.writers):
+            writer.transport.abort()
+
     def _add(self, item):
         self.history.append(item)
         self.changed.set()
@@ -166,10 +175,9 @@
         while True:
             first, _, _ = await read_request(reader)
             path, _, query = first.split(" ")[1].partition("?")
-            body = await self._answer(path, urllib.parse.parse_qs(
+            status, body = await self._answer(path, urllib.parse.parse_qs(
                 query, keep_blank_values=True))
-            write_answer(writer, 200 if body else 404,
-                         {"Content-Type": "application/json"},
+            write_answer(writer, status, {"Content-Type": "application/json"},
                          json.dumps(body).encode())
             await writer.drain()
 
@@ -178,19 +186,21 @@
         if path == "/api/kv-range":
             items = [i for k, i in sorted(self.items.items())
                      if k.startswith(prefix) and k > query.get("after", [""])[0]]
-            return {"items": items, "truncated": False,
-                    "current-rev": self.revision}
+            return 200, {"items": items, "truncated": False,
+                         "current-rev": self.revision}
         if path != "/api/kv-watch":
-            return {}
+            return 404, {}
         after = int(query["after"][0])
         end = time.monotonic() + int(query["wait-ms"][0]) / 1000
         while True:
+            if after < self.discarded:
+                return 410, {}
             changed = self.changed
             events = [i for i in self.history if i["revision"] > after
                       and i["key"].startswith(prefix)]
             left = end - time.monotonic()
             if events or left <= 0:
-                return {"events": events, "current-rev": self.revision}
+                return 200, {"events": events, "current-rev": self.revision}
             try:
                 await asyncio.wait_for(changed.wait(), left)
             except asyncio.TimeoutError:
@@ -232,10 +242,14 @@
         self.entry["seq"] += 1
         self.store.put(f"servers/{self.id}", self.entry)
 
-    def leave(self):
-        """Ends: its entry is removed and nothing is served any more."""
+    def unlist(self):
+        """Removes its entry, and goes on serving."""
         self.beat.cancel()
         self.store.remove(f"servers/{self.id}")
+
+    def leave(self):
+        """Ends: its entry is removed and nothing is served any more."""
+        self.unlist()
         self.close()
 
     async def serve(self, reader, writer):
