--- a/review/2/case.py
+++ b/review/2/case.py
@@ -14,7 +14,7 @@
 from streams import Stream, StreamServer  # noqa: E402
 
 MACHINES = 9
-STREAMS = 60
+STREAMS, PER_S = 60, 13.0  # the traffic of the sheet
 EVENTS, GAP_S = 25, 0.5
 SERVED_S = 24  # both versions serve for that long; the store keeps 20 s
 RETRIES = 3
@@ -47,17 +47,18 @@
     await asyncio.sleep(SERVED_S)
 
     async def client(number):
+        await until(number / PER_S)
         stream = Stream(record, "h1.example", "/a/x",
-                        f"{random.randrange(1 << 56):014x}")
+                        f"{random.randrange(1 << 56):014x}", True)
         await stream.attempt(world.daemons[number % MACHINES].ip,
                              world.ports["front"])
         retries = 0
         while not stream.whole and retries < RETRIES and \
-                loop.time() - began < 13:
+                loop.time() - began < 18:
             machine = random.choice(world.daemons)
             if await stream.attempt(machine.ip, world.ports["front"]):
                 retries += 1
-            await asyncio.sleep(0.5)
+            await asyncio.sleep(max(0.3, stream.retry_after))
         return stream
 
     began = loop.time()
@@ -66,15 +67,15 @@
         await asyncio.sleep(began + seconds - loop.time())
 
     clients = [asyncio.create_task(client(n)) for n in range(STREAMS)]
-    await until(0.6)
+    await until(4.8)
     for server in old:
         record.add(f"the entry of {server.id} is removed; it serves on")
         server.unlist()
-    await until(5.0)
+    await until(8.0)
     if TROUBLE:
         record.add("the store discards its history")
         store.discard_history()
-    await until(7.0)
+    await until(10.0)
     if TROUBLE:
         for daemon in world.daemons:
             daemon.signal(signal.SIGKILL)
--- a/review/common/streams.py
+++ b/review/common/streams.py
@@ -41,7 +41,9 @@
 class Stream:
     """A client's stream: what it has received over all of its attempts."""
 
-    def __init__(self, record, host, path, name):
+    def __init__(self, record, host, path, name, names_origin=False):
+        # names_origin: its attempts name the one that brought the first event
+        self.names_origin, self.retry_after = names_origin, 0.0
         self.record, self.host, self.path, self.name = record, host, path, name
         self.began = time.monotonic()
         self.text, self.last, self.whole = "", 0, False
@@ -57,7 +59,7 @@
         except (OSError, asyncio.TimeoutError):
             return False
         self.attempts += 1
-        self.status = 0
+        self.status, self.retry_after = 0, 0.0
         request = f"{self.name}{self.attempts:02x}"
         left = DEADLINE_S - (time.monotonic() - self.began)
         body = b'{"prompt":"inquiry"}'
@@ -68,8 +70,9 @@
                   "X-Shallotford-Token-Count: 5200,71",
                   f"Content-Length: {len(body)}"]
         if self.last:
-            fields += [f"Last-Event-Id: {self.last}",
-                       f"Resumes: {self.origin}"]
+            fields.append(f"Last-Event-Id: {self.last}")
+            if self.names_origin:
+                fields.append(f"Resumes: {self.origin}")
         self.record.add(f"send {request} to {ip}, deadline {left:.2f} s"
                         + (f", after event {self.last}" if self.last else ""))
         try:
@@ -89,6 +92,7 @@
     async def _read(self, reader, request):
         first, fields = await read_head(reader)
         self.status = int(first.split(" ")[1])
+        self.retry_after = float(fields.get("retry-after", 0))
         if self.status != 200:
             return
         rest = ""
