Keep the calls of silent upstreams until another one serves

Callers lost whole requests while sound upstreams were silent for one or two seconds: streams were cut 1.5 s after their last event, repeatable requests ended as 502 after their attempts of 250 ms, and new streams were refused though the engines answered again in time.

Cause: a silent call was given up before another upstream was known to take the request. Without one, or without retry budget, the request ended, though its upstream could still answer. Engines that left a reservation unanswered were left out for good, and silence counted as a crash under the request.

Change: a silent attempt is put aside with its call open while another upstream is looked for. Whoever answers first is heard; a stream's old call ends as its run at another engine leaves. Instead of ending, a request waits for a silent call until its deadline. Silent engines are asked again in the next round, and silence counts as a crash only after 3 s without any answer. A request that hasn't left yet is moved after the same time as before.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -349,6 +349,12 @@
   /// against the upstream only if it has answered no other request since.
   /// @return whether it was ejected
   bool OnNoResponse(TimePoint aSentAt, TimePoint aNow);
+  /// Returns whether it has answered or refused a request since aTime.
+  bool HasAnsweredSince(TimePoint aTime) const
+  {
+    return (m_answeredAt && *m_answeredAt > aTime) ||
+           (m_refusedAt && *m_refusedAt > aTime);
+  }
   /// This VM's links were cut, so that past failures say nothing of the
   /// upstream.
   void ForgetFailures();
--- a/src/config.h
+++ b/src/config.h
@@ -253,7 +253,7 @@
 /// gets no other requests.
 constexpr std::chrono::milliseconds kNoResponseTimeout = 300ms;
 /// Shortest time that a repeatable request waits for an answer's head before
-/// it is sent to another upstream.
+/// it is sent to another upstream, too.
 constexpr std::chrono::milliseconds kMinAnswerHeadTimeout = 250ms;
 /// A prefill times out after this time plus kPrefillTimeoutFactor times its
 /// expected duration, which includes the expected wait at prefill engines. A
@@ -262,13 +262,14 @@
 /// isn't processed twice.
 constexpr std::chrono::milliseconds kPrefillTimeoutBase = 350ms;
 constexpr int kPrefillTimeoutFactor = 2;
-/// A stream without a first event in this time is sent to another engine. Until
-/// then an engine that has preempted it still serves it sooner than one that
-/// processes the prompt anew.
+/// A stream without a first event in this time goes to another engine, if one
+/// has memory for it. Until then an engine that has preempted it still serves
+/// it sooner than one that processes the prompt anew.
 constexpr std::chrono::milliseconds kFirstEventTimeout = 1'500ms;
 /// The same as kNoResponseTimeout, for engines.
 constexpr std::chrono::milliseconds kEngineNoResponseTimeout = 700ms;
-/// Longest pause in a stream that can be resumed at another engine.
+/// Pause in a stream after which it is resumed at another engine, if one has
+/// memory for it.
 constexpr std::chrono::milliseconds kMaxStreamPause = 1'500ms;
 /// Added to an attempt's timers where the request's own deadline timer has to
 /// fire first.
@@ -356,6 +357,10 @@
 /// Its origin is kept that long, and so are the capacities of software
 /// versions.
 constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
+/// Time for which a sound upstream may be silent and then go on.
+constexpr std::chrono::milliseconds kMaxSoundSilence = 3'000ms;
+/// Period in which another upstream is looked for in place of a silent one.
+constexpr std::chrono::milliseconds kSilenceSearchPeriod = 500ms;
 /// Time by which a VM's view of the published upstreams may be late when it
 /// begins a stream: a few gossip periods, if the directory's source is cut off.
 constexpr std::chrono::milliseconds kMaxUpstreamViewAge = 4'000ms;
--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -79,6 +79,23 @@
   }
 }
 
+void
+CrashReports::OnRunSilent(const UpstreamPtr& aUpstream,
+                          const std::vector<std::string>& aTraits,
+                          TimePoint aSentAt)
+{
+  Duration rest = aSentAt + kMaxSoundSilence - m_parts.m_loop.Now();
+  auto delay = std::chrono::duration_cast<std::chrono::milliseconds>(
+    std::max(rest, Duration::zero()));
+  m_parts.m_loop.RunAfter(
+    delay,
+    [this, aUpstream, aTraits, aSentAt, alive = std::weak_ptr<bool>(m_alive)] {
+      if (!alive.expired() && !aUpstream->m_health.HasAnsweredSince(aSentAt)) {
+        OnRunBroken(aUpstream->m_entry.m_key, aTraits);
+      }
+    });
+}
+
 void
 CrashReports::SendCrashes()
 {
--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -44,6 +44,11 @@
   /// of a stream, before the first event. Or it fell silent to all requests.
   void OnRunBroken(const UpstreamKey& aUpstream,
                    const std::vector<std::string>& aTraits);
+  /// A run was given up without an answer. It counts as broken if the upstream
+  /// answers nothing for kMaxSoundSilence.
+  void OnRunSilent(const UpstreamPtr& aUpstream,
+                   const std::vector<std::string>& aTraits,
+                   TimePoint aSentAt);
   /// A run was answered whole.
   void OnRunComplete(const UpstreamKey& aUpstream,
                      const std::vector<std::string>& aTraits);
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -8,12 +8,6 @@
 
 namespace {
 
-std::chrono::milliseconds
-Milliseconds(Duration aTime)
-{
-  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
-}
-
 /// Returns the id of the request that began the stream, or of the request
 /// itself.
 const std::string&
@@ -48,6 +42,7 @@
 {
   m_shared.m_loop.CancelTimer(m_deadlineTimer);
   m_shared.m_loop.CancelTimer(m_attemptTimer);
+  m_shared.m_loop.CancelTimer(m_silenceTimer);
 }
 
 void
@@ -59,11 +54,7 @@
   m_readDelay = m_shared.m_loop.Now() - m_received;
   m_shared.m_metrics.Observe(Latency::ReadDelay, m_readDelay);
   m_exchange->OnClosed([this] { OnCallerDisconnected(); });
-  m_exchange->OnDrained([this] {
-    if (m_call != nullptr) {
-      m_call->ResumeReading();
-    }
-  });
+  m_exchange->OnDrained([this] { OnCallerDrained(); });
   m_deadlineTimer =
     m_shared.m_loop.RunAfter(TimeLeft(), [this] { OnDeadline(); });
   if (EndIfObsolete()) {
@@ -80,6 +71,17 @@
   }
 }
 
+void
+RoutedRequest::OnCallerDrained()
+{
+  if (std::exchange(m_readingPaused, false)) {
+    m_lastBytesAt = m_shared.m_loop.Now();
+  }
+  if (m_call != nullptr) {
+    m_call->ResumeReading();
+  }
+}
+
 bool
 RoutedRequest::ChooseSoftwareVersion()
 {
@@ -317,9 +319,12 @@
   m_shared.m_permits.Acquire(
     aUpstream->m_entry.m_key,
     aPhase == Phase::Reserve ? kMaxPermitSends : 1,
-    [this, aUpstream, aPhase, alive = std::weak_ptr<bool>(m_alive)](
-      bool aGranted) {
-      if (alive.expired() || m_ended) {
+    [this,
+     aUpstream,
+     aPhase,
+     round = m_permitRound,
+     alive = std::weak_ptr<bool>(m_alive)](bool aGranted) {
+      if (alive.expired() || m_ended || round != m_permitRound) {
         return;
       }
       if (aGranted && aUpstream->TakesRequests(m_shared.m_loop.Now())) {
@@ -386,6 +391,12 @@
   if (m_phase == Phase::Run) {
     OnRunLeaves();
   }
+  if (IsRun()) {
+    m_runSent = true;
+    if (IsStream()) {
+      DropSilent(AttemptEnd::TimedOut, "another upstream continues the stream");
+    }
+  }
   return aHead;
 }
 
@@ -429,13 +440,26 @@
                             *this);
     return;
   }
-  m_call = m_shared.m_pool.Start(
-    aUpstream->m_entry, CallOptions(aUpstream, aPhase), *this);
+  StartCall(aUpstream, aPhase);
   m_attemptTimer = m_shared.m_loop.RunAfter(
     ServedByEngines() ? kEngineNoResponseTimeout : kNoResponseTimeout,
     [this] { OnNoResponse(); });
 }
 
+void
+RoutedRequest::StartCall(const UpstreamPtr& aUpstream, Phase aPhase)
+{
+  UpstreamCallHandlerI* handler = this;
+  if (IsRun()) {
+    m_allEvents.push_back(std::make_unique<AttemptEvents>(*this));
+    m_currentEvents = m_allEvents.back().get();
+    handler = m_currentEvents;
+    ArmSilenceTimer(SilencePatience());
+  }
+  m_call = m_shared.m_pool.Start(
+    aUpstream->m_entry, CallOptions(aUpstream, aPhase), *handler);
+}
+
 void
 RoutedRequest::BeginAttempt(const UpstreamPtr& aUpstream, Phase aPhase)
 {
@@ -445,6 +469,7 @@
   m_pendingEnd = AttemptEnd::Broken;
   m_streaming = false;
   m_hasEvents = false;
+  m_runSent = false;
   m_callFailure.reset();
   m_closedByUpstream = false;
   m_sentAt = m_shared.m_loop.Now();
@@ -462,6 +487,7 @@
            .m_maxReuseIdle = m_route->MayRepeat() || aPhase == Phase::Prefill
                                ? kMaxReuseIdleRepeatable
                                : kMaxReuseIdleNonRepeatable,
+           .m_sendTimeout = SendTimeout(aPhase),
            .m_headTimeout = HeadTimeout(aPhase),
            .m_bodyTimeout = BodyTimeout(),
            .m_wholeTimeout =
@@ -502,6 +528,14 @@
   return WriteRequestHead(head.m_method, head.m_target, fields);
 }
 
+std::chrono::milliseconds
+RoutedRequest::SendTimeout(Phase aPhase) const
+{
+  bool mayGoElsewhere = aPhase != Phase::Prefill && HasAttemptsLeft();
+  return mayGoElsewhere ? std::min(TimeLeft(), Milliseconds(SilencePatience()))
+                        : HeadTimeout(aPhase);
+}
+
 std::chrono::milliseconds
 RoutedRequest::HeadTimeout(Phase aPhase) const
 {
@@ -511,21 +545,13 @@
                     m_shared.m_prefillDelays[m_service].PrefillTimeout(
                       m_facts.m_promptTokens, m_shared.m_loop.Now()));
   }
-  if (!HasAttemptsLeft()) {
-    return left + kAttemptTimerMargin; // the request's own timer ends it
-  }
-  if (IsStream()) {
-    return std::min(left, kFirstEventTimeout);
-  }
-  auto timeout = std::max(kMinAnswerHeadTimeout, m_route->m_latencyTarget);
-  return std::min(left, timeout);
+  return left + kAttemptTimerMargin; // the request's own timer ends it
 }
 
 std::chrono::milliseconds
 RoutedRequest::BodyTimeout() const
 {
-  return IsStream() && HasAttemptsLeft() ? std::min(TimeLeft(), kMaxStreamPause)
-                                         : TimeLeft() + kAttemptTimerMargin;
+  return TimeLeft() + kAttemptTimerMargin;
 }
 
 void
@@ -549,6 +575,7 @@
 RoutedRequest::EndAttempt(AttemptEnd aEnd, const std::string& aReason)
 {
   m_shared.m_loop.CancelTimer(m_attemptTimer);
+  m_shared.m_loop.CancelTimer(m_silenceTimer);
   ReleaseCall();
   NoteLink(aEnd);
   // An idle connection may end at any time, which says nothing of its upstream.
@@ -561,11 +588,14 @@
                            "end=\"" + std::string(shallotford::ToString(aEnd)) +
                              "\"");
   bool full = m_phase == Phase::Reserve && aEnd == AttemptEnd::Refused;
-  if (full) {
+  // A silent engine may have memory in a later round.
+  bool silent = m_phase == Phase::Reserve && aEnd == AttemptEnd::TimedOut;
+  if (full || silent) {
     m_enginesWithoutRoom.insert(m_upstream->m_entry.m_key);
-  } else if (aEnd != AttemptEnd::Answered) {
+  }
+  if (aEnd != AttemptEnd::Answered && !full) {
     LogAttempt(aEnd, aReason);
-    if (!staleConnection) {
+    if (!staleConnection && !silent) {
       m_excluded.insert(m_upstream->m_entry.m_key);
     }
   }
@@ -601,6 +631,7 @@
     m_prefillUpstream->m_health.OnHandleLost(m_shared.m_loop.Now());
   }
   if (aEnd == AttemptEnd::Answered) {
+    DropSilent(AttemptEnd::TimedOut, "another upstream answered");
     if (m_answerBegun) {
       FinishStream();
     } else if (m_streaming) {
@@ -625,7 +656,9 @@
 void
 RoutedRequest::TryAgain()
 {
-  m_events.TakeRest();
+  if (m_silent.empty()) {
+    m_events.TakeRest();
+  }
   m_brokenAt = m_lastBytesAt;
   if ((m_phase == Phase::Relay || AreLinksCut()) && TryRelay()) {
     return;
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -18,6 +18,12 @@
 
 namespace shallotford {
 
+inline std::chrono::milliseconds
+Milliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime);
+}
+
 /// State and dependencies that all requests of a router share.
 struct RouterShared
 {
@@ -89,10 +95,34 @@
   std::function<void()> m_onEnd; ///< called last, after the answer
 };
 
+class RoutedRequest;
+
+/// Passes the events of one attempt's call to its request.
+class AttemptEvents : public UpstreamCallHandlerI
+{
+public:
+  explicit AttemptEvents(RoutedRequest& aRequest)
+    : m_request(aRequest)
+  {
+  }
+
+  std::optional<std::string> OnReadyToSend(std::string aHead) override;
+  void OnAnswerHead(const AnswerHead& aHead) override;
+  void OnAnswerBody(std::string_view aBytes) override;
+  void OnAnswerEnd() override;
+  void OnCallFailed(const CallFailure& aFailure) override;
+
+private:
+  RoutedRequest& m_request;
+};
+
 /// Serves one request. A request to engines reserves memory of a decode engine
 /// (if the service has reservations), usually has its prompt processed by a
 /// prefill engine, and then runs at the decode engine; other requests run at
 /// once. Every request ends exactly once, in End().
+///
+/// An upstream that is silent may go on, so its attempt is put aside while
+/// another upstream is looked for, and given up only for a better one.
 class RoutedRequest
   : public UpstreamCallHandlerI
   , private AdmissionClientI
@@ -114,6 +144,8 @@
   void OnCallFailed(const CallFailure& aFailure) override;
 
 private:
+  friend class AttemptEvents;
+
   enum class Phase
   {
     Reserve, ///< reserves memory of a decode engine
@@ -129,6 +161,21 @@
     std::string m_body;
   };
 
+  /// An attempt whose upstream sends nothing. Its call stays open.
+  struct SilentAttempt
+  {
+    AttemptEvents* m_events;
+    Phase m_phase;
+    UpstreamPtr m_upstream;
+    std::unique_ptr<UpstreamCallI> m_call;
+    TimePoint m_sentAt;
+    TimePoint m_lastBytesAt;
+    HeldAnswer m_heldAnswer;
+    AttemptEnd m_pendingEnd;
+    bool m_streaming;
+    bool m_hasEvents;
+  };
+
   std::chrono::milliseconds TimeLeft() const;
   std::chrono::milliseconds Elapsed() const;
   RequestProgress Progress() const;
@@ -185,6 +232,9 @@
   /// @return whether it has ended
   bool EndIfObsolete();
   void BeginAttempt(const UpstreamPtr& aUpstream, Phase aPhase);
+  void StartCall(const UpstreamPtr& aUpstream, Phase aPhase);
+  /// All bytes that waited for the caller have been sent.
+  void OnCallerDrained();
   /// The run is about to be sent.
   void OnRunLeaves();
   UpstreamCallOptions CallOptions(const UpstreamPtr& aUpstream, Phase aPhase);
@@ -206,11 +256,40 @@
   /// are used up.
   void RefuseForLimits();
   std::string HeadFor(const Upstream& aUpstream, Phase aPhase) const;
+  std::chrono::milliseconds SendTimeout(Phase aPhase) const;
   std::chrono::milliseconds HeadTimeout(Phase aPhase) const;
   std::chrono::milliseconds BodyTimeout() const;
   bool HasAttemptsLeft() const;
   void OnNoResponse();
 
+  /// Looks for another upstream if this attempt's one has been silent too long.
+  void CheckSilence();
+  void ArmSilenceTimer(Duration aDelay);
+  /// Returns how long the attempt's upstream may be silent meanwhile.
+  Duration SilencePatience() const;
+  /// Returns whether the request could run at another upstream instead.
+  bool MayRunElsewhere() const;
+  /// Puts the attempt aside and tries another upstream.
+  void PutAside();
+  /// Makes an attempt that was put aside the one under way again, in place of
+  /// the present one.
+  void TakeBack(std::size_t aIndex);
+  /// Returns the index of the attempt that was put aside with these events.
+  std::optional<std::size_t> FindSilent(const AttemptEvents* aEvents) const;
+  /// An attempt that was put aside has ended without an answer to use.
+  void EndSilent(std::size_t aIndex,
+                 AttemptEnd aEnd,
+                 const std::string& aReason,
+                 bool aClosedByUpstream);
+  /// Gives up the attempts that were put aside, as another one replaces them or
+  /// the request ends.
+  void DropSilent(AttemptEnd aEnd, const std::string& aReason);
+  /// Instead of an end, waits for an attempt that was put aside.
+  /// @return false if there is none, or no time
+  bool WaitForSilent();
+  /// Returns whether an answer's head may lead to an answer for the caller.
+  bool IsUseful(const AnswerHead& aHead) const;
+
   void ClassifyHead(const AnswerHead& aHead);
   /// Sets the attempt's end if its answer completes. An answer that only leads
   /// to another attempt gets kMaxUnusedBodyTime to complete.
@@ -230,6 +309,10 @@
   void AbandonCall(AttemptEnd aEnd, const std::string& aReason);
   /// Passes on what the end of an attempt tells about crashes.
   void ReportRun(AttemptEnd aEnd);
+  void ReportSilentRun(const SilentAttempt& aSilent,
+                       AttemptEnd aEnd,
+                       bool aClosedByUpstream);
+  void ReportSilence(const UpstreamPtr& aUpstream, TimePoint aSentAt);
   bool RefuseIfConvicted();
   void AfterReserve(AttemptEnd aEnd);
   void AfterPrefill(AttemptEnd aEnd);
@@ -314,10 +397,21 @@
   AttemptEnd m_pendingEnd{ AttemptEnd::Broken };
   bool m_streaming{ false }; ///< events are passed on as they arrive
   bool m_hasEvents{ false }; ///< the attempt has brought a complete event
+  bool m_runSent{ false };   ///< the run has left
   std::optional<CallFailure> m_callFailure; ///< for the log
   /// The upstream ended the connection before the attempt was over.
   bool m_closedByUpstream{ false };
 
+  // Silent upstreams.
+  std::vector<std::unique_ptr<AttemptEvents>> m_allEvents; ///< of all attempts
+  AttemptEvents* m_currentEvents{ nullptr }; ///< of the attempt under way
+  std::vector<SilentAttempt> m_silent;
+  TimersI::TimerId m_silenceTimer{ 0 };
+  TimePoint m_nextSearchAt{};    ///< for another upstream
+  bool m_readingPaused{ false }; ///< until the caller has taken its bytes
+  /// Permits that were asked for before are of no use.
+  std::uint64_t m_permitRound{ 0 };
+
   // Memory of a decode engine. A round of reservations ends when the request
   // gets memory or enters the queue.
   std::uint64_t m_queueNumber{ 0 };        ///< in the admission queue, or 0
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -33,6 +33,10 @@
 {
   m_shared.m_loop.CancelTimer(m_attemptTimer);
   m_heldAnswer.m_head = aHead;
+  m_lastBytesAt = m_shared.m_loop.Now();
+  if (IsRun()) {
+    ArmSilenceTimer(SilencePatience());
+  }
   ClassifyHead(aHead);
 }
 
@@ -168,6 +172,7 @@
 {
   m_exchange->Write(aBytes);
   if (m_exchange->Buffered() > kMaxCallerQueueBytes) {
+    m_readingPaused = true;
     m_call->PauseReading();
   }
 }
--- a/src/router_request_crashes.cpp
+++ b/src/router_request_crashes.cpp
@@ -18,17 +18,42 @@
                    m_heldAnswer.m_head.m_status / 100 == kSuccess;
   bool wasBroken =
     m_closedByUpstream && !m_hasEvents && aEnd == AttemptEnd::Broken;
-  // Requests to engines share parts of their prompts, which a network fault
-  // must not convict.
-  bool fellSilent = aEnd == AttemptEnd::TimedOut && !ServedByEngines() &&
-                    m_upstream->m_health.IsEjected();
-  if (wasBroken || fellSilent) {
+  if (wasBroken) {
     m_shared.m_crashes.OnRunBroken(upstream, m_traits);
+  } else if (aEnd == AttemptEnd::TimedOut) {
+    ReportSilence(m_upstream, m_sentAt);
   } else if (m_phase == Phase::Run && succeeded) {
     m_shared.m_crashes.OnRunComplete(upstream, m_traits);
   }
 }
 
+void
+RoutedRequest::ReportSilentRun(const SilentAttempt& aSilent,
+                               AttemptEnd aEnd,
+                               bool aClosedByUpstream)
+{
+  if (aSilent.m_phase == Phase::Relay) {
+    return;
+  }
+  bool wasBroken =
+    aClosedByUpstream && !aSilent.m_hasEvents && aEnd == AttemptEnd::Broken;
+  if (wasBroken) {
+    m_shared.m_crashes.OnRunBroken(aSilent.m_upstream->m_entry.m_key, m_traits);
+  } else if (aEnd == AttemptEnd::TimedOut) {
+    ReportSilence(aSilent.m_upstream, aSilent.m_sentAt);
+  }
+}
+
+void
+RoutedRequest::ReportSilence(const UpstreamPtr& aUpstream, TimePoint aSentAt)
+{
+  // Requests to engines share parts of their prompts, which a network fault
+  // must not convict.
+  if (!ServedByEngines() && aUpstream->m_health.IsEjected()) {
+    m_shared.m_crashes.OnRunSilent(aUpstream, m_traits, aSentAt);
+  }
+}
+
 bool
 RoutedRequest::RefuseIfConvicted()
 {
@@ -49,6 +74,7 @@
     return;
   }
   AbandonCall(AttemptEnd::Abandoned, "requests like it crash upstreams");
+  DropSilent(AttemptEnd::Abandoned, "requests like it crash upstreams");
   RefuseIfConvicted();
 }
 
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -38,7 +38,7 @@
 void
 RoutedRequest::Finish(NextStep aStep)
 {
-  if (aStep != NextStep::PassOn && TryRelay()) {
+  if (aStep != NextStep::PassOn && (TryRelay() || WaitForSilent())) {
     return;
   }
   switch (aStep) {
@@ -112,6 +112,7 @@
 RoutedRequest::EndAtDeadline(AttemptEnd aEnd)
 {
   AbandonCall(aEnd, "the request's time is over");
+  DropSilent(aEnd, "the request's time is over");
   RequestProgress progress = Progress();
   progress.m_timeLeft = std::chrono::milliseconds::zero();
   Finish(DecideEnd(progress));
@@ -125,6 +126,7 @@
   }
   m_stopped = true;
   AbandonCall(AttemptEnd::Abandoned, "this VM stops");
+  DropSilent(AttemptEnd::Abandoned, "this VM stops");
   Finish(DecideEnd(Progress()));
 }
 
@@ -136,6 +138,7 @@
   }
   bool wasSent = ReleaseCall();
   m_shared.m_loop.CancelTimer(m_attemptTimer);
+  m_shared.m_loop.CancelTimer(m_silenceTimer);
   NoteLink(aEnd);
   m_upstream->m_health.OnEnd(aEnd, m_sentAt, m_shared.m_loop.Now());
   LogAttempt(aEnd, aReason);
@@ -149,6 +152,7 @@
   if (m_call != nullptr) {
     ReleaseCall();
     m_shared.m_loop.CancelTimer(m_attemptTimer);
+    m_shared.m_loop.CancelTimer(m_silenceTimer);
     TimePoint now = m_shared.m_loop.Now();
     // If the upstream sent no bytes for a long time before the caller
     // disconnected, the attempt counts as timed out.
@@ -157,6 +161,7 @@
     m_upstream->m_health.OnEnd(end, m_sentAt, now);
     ReportRun(end);
   }
+  DropSilent(AttemptEnd::Abandoned, "the caller has left");
   End("cancelled", 0);
 }
 
@@ -166,7 +171,9 @@
   if (std::exchange(m_ended, true)) {
     return;
   }
+  DropSilent(AttemptEnd::Abandoned, "the request has ended");
   m_shared.m_loop.CancelTimer(m_deadlineTimer);
+  m_shared.m_loop.CancelTimer(m_silenceTimer);
   m_exchange->OnClosed(nullptr);
   m_exchange->OnDrained(nullptr);
   if (m_queueNumber != 0) {
--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -150,8 +150,7 @@
   m_prefillUpstream = nullptr;
   m_shared.m_metrics.Count("relayed_total", "");
   BeginAttempt(relay, Phase::Relay);
-  m_call = m_shared.m_pool.Start(
-    relay->m_entry, CallOptions(relay, Phase::Relay), *this);
+  StartCall(relay, Phase::Relay);
   return true;
 }
 
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -141,9 +141,12 @@
         }
       });
     }
-    m_deadline = m_loop.Now() + m_options.m_headTimeout;
-    Arm(m_reused ? m_options.m_headTimeout
-                 : std::min(kConnectTimeout, m_options.m_headTimeout));
+    std::chrono::milliseconds sendTimeout = m_options.m_sendTimeout > 0ms
+                                              ? m_options.m_sendTimeout
+                                              : m_options.m_headTimeout;
+    m_sendDeadline = m_loop.Now() + sendTimeout;
+    m_headDeadline = m_loop.Now() + m_options.m_headTimeout;
+    Arm(m_reused ? sendTimeout : std::min(kConnectTimeout, sendTimeout));
     if (m_options.m_wholeTimeout > 0ms) {
       m_wholeTimer =
         m_loop.RunAfter(m_options.m_wholeTimeout, [this] { OnWholeTimeout(); });
@@ -180,8 +183,7 @@
   bool IsReused() const override { return m_reused; }
   void OnConnected() override
   {
-    Arm(std::chrono::duration_cast<std::chrono::milliseconds>(m_deadline -
-                                                              m_loop.Now()));
+    ArmUntil(m_sendDeadline);
     SendRequest();
   }
 
@@ -242,7 +244,7 @@
     if (IsCancelled()) {
       return;
     }
-    if (m_loop.Now() >= m_deadline) {
+    if (m_loop.Now() >= m_sendDeadline) {
       OnTimer();
       return;
     }
@@ -259,6 +261,7 @@
     if (m_options.m_body != nullptr) {
       bytes->append(*m_options.m_body);
     }
+    ArmUntil(m_headDeadline);
     m_connection->Socket().Write(*bytes);
   }
 
@@ -316,6 +319,12 @@
     m_timer = m_loop.RunAfter(aDelay, [this] { OnTimer(); });
   }
 
+  void ArmUntil(TimePoint aDeadline)
+  {
+    Arm(std::chrono::duration_cast<std::chrono::milliseconds>(aDeadline -
+                                                              m_loop.Now()));
+  }
+
   void OnTimer()
   {
     Duration idle = m_loop.Now() - m_lastBytesAt;
@@ -352,7 +361,8 @@
   bool m_reused;
   std::uint64_t m_sentBefore;
   std::uint64_t m_sentBytes{ 0 }; ///< set when the connection is closed
-  TimePoint m_deadline;
+  TimePoint m_sendDeadline;
+  TimePoint m_headDeadline;
   TimePoint m_lastBytesAt{};
   Duration m_timeout{};
   TimersI::TimerId m_timer{ 0 };
--- a/src/router_upstream.h
+++ b/src/router_upstream.h
@@ -48,6 +48,8 @@
   bool m_isHead{ false }; ///< the method is HEAD
   /// A connection that was idle for longer is not reused.
   std::chrono::milliseconds m_maxReuseIdle{ 0 };
+  /// Longest time from the start until the request leaves; 0 for m_headTimeout.
+  std::chrono::milliseconds m_sendTimeout{ 0 };
   /// Longest time from the start to the answer's head.
   std::chrono::milliseconds m_headTimeout{ 0 };
   /// Longest time without bytes in the answer's body.
