Keep a silent stream's call until another VM answers for it

Callers lost streams if all engines were silent and this VM passed the stream to another one: its call ended as it was passed on, and the other VM refused it, as its links to the engines counted as cut, too.

Change: the silent call ends with the other VM's useful answer. Silence is evidence of a crash only at the request's end, since a call that was given up for a faster one might have been answered; it is logged once for each attempt.

Evidence: a_stream_outlasts_the_refusal_of_another_vm failed before (two runs of a stream).

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -391,11 +391,9 @@
   if (m_phase == Phase::Run) {
     OnRunLeaves();
   }
-  if (IsRun()) {
-    m_runSent = true;
-    if (IsStream()) {
-      DropSilent(AttemptEnd::TimedOut, "another upstream continues the stream");
-    }
+  m_runSent = IsRun();
+  if (m_phase == Phase::Run && IsStream()) {
+    DropSilent(AttemptEnd::TimedOut, "another upstream continues the stream");
   }
   return aHead;
 }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -271,6 +271,7 @@
   bool MayRunElsewhere() const;
   /// Puts the attempt aside and tries another upstream.
   void PutAside();
+  void LogSilence() const;
   /// Makes an attempt that was put aside the one under way again, in place of
   /// the present one.
   void TakeBack(std::size_t aIndex);
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -37,6 +37,10 @@
   if (IsRun()) {
     ArmSilenceTimer(SilencePatience());
   }
+  if (m_phase == Phase::Relay && IsStream() && IsUseful(aHead)) {
+    // Until now the other VM might have refused the stream.
+    DropSilent(AttemptEnd::TimedOut, "another VM continues the stream");
+  }
   ClassifyHead(aHead);
 }
 
--- a/src/router_request_crashes.cpp
+++ b/src/router_request_crashes.cpp
@@ -39,7 +39,8 @@
     aClosedByUpstream && !aSilent.m_hasEvents && aEnd == AttemptEnd::Broken;
   if (wasBroken) {
     m_shared.m_crashes.OnRunBroken(aSilent.m_upstream->m_entry.m_key, m_traits);
-  } else if (aEnd == AttemptEnd::TimedOut) {
+  } else if (aEnd == AttemptEnd::TimedOut && TimeLeft() == 0ms) {
+    // Before, the upstream might still have answered.
     ReportSilence(aSilent.m_upstream, aSilent.m_sentAt);
   }
 }
--- a/src/router_request_silence.cpp
+++ b/src/router_request_silence.cpp
@@ -124,14 +124,10 @@
   NoteLink(AttemptEnd::TimedOut);
   m_upstream->m_health.OnNoResponse(m_sentAt, now);
   m_shared.m_metrics.Count("silent_attempts_total", "");
-  m_shared.m_log.Write(LogEvent("attempt_silent")
-                         .Add("request", m_facts.m_id)
-                         .Add("phase", ToString(m_phase))
-                         .Add("upstream", m_upstream->m_entry.m_key.m_id)
-                         .Add("events", m_hasEvents ? "yes" : "no")
-                         .Add("silence", now - m_lastBytesAt)
-                         .Add("time_left", Duration(TimeLeft())));
-  m_excluded.insert(m_upstream->m_entry.m_key);
+  bool isNew = m_excluded.insert(m_upstream->m_entry.m_key).second;
+  if (isNew) {
+    LogSilence();
+  }
   ++m_runs;
   ++m_budgetedSends;
   m_silent.push_back({ .m_events = m_currentEvents,
@@ -147,6 +143,18 @@
   TryAgain();
 }
 
+void
+RoutedRequest::LogSilence() const
+{
+  m_shared.m_log.Write(LogEvent("attempt_silent")
+                         .Add("request", m_facts.m_id)
+                         .Add("phase", ToString(m_phase))
+                         .Add("upstream", m_upstream->m_entry.m_key.m_id)
+                         .Add("events", m_hasEvents ? "yes" : "no")
+                         .Add("silence", m_shared.m_loop.Now() - m_lastBytesAt)
+                         .Add("time_left", Duration(TimeLeft())));
+}
+
 std::optional<std::size_t>
 RoutedRequest::FindSilent(const AttemptEvents* aEvents) const
 {
--- a/tests/router_silence_test.cpp
+++ b/tests/router_silence_test.cpp
@@ -176,6 +176,47 @@
   BOOST_TEST(AllEngineRuns("s") == 1);
 }
 
+/// A stream was cut if another VM, which it was passed to, refused it.
+BOOST_FIXTURE_TEST_CASE(a_stream_outlasts_the_refusal_of_another_vm, Silence)
+{
+  RouterOptions options = Options();
+  options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+  OtherVm other(*this, options, m_store->Address());
+  options.m_seeds = { "127.0.0.1:" + std::to_string(other.PeerPort()) };
+  m_loop.Do([&] { m_router->Reload(options); });
+  BOOST_TEST(WaitFor([&] {
+    RawSocket socket(other.Port());
+    socket.Send(Request("/safe/x", "o", "body", "Connection: close\r\n"));
+    return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
+  }));
+  constexpr std::size_t kBegun = 6;
+  std::vector<std::future<std::string>> answers;
+  for (std::size_t i = 0; i < kBegun; ++i) {
+    answers.push_back(AskLater("/stream/x", "s" + std::to_string(i)));
+  }
+  BOOST_TEST(IsPaused(kBegun));
+  SetSilent(All());
+  // The links of both VMs to the engines count as cut, so each one refuses what
+  // the other one passes on.
+  std::vector<std::unique_ptr<RawSocket>> more;
+  for (int i = 0; i < 4; ++i) {
+    more.push_back(
+      std::make_unique<RawSocket>(i % 2 == 0 ? Port() : other.Port()));
+    more.back()->Send(Request("/stream/x", "p" + std::to_string(i)));
+  }
+  BOOST_TEST(WaitFor(
+    [this] { return CountLogLines("event=links_cut service=model") == 2; }));
+  BOOST_TEST(WaitFor([this] {
+    return CountLogLines("phase=relay") >= kBegun &&
+           CountLogLines("event=attempt_silent") >= kBegun;
+  }));
+  GoOn();
+  for (std::size_t i = 0; i < kBegun; ++i) {
+    BOOST_TEST(IsWhole(answers[i].get()));
+    BOOST_TEST(AllEngineRuns("s" + std::to_string(i)) == 1);
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stream_leaves_an_engine_that_alone_is_silent, Silence)
 {
   auto answer = AskLater("/stream/x", "s");
