Log what a closed connection drops, and the callers' limits

Cause: logs and metrics couldn't tell a request that a close dropped from one that never came, nor which idle limit was in force. Change: caller_closes_total and caller_drops_total by cause (idle, stop, answered, cut), the event caller_bytes_dropped, and the two timeouts for callers in the event configuration. No decision changes.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -24,6 +24,22 @@
 
 } // namespace
 
+const char*
+ToString(CloseCause aCause)
+{
+  switch (aCause) {
+    case CloseCause::Idle:
+      return "idle";
+    case CloseCause::Stop:
+      return "stop";
+    case CloseCause::Answered:
+      return "answered";
+    case CloseCause::Cut:
+      return "cut";
+  }
+  return "unknown";
+}
+
 /// The answer that one connection is sending.
 class CallerExchange : public CallerExchangeI
 {
@@ -112,12 +128,15 @@
   /// Closes the sending side and drops received bytes until the caller closes
   /// the connection too, for kLingerTime at most. The caller thus gets all
   /// bytes of the answer before the connection is closed.
-  void LingeringClose()
+  void LingeringClose(CloseCause aCause)
   {
     if (m_closing) {
       return;
     }
     m_closing = true;
+    m_closeCause = aCause;
+    m_handler.OnClose(aCause);
+    Drop(m_pipelined);
     m_pipelined.clear();
     m_stream->FinishWriting();
     m_stream->ResumeReading();
@@ -127,6 +146,7 @@
   void OnBytes(std::string_view aBytes) override
   {
     if (m_closing) {
+      Drop(aBytes);
       return;
     }
     if (m_exchange != nullptr) {
@@ -202,7 +222,7 @@
   {
     DetachExchange(false);
     if (!m_untilClose) {
-      LingeringClose();
+      LingeringClose(CloseCause::Cut);
       return;
     }
     m_closing = true;
@@ -252,6 +272,13 @@
 
   void OnEnd() override { m_complete = true; }
 
+  void Drop(std::string_view aBytes)
+  {
+    if (!aBytes.empty()) {
+      m_handler.OnDropped(m_closeCause, aBytes.size());
+    }
+  }
+
   TimePoint ArrivalTime() const
   {
     return m_loop.Now() - m_stream->SinceArrival();
@@ -327,7 +354,7 @@
   {
     DetachExchange(false);
     if (!m_keepAlive) {
-      LingeringClose();
+      LingeringClose(CloseCause::Answered);
       return;
     }
     Arm(m_handler.Limits().m_idleTimeout);
@@ -382,7 +409,7 @@
       return;
     }
     if (!m_reader->IsInside()) {
-      LingeringClose();
+      LingeringClose(CloseCause::Idle);
       return;
     }
     RefuseRequest(Error(ErrorKind::RequestTimeout,
@@ -415,6 +442,7 @@
   /// The answer being sent ends with the connection.
   bool m_untilClose{ false };
   bool m_closing{ false };
+  CloseCause m_closeCause{}; ///< once m_closing is set
   TimePoint m_arrivedAt{};   ///< of the request that is being received
   std::string m_pipelined;   ///< bytes after the request that is being answered
   TimePoint m_pipelinedAt{}; ///< time at which the first of them arrived
@@ -522,7 +550,7 @@
 {
   for (auto& [key, connection] : m_connections) {
     if (connection->IsIdle()) {
-      connection->LingeringClose();
+      connection->LingeringClose(CloseCause::Stop);
     }
   }
 }
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -51,11 +51,27 @@
 };
 using CallerExchangePtr = std::shared_ptr<CallerExchangeI>;
 
+/// Why this VM closed a caller's connection.
+enum class CloseCause
+{
+  Idle,     ///< no request came within the idle timeout
+  Stop,     ///< this VM stops
+  Answered, ///< the last answer said that it closes the connection
+  Cut,      ///< a streamed answer could not go on
+};
+const char*
+ToString(CloseCause aCause);
+
 /// Receives callers' requests.
 class CallerHandlerI
 {
 public:
   virtual ~CallerHandlerI() = default;
+  /// This VM closed a connection; the caller hasn't yet.
+  virtual void OnClose(CloseCause /*aCause*/) {}
+  /// Bytes of the caller were read and dropped, as this VM had closed the
+  /// connection or was just closing it.
+  virtual void OnDropped(CloseCause /*aCause*/, std::size_t /*aBytes*/) {}
   virtual void OnRequest(CallerExchangePtr aExchange,
                          CallerRequest aRequest) = 0;
   /// A request was refused before it was complete.
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -144,6 +144,8 @@
       .Add("version", static_cast<std::int64_t>(aRouting->m_version))
       .Add("before", static_cast<std::int64_t>(current))
       .Add("routes", static_cast<std::int64_t>(aRouting->m_routes.size()))
+      .Add("idle_timeout", aRouting->m_limits.m_idleTimeout)
+      .Add("head_timeout", aRouting->m_limits.m_headTimeout)
       .Add("from", aFrom));
 }
 
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -306,6 +306,23 @@
                   "code=\"" + std::string(ToString(aError.Kind())) + "\"");
 }
 
+void
+RouterTask::OnClose(CloseCause aCause)
+{
+  m_metrics.Count("caller_closes_total",
+                  "cause=\"" + std::string(ToString(aCause)) + "\"");
+}
+
+void
+RouterTask::OnDropped(CloseCause aCause, std::size_t aBytes)
+{
+  m_log.Write(LogEvent("caller_bytes_dropped")
+                .Add("cause", ToString(aCause))
+                .Add("bytes", static_cast<std::int64_t>(aBytes)));
+  m_metrics.Count("caller_drops_total",
+                  "cause=\"" + std::string(ToString(aCause)) + "\"");
+}
+
 CallerLimits
 RouterTask::Limits() const
 {
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -51,6 +51,11 @@
     {
       m_task.OnBadRequest(aError);
     }
+    void OnClose(CloseCause aCause) override { m_task.OnClose(aCause); }
+    void OnDropped(CloseCause aCause, std::size_t aBytes) override
+    {
+      m_task.OnDropped(aCause, aBytes);
+    }
     CallerLimits Limits() const override;
     bool IsLeaving() const override { return m_task.m_leaving; }
     RouterTask& m_task;
@@ -75,6 +80,8 @@
   // Callers.
   void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override;
   void OnBadRequest(const Error& aError) override;
+  void OnClose(CloseCause aCause) override;
+  void OnDropped(CloseCause aCause, std::size_t aBytes) override;
   CallerLimits Limits() const override;
   bool IsLeaving() const override { return m_leaving; }
   /// @param aRelayed  another VM has passed the request on
