Let a raised limit hold for connections that are open

What callers saw: after a configuration had raised idle-timeout-ms from 1 s to 5 s, connections were closed 1 s after their last answer, though callers may reuse them up to four fifths of the last limit. A request that crossed the end was never answered. Cause: the timer kept the limit of the moment in which it was armed. The same holds for header-timeout-ms: a request that had begun got 408 by the old limit. Change: when a wait's timer fires, it is judged by the limits in force; a connection that was promised a longer limit keeps it. Evidence: router_close_test: the two tests of raised limits failed before and pass now; that of a lowered limit passed before.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -397,9 +397,15 @@
   }
 
   void Arm(std::chrono::milliseconds aDelay)
+  {
+    m_waitsSince = m_loop.Now();
+    ArmAt(m_waitsSince + aDelay);
+  }
+
+  void ArmAt(TimePoint aDue)
   {
     m_loop.CancelTimer(m_timer);
-    m_timer = m_loop.RunAfter(aDelay, [this] { OnTimer(); });
+    m_timer = m_loop.RunAfter(aDue - m_loop.Now(), [this] { OnTimer(); });
   }
 
   void OnTimer()
@@ -408,7 +414,16 @@
       OnCallerLeft();
       return;
     }
-    if (!m_reader->IsInside()) {
+    // Callers go by the newest limits, which may have been raised meanwhile.
+    CallerLimits limits = m_handler.Limits();
+    bool isIdle = !m_reader->IsInside();
+    TimePoint due =
+      m_waitsSince + (isIdle ? limits.m_idleTimeout : limits.m_headTimeout);
+    if (due > m_loop.Now()) {
+      ArmAt(due);
+      return;
+    }
+    if (isIdle) {
       LingeringClose(CloseCause::Idle);
       return;
     }
@@ -443,6 +458,7 @@
   bool m_untilClose{ false };
   bool m_closing{ false };
   CloseCause m_closeCause{}; ///< once m_closing is set
+  TimePoint m_waitsSince{};  ///< for a request or its rest
   TimePoint m_arrivedAt{};   ///< of the request that is being received
   std::string m_pipelined;   ///< bytes after the request that is being answered
   TimePoint m_pipelinedAt{}; ///< time at which the first of them arrived
--- /dev/null
+++ b/tests/router_close_test.cpp
@@ -0,0 +1,98 @@
+/// Tests of the moments at which a VM closes callers' connections: no request
+/// that it has read goes without an answer.
+
+#define BOOST_TEST_MODULE router_close
+#include <boost/test/unit_test.hpp>
+
+#include "net_fixture.h"
+#include "router_caller.h"
+
+using namespace shallotford;
+using namespace shallotford::test;
+
+namespace {
+
+/// A listener for callers whose requests are answered at once.
+struct Callers : CallerHandlerI
+{
+  Callers()
+  {
+    m_loop.Do([this] {
+      m_listener = std::make_unique<CallerListener>(
+        *m_loop, StreamListenerOptions{ .m_address = "127.0.0.1:0" }, *this);
+    });
+  }
+  ~Callers() override
+  {
+    m_loop.Do([this] { m_listener.reset(); });
+  }
+  Callers(const Callers&) = delete;
+  Callers& operator=(const Callers&) = delete;
+
+  void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override
+  {
+    aExchange->Respond(200, "OK", {}, "answer to " + aRequest.m_head.m_target);
+    if (auto then = std::exchange(m_thenOnce, nullptr)) {
+      then();
+    }
+  }
+  void OnBadRequest(const Error& /*aError*/) override {}
+  CallerLimits Limits() const override { return m_limits; }
+  bool IsLeaving() const override { return false; }
+
+  static std::string Get(const std::string& aTarget)
+  {
+    return "GET " + aTarget + " HTTP/1.1\r\nHost: h\r\n\r\n";
+  }
+
+  LoopThread m_loop;
+  CallerLimits m_limits;
+  std::function<void()> m_thenOnce; ///< runs after the next answer
+  std::unique_ptr<CallerListener> m_listener;
+};
+
+bool
+HasAnswer(const std::string& aText, const std::string& aTarget)
+{
+  return aText.find("answer to " + aTarget) != std::string::npos;
+}
+
+} // namespace
+
+BOOST_FIXTURE_TEST_CASE(a_raised_idle_timeout_holds_for_open_connections,
+                        Callers)
+{
+  m_limits.m_idleTimeout = 200ms;
+  m_thenOnce = [this] { m_limits.m_idleTimeout = 20s; };
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1"));
+  BOOST_REQUIRE(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
+  std::this_thread::sleep_for(600ms);
+  socket.Send(Get("/2"));
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /2"), "/2"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_lowered_idle_timeout_leaves_open_connections, Callers)
+{
+  m_limits.m_idleTimeout = 20s;
+  m_thenOnce = [this] { m_limits.m_idleTimeout = 100ms; };
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1"));
+  BOOST_REQUIRE(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
+  std::this_thread::sleep_for(400ms);
+  socket.Send(Get("/2"));
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /2"), "/2"));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_raised_head_timeout_holds_for_a_begun_request,
+                        Callers)
+{
+  m_limits.m_headTimeout = 1s;
+  RawSocket socket(m_listener->Port());
+  std::string request = Get("/1");
+  socket.Send(request.substr(0, 20));
+  m_loop.Do([this] { m_limits.m_headTimeout = 20s; });
+  std::this_thread::sleep_for(2s);
+  socket.Send(request.substr(20));
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
+}
