Leave unread what meets the close of an idle connection

What callers saw: a request on a kept connection that crossed its close was read whole, dropped, and got neither an answer nor a refusal. Its sender can't tell that it hasn't run. The close of an idle connection also cut an answer that was still being sent. Cause: a connection was closed by a timer or a stop that looked at the state before the bytes that had arrived since, and LingeringClose(), meant for the rest of a refused request, went on reading and dropped what came. Bytes that arrive while one turn of the loop runs, as when it takes on a configuration, met that close too. Change: a connection with unread bytes or unsent ones isn't idle. One that is gets closed at once without any more reading, so what crosses the close is answered by a reset. Lingering remains for answers that say that they close the connection. Evidence: router_close_test: a_request_that_arrives_before_the_idle_close_is_ answered, a_request_after_the_idle_close_is_left_unread and an_answer_that_is_ being_sent_outlasts_the_idle_timeout failed before and pass now.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -270,6 +270,9 @@
   /// Returns whether the peer's end or a reset has arrived, whether or not the
   /// bytes before it are read yet.
   virtual bool HasPeerLeft() const = 0;
+  /// Returns whether bytes of the peer, or its end, have arrived that aren't
+  /// read yet.
+  virtual bool HasUnread() const = 0;
   /// Sends the end after all queued bytes; reading goes on.
   virtual void FinishWriting() = 0;
   /// Destroying it will reset the connection instead of ending it in order.
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -4,7 +4,6 @@
 
 #include <arpa/inet.h>
 #include <netinet/tcp.h>
-#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -335,10 +334,13 @@
 bool
 Stream::HasPeerLeft() const
 {
-  if (m_broken || m_peerFinished) {
-    return true;
-  }
-  pollfd item{ m_descriptor->Descriptor(), POLLRDHUP, 0 };
+  return m_broken || m_peerFinished || Polls(POLLRDHUP);
+}
+
+bool
+Stream::Polls(short aEvent) const
+{
+  pollfd item{ m_descriptor->Descriptor(), aEvent, 0 };
   return ::poll(&item, 1, 0) > 0;
 }
 
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -6,6 +6,8 @@
 
 #include "net_loop.h"
 
+#include <poll.h>
+
 #include <array>
 
 namespace shallotford {
@@ -78,6 +80,7 @@
   std::uint64_t BytesSent() const override { return m_sent; }
   Duration SinceArrival() const override;
   bool HasPeerLeft() const override;
+  bool HasUnread() const override { return Polls(POLLIN); }
   void FinishWriting() override;
   void ResetOnDestroy() override { m_descriptor->ResetOnDestroy(); }
   /// Reads what a newly accepted connection brought with it.
@@ -99,6 +102,7 @@
   /// The same on an event, which reports the end. Returns false if the
   /// connection broke.
   bool Flush();
+  bool Polls(short aEvent) const;
   /// Returns the socket's own error number, or 0.
   int PendingError() const;
   /// Tells the handler; the object may be gone afterwards.
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -122,7 +122,21 @@
 
   bool IsIdle() const
   {
-    return m_exchange == nullptr && !m_reader->IsInside() && !m_closing;
+    return m_exchange == nullptr && !m_reader->IsInside() && !m_closing &&
+           m_stream->Buffered() == 0 && !m_stream->HasUnread();
+  }
+
+  /// Closes an idle connection without reading any more. A request that crosses
+  /// the close stays unread, which its sender sees by a reset: it has not run.
+  void CloseUnread(CloseCause aCause)
+  {
+    m_closing = true;
+    m_closeCause = aCause;
+    m_handler.OnClose(aCause);
+    Drop(m_pipelined);
+    m_pipelined.clear();
+    m_stream->PauseReading();
+    m_listener.Remove(this);
   }
 
   /// Closes the sending side and drops received bytes until the caller closes
@@ -423,8 +437,16 @@
       ArmAt(due);
       return;
     }
+    if (m_stream->HasUnread()) {
+      ArmAt(m_loop.Now()); // the loop reads before it runs timers
+      return;
+    }
+    if (isIdle && m_stream->Buffered() > 0) {
+      Arm(limits.m_idleTimeout); // the last answer is still being sent
+      return;
+    }
     if (isIdle) {
-      LingeringClose(CloseCause::Idle);
+      CloseUnread(CloseCause::Idle);
       return;
     }
     RefuseRequest(Error(ErrorKind::RequestTimeout,
@@ -564,11 +586,15 @@
 void
 CallerListener::CloseIdle()
 {
+  std::vector<CallerConnection*> idle;
   for (auto& [key, connection] : m_connections) {
     if (connection->IsIdle()) {
-      connection->LingeringClose(CloseCause::Stop);
+      idle.push_back(key);
     }
   }
+  for (CallerConnection* connection : idle) {
+    connection->CloseUnread(CloseCause::Stop);
+  }
 }
 
 void
--- a/tests/router_close_test.cpp
+++ b/tests/router_close_test.cpp
@@ -31,12 +31,18 @@
 
   void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override
   {
-    aExchange->Respond(200, "OK", {}, "answer to " + aRequest.m_head.m_target);
+    m_targets.push_back(aRequest.m_head.m_target);
+    aExchange->Respond(
+      200, "OK", {}, m_padding + "answer to " + aRequest.m_head.m_target);
     if (auto then = std::exchange(m_thenOnce, nullptr)) {
       then();
     }
   }
   void OnBadRequest(const Error& /*aError*/) override {}
+  void OnDropped(CloseCause /*aCause*/, std::size_t aBytes) override
+  {
+    m_dropped += aBytes;
+  }
   CallerLimits Limits() const override { return m_limits; }
   bool IsLeaving() const override { return false; }
 
@@ -45,9 +51,21 @@
     return "GET " + aTarget + " HTTP/1.1\r\nHost: h\r\n\r\n";
   }
 
+  std::size_t Dropped()
+  {
+    return m_loop.Do([this] { return m_dropped; });
+  }
+  std::size_t Requests()
+  {
+    return m_loop.Do([this] { return m_targets.size(); });
+  }
+
   LoopThread m_loop;
   CallerLimits m_limits;
+  std::string m_padding;            ///< before the text of each answer
   std::function<void()> m_thenOnce; ///< runs after the next answer
+  std::vector<std::string> m_targets;
+  std::size_t m_dropped{ 0 };
   std::unique_ptr<CallerListener> m_listener;
 };
 
@@ -57,6 +75,14 @@
   return aText.find("answer to " + aTarget) != std::string::npos;
 }
 
+/// Returns whether the peer reset the connection after it had ended it.
+bool
+IsReset(const RawSocket& aSocket)
+{
+  pollfd item{ aSocket.Descriptor(), 0, 0 };
+  return ::poll(&item, 1, 10'000) > 0 && (item.revents & POLLERR) != 0;
+}
+
 } // namespace
 
 BOOST_FIXTURE_TEST_CASE(a_raised_idle_timeout_holds_for_open_connections,
@@ -96,3 +122,50 @@
   socket.Send(request.substr(20));
   BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
 }
+
+BOOST_FIXTURE_TEST_CASE(
+  a_request_that_arrives_before_the_idle_close_is_answered,
+  Callers)
+{
+  m_limits.m_idleTimeout = 100ms;
+  RawSocket socket(m_listener->Port());
+  std::promise<void> held;
+  m_thenOnce = [&] {
+    // Both timers are late, so they run in one turn of the loop.
+    m_loop->RunAfter(20ms, [] { std::this_thread::sleep_for(200ms); });
+    m_loop->RunAfter(99ms, [&] {
+      held.set_value();
+      std::this_thread::sleep_for(300ms);
+    });
+  };
+  socket.Send(Get("/1"));
+  held.get_future().wait();
+  socket.Send(Get("/2"));
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /2"), "/2"));
+  BOOST_TEST(Dropped() == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_request_after_the_idle_close_is_left_unread, Callers)
+{
+  m_limits.m_idleTimeout = 50ms;
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1"));
+  BOOST_REQUIRE(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
+  pollfd ended{ socket.Descriptor(), POLLIN, 0 };
+  BOOST_REQUIRE(::poll(&ended, 1, 10'000) > 0);
+  socket.Send(Get("/2"));
+  BOOST_TEST(IsReset(socket));
+  BOOST_TEST(Requests() == 1u);
+  BOOST_TEST(Dropped() == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(an_answer_that_is_being_sent_outlasts_the_idle_timeout,
+                        Callers)
+{
+  m_limits.m_idleTimeout = 50ms;
+  m_padding = std::string(16u << 20, 'p'); // more than the socket holds
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1"));
+  std::this_thread::sleep_for(2s); // longer than the close lingers
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
+}
