Answer the requests that a stop finds read

What callers saw: of requests sent one behind the other on a connection, those after the first got no answer when a planned stop came between. Cause: a connection between two such requests has no exchange, so CloseIdle() took it for idle and dropped the bytes that waited; and an answer of a stopping VM said that it closes the connection while further requests were read already. Change: a connection with requests that wait isn't idle, and a stopping VM closes it with the answer to the last of them. Evidence: router_close_test: a_stop_closes_no_connection_with_a_request_left and a_stopping_vm_answers_all_pipelined_requests failed before and pass now.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -123,7 +123,8 @@
   bool IsIdle() const
   {
     return m_exchange == nullptr && !m_reader->IsInside() && !m_closing &&
-           m_stream->Buffered() == 0 && !m_stream->HasUnread();
+           m_pipelined.empty() && m_stream->Buffered() == 0 &&
+           !m_stream->HasUnread();
   }
 
   /// Closes an idle connection without reading any more. A request that crosses
@@ -133,8 +134,6 @@
     m_closing = true;
     m_closeCause = aCause;
     m_handler.OnClose(aCause);
-    Drop(m_pipelined);
-    m_pipelined.clear();
     m_stream->PauseReading();
     m_listener.Remove(this);
   }
@@ -348,7 +347,8 @@
 
   void AddConnectionField(HttpHeaders& aFields)
   {
-    if (m_handler.IsLeaving()) {
+    // Requests that were read already are answered first.
+    if (m_handler.IsLeaving() && m_pipelined.empty()) {
       m_keepAlive = false;
     }
     if (!m_keepAlive) {
--- a/tests/router_close_test.cpp
+++ b/tests/router_close_test.cpp
@@ -44,7 +44,7 @@
     m_dropped += aBytes;
   }
   CallerLimits Limits() const override { return m_limits; }
-  bool IsLeaving() const override { return false; }
+  bool IsLeaving() const override { return m_leaving; }
 
   static std::string Get(const std::string& aTarget)
   {
@@ -62,6 +62,7 @@
 
   LoopThread m_loop;
   CallerLimits m_limits;
+  bool m_leaving{ false };
   std::string m_padding;            ///< before the text of each answer
   std::function<void()> m_thenOnce; ///< runs after the next answer
   std::vector<std::string> m_targets;
@@ -169,3 +170,23 @@
   std::this_thread::sleep_for(2s); // longer than the close lingers
   BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
 }
+
+BOOST_FIXTURE_TEST_CASE(a_stop_closes_no_connection_with_a_request_left,
+                        Callers)
+{
+  m_thenOnce = [this] { m_listener->CloseIdle(); };
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1") + Get("/2"));
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /2"), "/2"));
+  BOOST_TEST(Dropped() == 0u);
+}
+
+BOOST_FIXTURE_TEST_CASE(a_stopping_vm_answers_all_pipelined_requests, Callers)
+{
+  m_leaving = true;
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1") + Get("/2") + Get("/3"));
+  std::string answers = socket.ReadToEnd();
+  BOOST_TEST(HasAnswer(answers, "/3"));
+  BOOST_TEST(answers.find("Connection: close") > answers.find("answer to /2"));
+}
