Read requests sent one behind the other in order

Cause: an answer that is given inside the reading of its request ends the exchange, and the bytes behind it wait for the loop's next turn. What the same event read afterwards found no exchange and overtook them. Change: while bytes wait, later ones wait behind them. The fake loop no longer includes the engines' header, whose CallerLimits is another one.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -162,7 +162,7 @@
       Drop(aBytes);
       return;
     }
-    if (m_exchange != nullptr) {
+    if (m_exchange != nullptr || !m_pipelined.empty()) {
       if (m_pipelined.empty()) {
         m_pipelinedAt = ArrivalTime();
       }
--- a/tests/fake_engine.h
+++ b/tests/fake_engine.h
@@ -3,6 +3,7 @@
 
 /// Engines that answer after fixed times and can be told to fail.
 
+#include "daemon_engine.h"
 #include "fake_loop.h"
 
 #include <set>
--- a/tests/fake_loop.h
+++ b/tests/fake_loop.h
@@ -4,7 +4,6 @@
 /// A loop on a fake clock, without sockets: callers, engines and plain
 /// services are fakes that write every event into one transcript.
 
-#include "daemon_engine.h"
 #include "shallotford/net.h"
 
 #include <deque>
