Let a raised size of heads hold for connections that are open

What callers saw: after a configuration had raised max-header-bytes, a request within it got 431 on a connection that was open before. Cause: a connection's reader kept the limit of the moment in which it was made, as its timers did. Change: a new request is read by the limit in force. Evidence: router_close_test: a_raised_head_limit_holds_for_open_connections failed before and passes now.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -104,7 +104,8 @@
     , m_loop(aListener.m_loop)
     , m_handler(aListener.m_handler)
     , m_stream(std::move(aStream))
-    , m_reader(MakeRequestReader(m_handler.Limits().m_maxHead))
+    , m_maxHead(m_handler.Limits().m_maxHead)
+    , m_reader(MakeRequestReader(m_maxHead))
   {
     m_stream->SetHandler(this);
     Arm(m_handler.Limits().m_idleTimeout);
@@ -302,6 +303,9 @@
   void ReadRequests(std::string_view aBytes, TimePoint aArrivedAt)
   {
     bool wasInside = m_reader->IsInside();
+    if (!wasInside) {
+      UseNewestMaxHead();
+    }
     m_arrivedAt = aArrivedAt;
     std::size_t taken = 0;
     try {
@@ -322,6 +326,15 @@
     }
   }
 
+  /// Must not be called inside a request.
+  void UseNewestMaxHead()
+  {
+    std::size_t maxHead = m_handler.Limits().m_maxHead;
+    if (std::exchange(m_maxHead, maxHead) != maxHead) {
+      m_reader = MakeRequestReader(maxHead);
+    }
+  }
+
   void Deliver()
   {
     m_complete = false;
@@ -468,6 +481,7 @@
   LoopI& m_loop;
   CallerHandlerI& m_handler;
   std::unique_ptr<StreamI> m_stream;
+  std::size_t m_maxHead; ///< that m_reader enforces
   std::unique_ptr<MessageReaderI> m_reader;
   CallerRequest m_request; ///< being received
   std::string m_body;      ///< being received
--- a/tests/router_close_test.cpp
+++ b/tests/router_close_test.cpp
@@ -124,6 +124,18 @@
   BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_raised_head_limit_holds_for_open_connections, Callers)
+{
+  m_limits.m_maxHead = 200;
+  m_thenOnce = [this] { m_limits.m_maxHead = 4'000; };
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1"));
+  BOOST_REQUIRE(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
+  std::string longer = "/" + std::string(1'000, 'x');
+  socket.Send(Get(longer));
+  BOOST_TEST(HasAnswer(socket.ReadUntil("answer to " + longer), longer));
+}
+
 BOOST_FIXTURE_TEST_CASE(
   a_request_that_arrives_before_the_idle_close_is_answered,
   Callers)
