Keep relay connections longer than their senders use them

A VM keeps its idle connections to another VM for 4 s, which closed them by the idle limit for callers. With a limit below that, a request that may run once can cross the close, and its caller gets a 502 that says it may have run. Cause: the port for other VMs had the limit that operators set for callers. Change: it has one of its own, above the time for which senders keep their connections. Evidence: router_relay_test: the_callers_idle_timeout_closes_no_relay_connection failed before and passes now.

--- a/src/config.h
+++ b/src/config.h
@@ -218,6 +218,9 @@
 /// Bytes by which the head of a request from another VM may exceed the limit
 /// for callers.
 constexpr std::size_t kRelayHeadMargin = 1'024;
+/// Idle timeout of connections from other VMs. Above kDefaultIdleTime, for
+/// which these keep them.
+constexpr std::chrono::milliseconds kRelayIdleTimeout = 6'000ms;
 
 // router
 /// A connection to an upstream is broken off if bytes sent on it stay
--- a/src/router_relays.cpp
+++ b/src/router_relays.cpp
@@ -71,6 +71,7 @@
 {
   CallerLimits limits = m_task.Limits();
   limits.m_maxHead += kRelayHeadMargin;
+  limits.m_idleTimeout = kRelayIdleTimeout;
   return limits;
 }
 
--- a/tests/router_relay_test.cpp
+++ b/tests/router_relay_test.cpp
@@ -256,6 +256,23 @@
 
 } // namespace
 
+BOOST_FIXTURE_TEST_CASE(the_callers_idle_timeout_closes_no_relay_connection,
+                        CutOff)
+{
+  const std::string kFormer = "\"idle-timeout-ms\":5000";
+  std::string config = ConfigText(2);
+  config.replace(
+    config.find(kFormer), kFormer.size(), "\"idle-timeout-ms\":200");
+  Publish(config);
+  m_loop.Do([&] { m_cutStore->Put("op/config", config); });
+  BOOST_TEST(WaitFor(
+    [this] { return CountLogLines("event=configuration version=2 ") == 2; }));
+  BOOST_TEST(WaitFor(
+    [this] { return AskCutVm("/safe/", "r").starts_with("HTTP/1.1 200 "); }));
+  std::this_thread::sleep_for(1s);
+  BOOST_TEST(!Has(Metrics(), "caller_closes_total{cause=\"idle\"}"));
+}
+
 BOOST_FIXTURE_TEST_CASE(requests_are_served_where_all_upstreams_refuse_this_vm,
                         CutOff)
 {
