Send an answer whole before its connection is closed

What callers saw: an answer that says that it closes its connection, as all do in a planned stop, was cut 1 s after it was ready if its caller read slowly. Cause: the time for which a closing connection lingers counted from the moment the answer was queued, and its end dropped what was still to be sent. A stop also didn't wait for answers to requests that other VMs had passed on. Change: that time counts from the last byte sent; the stop waits, until its end, for the connections from other VMs as for those from callers. A caller that doesn't read at all is still given up by kCallerAckTimeout. Evidence: router_close_test: an_answer_that_ends_its_connection_is_sent_whole failed before and passes now.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -149,8 +149,8 @@
   }
 
   /// Closes the sending side and drops received bytes until the caller closes
-  /// the connection too, for kLingerTime at most. The caller thus gets all
-  /// bytes of the answer before the connection is closed.
+  /// the connection too, until kLingerTime after the last byte was sent. The
+  /// caller thus gets the whole answer before the connection is closed.
   void LingeringClose(CloseCause aCause)
   {
     if (m_closing) {
@@ -447,6 +447,10 @@
 
   void OnTimer()
   {
+    if (m_closing && m_stream->Buffered() > 0) {
+      Arm(kLingerTime);
+      return;
+    }
     if (m_closing || m_exchange != nullptr) {
       OnCallerLeft();
       return;
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -437,7 +437,9 @@
   if (!m_requests.empty() && !late) {
     return;
   }
-  if (m_callers->Count() > 0 && !late) {
+  bool isConnected = m_callers->Count() > 0 || (m_relayListener != nullptr &&
+                                                m_relayListener->Count() > 0);
+  if (isConnected && !late) {
     return;
   }
   m_log.Write(
--- a/tests/router_close_test.cpp
+++ b/tests/router_close_test.cpp
@@ -188,6 +188,18 @@
   BOOST_TEST(HasAnswer(socket.ReadUntil("answer to /1"), "/1"));
 }
 
+BOOST_FIXTURE_TEST_CASE(an_answer_that_ends_its_connection_is_sent_whole,
+                        Callers)
+{
+  m_leaving = true;
+  m_padding = std::string(16u << 20, 'p'); // more than the socket holds
+  RawSocket socket(m_listener->Port());
+  socket.Send(Get("/1"));
+  std::this_thread::sleep_for(2s); // longer than the close lingers
+  BOOST_TEST(HasAnswer(socket.ReadToEnd(), "/1"));
+  BOOST_TEST(!socket.IsResetByPeer());
+}
+
 BOOST_FIXTURE_TEST_CASE(a_stop_closes_no_connection_with_a_request_left,
                         Callers)
 {
