Let the soak find requests that a close drops

Cause: the soak's callers never rested, its limits never changed, and its proxies hid resets. A request that was read and dropped at the close of a kept connection counted only if it had run. Change: a configuration also draws idle-timeout-ms, header-timeout-ms, timeout-ms and, at times, 3,000 routes. 24 callers connect directly, rest for up to four fifths of the newest idle limit, don't look for a close in the last 50 ms before they send, and send two requests at once at times. LOST, in calm: an end without a byte of an answer and without a reset, no answer in 12 s, or an unanswered request right behind one whose answer kept the connection. A reset counts as unread. The socket's error tells it, without another byte: a closed socket that had read all would reset that one, too. MIXED: bytes on an idle connection. Limits: rests end at 3 s, so that runs stay short; in the mode with any faults only requests before the first unplanned fault are in calm.

--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -7,7 +7,9 @@
 random: proxies that delay, reset, hold back one way or both; daemons that are
 stopped, paused, killed and started again; settings that change; a store that is
 away, slow or forgets; servers that crash, drain, go dark, shed, break off, send
-too much or name limits; equal requests under which servers crash. From what clients and servers see it checks the promises of
+too much or name limits; equal requests under which servers crash. Some clients
+rest on open connections while the idle limit changes, or send two requests at
+once. From what clients and servers see it checks the promises of
 docs/PLATFORM.md. --planned plays planned work only, under which nothing may be
 lost. A seed repeats the choice of faults, not the processes' timing.
 Exits 1 if a promise was broken; --keep leaves the daemons' logs.
@@ -19,6 +21,7 @@
 import os
 import shutil
 import signal
+import socket
 import sys
 import tempfile
 import time
@@ -32,6 +35,14 @@
 CALM_S = 4.0  # after the last unplanned fault
 HEAL_S = 30.0  # within which all is served again
 CLIENTS = 6
+RESTING_CLIENTS = 24
+IDLE_MS = (400, 1000, 3000, 15000)
+IDLE_SHARE = 0.8  # of the newest idle limit that clients may rest
+REST_S = 3.0  # at most
+UNSEEN_S = 0.05  # in which a client doesn't see a close, as over a long way
+ANSWER_S = 12.0  # for two requests with a deadline of 5 s each
+RESET_S = 1.0  # within which a reset follows an end
+MANY_ROUTES = 3000  # hold up a daemon's loop
 
 ROUTES = {  # prefix: (kind, service, attempts, resumable)
     "/safe/": ("safe", "plain", 2, False),
@@ -41,21 +52,25 @@
 }
 
 
-def config(version):
+def config(version, idle_ms=15000, header_ms=3000, timeout_ms=4000, many=0):
     routes = [{"name": prefix, "host": "h", "prefix": prefix, "kind": kind,
-               "timeout-ms": 4000, "target-latency-ms": 500, "max-attempts": n,
+               "timeout-ms": timeout_ms, "target-latency-ms": 500,
+               "max-attempts": n,
                "resumable": resumable, "service": service}
               for prefix, (kind, service, n, resumable) in ROUTES.items()]
-    routes.append({"name": "added", "host": "h", "prefix": f"/v{version}/",
-                   "kind": "safe", "service": "plain", "max-attempts": 2,
-                   "timeout-ms": 4000})
+    added = [("added", "h", f"/v{version}/")]
+    added += [(f"many-{n}", f"h{n}", f"/v{version}/") for n in range(many)]
+    routes += [{"name": name, "host": host, "prefix": prefix, "kind": "safe",
+                "service": "plain", "max-attempts": 2,
+                "timeout-ms": timeout_ms} for name, host, prefix in added]
     return {"version": version, "routes": routes,
             "services": [{"name": "plain", "max-connections": 100},
                          {"name": "model", "max-connections": 100,
                           "engine": {"hold-ms": 2000, "slots": 8,
                                      "kv-tokens": 100000}}],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 1 << 20,
-                       "header-timeout-ms": 3000, "idle-timeout-ms": 15000}}
+                       "header-timeout-ms": header_ms,
+                       "idle-timeout-ms": idle_ms}}
 
 
 class Daemon:
@@ -140,6 +155,7 @@
         self.random = self.world.random
         self.daemons = [Daemon(self, n) for n in range(options.daemons)]
         self.version = 1
+        self.idle_ms = IDLE_MS[-1]  # the newest that was published
         self.unplanned_until = 0.0
         self.ended = False
         self.counts = {}
@@ -155,7 +171,7 @@
             count += 1
             if connection is None:
                 daemon = self.random.choice(self.daemons)
-                connection = await self.connect(daemon)
+                connection = await self.connect(daemon.proxy.port)
                 if connection is None:
                     await asyncio.sleep(0.1)
                     continue
@@ -167,16 +183,92 @@
                 connection = None
             await asyncio.sleep(self.random.uniform(0, 0.05))
 
+    async def resting_client(self, number):
+        """Rests on open connections. It has no proxy, which hides resets."""
+        connection = None
+        count = 0
+        while not self.ended:
+            count += 1
+            if connection is None:
+                daemon = self.random.choice(self.daemons)
+                connection = await self.connect(daemon.ports["callers"])
+                if connection is None:
+                    await asyncio.sleep(0.1)
+                    continue
+            ids = [f"{self.seed}-rest-{number}-{count}-{n}"
+                   for n in range(self.random.choice((1, 1, 1, 2)))]
+            keep = await self.requests(connection, ids)
+            answered = time.monotonic()
+            if keep:
+                await self.rest()
+                keep = self.may_reuse(connection[0], answered)
+            if keep:
+                await asyncio.sleep(UNSEEN_S)
+            else:
+                connection[1].transport.abort()
+                connection = None
+
+    async def rest(self):
+        newest = IDLE_SHARE * self.idle_ms / 1000
+        seconds = self.random.choice((
+            0.0, self.random.uniform(0, min(newest, REST_S)),
+            # Until a limit ends that may have been raised meanwhile.
+            self.random.choice(IDLE_MS[:3]) / 1000 -
+            self.random.uniform(0, UNSEEN_S)))
+        end = time.monotonic() + seconds
+        while not self.ended and time.monotonic() < end:
+            await asyncio.sleep(min(0.05, max(0, end - time.monotonic())))
+
+    def may_reuse(self, reader, answered):
+        if reader._buffer:  # pylint: disable=protected-access
+            self.world.problem("MIXED", "bytes on an idle connection")
+        rested = time.monotonic() + UNSEEN_S - answered
+        return not (reader.at_eof() or reader.exception()) and \
+            rested <= IDLE_SHARE * self.idle_ms / 1000
+
     @staticmethod
-    async def connect(daemon):
+    async def connect(port):
         try:
             return await asyncio.wait_for(asyncio.open_connection(
-                "127.0.0.1", daemon.proxy.port), 1)
+                "127.0.0.1", port), 1)
         except (OSError, asyncio.TimeoutError):
             return None
 
     async def request(self, connection, prefix, request_id, target=None):
         """Returns whether the connection may be used again."""
+        patience = self.random.choice((0.2, 5.0, 5.0, 5.0))
+        began = time.monotonic()
+        connection[1].write(self.compose(prefix, request_id, target))
+        answer, outcome, _ = await self.receive(connection, patience)
+        self.finish(request_id, answer, outcome, began)
+        return self.keeps(answer)
+
+    async def requests(self, connection, ids):
+        """Sends requests at once, not through a proxy; returns the same."""
+        began = time.monotonic()
+        connection[1].write(b"".join(
+            self.compose(self.random.choice(list(ROUTES)), request_id)
+            for request_id in ids))
+        keep = True
+        for position, request_id in enumerate(ids):
+            if not keep:  # owed no answer, as long as it doesn't run
+                self.finish(request_id, Answer(), "closed", began)
+                continue
+            answer, outcome, bare = await self.receive(connection, ANSWER_S)
+            if outcome == "left":
+                outcome = "unanswered"
+            elif bare:
+                outcome = await self.end_of(connection)
+                # Only an end that was announced may cut off the next request.
+                if position > 0:
+                    outcome = "dropped"
+                elif self.world.runs.get(request_id):
+                    outcome = "closed"
+            self.finish(request_id, answer, outcome, began)
+            keep = self.keeps(answer)
+        return keep
+
+    def compose(self, prefix, request_id, target=None):
         kind, service, _, resumable = ROUTES[prefix]
         method = "GET" if kind == "safe" else "POST"
         body = b"" if kind == "safe" else os.urandom(8).hex().encode()
@@ -184,25 +276,46 @@
         may_repeat = kind == "safe" or resumable
         self.world.sent[request_id] = (method, target, body, may_repeat,
                                        service)
-        patience = self.random.choice((0.2, 5.0, 5.0, 5.0))
         fields = [f"{method} {target} HTTP/1.1", "Host: h",
                   f"X-Shallotford-Request-Id: {request_id}",
                   "X-Shallotford-Deadline-Ms: 5000",
                   "X-Shallotford-Token-Count: 500,30",
                   f"Content-Length: {len(body)}"]
-        began = time.monotonic()
+        return "\r\n".join(fields).encode() + b"\r\n\r\n" + body
+
+    async def receive(self, connection, patience):
+        """Returns (answer, outcome, whether it ended without a byte)."""
         answer = Answer()
         try:
-            connection[1].write("\r\n".join(fields).encode() + b"\r\n\r\n" +
-                                body)
             await asyncio.wait_for(self.read(connection[0], answer), patience)
-            outcome = str(answer.status)
         except asyncio.TimeoutError:
-            outcome = "left"
-        except (OSError, asyncio.IncompleteReadError):
-            outcome = "closed"
+            return answer, "left", False
+        except asyncio.IncompleteReadError as error:
+            return answer, "closed", not answer.status and not error.partial
+        except OSError:
+            return answer, "closed", not answer.status
+        return answer, str(answer.status), False
+
+    @staticmethod
+    async def end_of(connection):
+        """A reset tells that what was sent last has not been read."""
+        reader, writer = connection
+        own = writer.get_extra_info("socket")
+        end = time.monotonic() + RESET_S
+        # Another byte would be reset by a socket that had read all, too.
+        while time.monotonic() < end:
+            if reader.exception() or writer.transport.is_closing() or \
+                    own.getsockopt(socket.SOL_SOCKET, socket.SO_ERROR):
+                return "unread"
+            await asyncio.sleep(0.02)
+        return "dropped"
+
+    def finish(self, request_id, answer, outcome, began):
         self.counts[outcome] = self.counts.get(outcome, 0) + 1
         self.judge(request_id, answer, outcome, began)
+
+    @staticmethod
+    def keeps(answer):
         return answer.whole and \
             answer.fields.get("connection", "") != "close"
 
@@ -248,6 +361,9 @@
         calm = self.unplanned_until < began
         if outcome == "closed" and calm and runs:
             self.world.problem("LOST", f"{request_id} ran at {runs}")
+        if outcome in ("dropped", "unanswered") and calm:
+            self.world.problem("LOST", f"{request_id} was {outcome}, "
+                               f"sent at {began:.2f}, ran at {runs}")
 
     def check_never_runs(self, request_id, before):
         if len(self.world.runs.get(request_id, [])) > before:
@@ -313,7 +429,12 @@
 
     async def reconfigure(self):
         self.version += self.random.randrange(1, 4)
-        self.world.store.put("op/config", config(self.version))
+        self.idle_ms = self.random.choice(IDLE_MS)
+        self.world.store.put("op/config", config(
+            self.version, self.idle_ms,
+            header_ms=self.random.choice((1500, 3000, 6000)),
+            timeout_ms=self.random.choice((4000, 5000, 8000)),
+            many=self.random.choice((0, 0, 0, MANY_ROUTES))))
 
     def links(self):
         return [p for d in self.daemons for p in (d.proxy, d.store_proxy)] + \
@@ -391,7 +512,7 @@
         self.world.crashing[target] = []
         for number in range(self.random.randrange(20, 60)):
             daemon = self.up_daemon()
-            connection = daemon and await self.connect(daemon)
+            connection = daemon and await self.connect(daemon.proxy.port)
             if connection:
                 await self.request(connection, "/safe/",
                                    f"{self.seed}-{target}-{number}", target)
@@ -425,7 +546,7 @@
                 served = False
                 while not served and time.monotonic() < end:
                     number += 1
-                    connection = await self.connect(daemon)
+                    connection = await self.connect(daemon.proxy.port)
                     if connection is not None:
                         request_id = f"{self.seed}-{label}-{number}"
                         await self.request(connection, prefix, request_id)
@@ -454,6 +575,8 @@
             await daemon.start()
         await self.all_served("first")
         tasks = [asyncio.create_task(self.client(n)) for n in range(CLIENTS)]
+        tasks += [asyncio.create_task(self.resting_client(n))
+                  for n in range(RESTING_CLIENTS)]
         tasks.append(asyncio.create_task(self.watch_daemons()))
         await self.faults_until(time.monotonic() + self.seconds)
         await self.all_served("last")
--- a/scripts/soak_checks.py
+++ b/scripts/soak_checks.py
@@ -122,6 +122,85 @@
         self.judge("r", status=0, whole=False, outcome="closed")
         self.assertEqual(self.rules(), {"LOST"})
 
+    def test_a_request_that_is_read_and_dropped(self):
+        self.send("r")
+        self.judge("r", status=0, whole=False, outcome="unread")
+        self.assertEqual(self.world.problems, [])
+        self.judge("r", status=0, whole=False, outcome="dropped")
+        self.judge("r", status=0, whole=False, outcome="unanswered")
+        self.assertEqual(len(self.world.problems), 2)
+        self.assertEqual(self.rules(), {"LOST"})
+        self.world.problems.clear()
+        self.soak.unplanned_until = float("inf")
+        self.judge("r", status=0, whole=False, outcome="dropped")
+        self.assertEqual(self.world.problems, [])
+
+    def converse(self, serve, requests=1):
+        """Sends requests at once to a listener; returns their outcomes."""
+        async def talk():
+            listener = await asyncio.start_server(serve, "127.0.0.1", 0)
+            connection = await self.soak.connect(
+                listener.sockets[0].getsockname()[1])
+            await asyncio.sleep(0.1)
+            await self.soak.requests(
+                connection, [f"r{n}" for n in range(requests)])
+            connection[1].transport.abort()
+            listener.close()
+            await asyncio.sleep(0.05)  # lets the connections' tasks end
+        asyncio.run(talk())
+        return self.soak.counts
+
+    def test_ends_that_leave_a_request_unread(self):
+        async def close_first(_, writer):
+            writer.close()
+
+        async def close_over_it(reader, writer):
+            writer.transport.pause_reading()
+            await asyncio.sleep(0.2)
+            writer.close()
+        for serve in (close_first, close_over_it):
+            self.soak.counts = {}
+            self.assertEqual(self.converse(serve), {"unread": 1})
+        self.assertEqual(self.world.problems, [])
+
+    def test_ends_that_drop_what_they_read(self):
+        async def linger(reader, writer):
+            writer.write_eof()
+            await reader.read()
+            writer.close()
+
+        async def read_and_close(reader, writer):
+            await reader.readuntil(b"\r\n\r\n")
+            await asyncio.sleep(0.05)  # for the body
+            writer.close()
+        for serve in (linger, read_and_close):
+            self.soak.counts = {}
+            self.world.problems.clear()
+            self.assertEqual(self.converse(serve), {"dropped": 1})
+            self.assertEqual(self.rules(), {"LOST"})
+
+    def test_an_end_between_two_requests(self):
+        def answer_one(field):
+            async def serve(reader, writer):
+                await reader.readuntil(b"\r\n\r\n")
+                writer.write(b"HTTP/1.1 503 X\r\n" + field +
+                             b"Content-Length: 0\r\n\r\n")
+                await asyncio.sleep(0.05)
+                writer.close()
+            return serve
+        self.converse(answer_one(b"Connection: close\r\n"), 2)
+        self.assertEqual(self.world.problems, [])
+        self.converse(answer_one(b""), 2)
+        self.assertEqual(self.rules(), {"LOST"})
+
+    def test_bytes_on_an_idle_connection(self):
+        async def look():
+            reader = asyncio.StreamReader()
+            reader.feed_data(b"HTTP/1.1 200 X\r\n\r\n")
+            self.soak.may_reuse(reader, time.monotonic())
+        asyncio.run(look())
+        self.assertEqual(self.rules(), {"MIXED"})
+
     def test_a_limit_that_is_exceeded(self):
         server = Server(self.world, "plain")
         server.name_limit(1.0)
