Log the age that a continued stream may have, and its attempt

stream_version named neither the request nor what it waits for, so that a version found for the wrong time couldn't be told from one in force for long. Adds request, max_age and deadline; no logic changes.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -103,8 +103,10 @@
 {
   // Callers wait for the route's timeout in all, so what is left of it tells
   // when the stream began.
-  m_shared.m_versions.Find({ .m_streamId = m_facts.m_resumedId,
+  m_shared.m_versions.Find({ .m_requestId = m_facts.m_id,
+                             .m_streamId = m_facts.m_resumedId,
                              .m_service = m_service,
+                             .m_deadline = m_facts.m_deadline,
                              .m_maxAge = m_route->m_timeout - TimeLeft() },
                            [this, alive = std::weak_ptr<bool>(m_alive)](
                              const std::optional<std::string>& aVersion) {
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -147,14 +147,19 @@
   }
   m_parts.m_metrics.Count("streams_found_by_id_total",
                           version ? "certain=\"yes\"" : "certain=\"no\"");
-  m_parts.m_log.Write(
-    LogEvent("stream_version")
-      .Add("stream", aQuery.m_streamId)
-      .Add("service", aQuery.m_service)
-      .Add("software", version.value_or("uncertain"))
-      .Add("current", aIsCurrent ? "yes" : "no")
-      .Add("history", m_history.Knows(BegunAfter(aQuery)) ? "known" : "unknown")
-      .Add("source_age", silence));
+  LogEvent event("stream_version");
+  event.Add("request", aQuery.m_requestId)
+    .Add("stream", aQuery.m_streamId)
+    .Add("service", aQuery.m_service)
+    .Add("software", version.value_or("uncertain"))
+    .Add("current", aIsCurrent ? "yes" : "no")
+    .Add("history", m_history.Knows(BegunAfter(aQuery)) ? "known" : "unknown")
+    .Add("max_age", Duration(aQuery.m_maxAge))
+    .Add("source_age", silence);
+  if (aQuery.m_deadline) {
+    event.Add("deadline", Duration(*aQuery.m_deadline));
+  }
+  m_parts.m_log.Write(event);
   aDone(version);
 }
 
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -26,8 +26,11 @@
 /// A stream that a caller continues.
 struct StreamQuery
 {
-  std::string m_streamId; ///< empty if the caller doesn't name it
+  std::string m_requestId; ///< of the attempt that continues it, for the log
+  std::string m_streamId;  ///< empty if the caller doesn't name it
   std::string m_service;
+  /// Time for which the caller says that it waits from now on.
+  std::optional<std::chrono::milliseconds> m_deadline;
   std::chrono::milliseconds m_maxAge{ 0 }; ///< of the stream
 };
 
