Bound a continued stream's age by what callers said of their waits

Callers saw streams joined from two software versions: a release, then a broken stream that the caller took up with Last-Event-Id, and the rest came from the new version.

Cause: the age of the stream, which says which versions can have begun it, was the route's present timeout less the time left. An attempt that names its whole wait anew or nothing, a wait beyond the timeout, or a timeout that was lowered since made any stream look just begun, and only the last 4 s were looked at.

Change: the age is bounded by the longest of the deadline that the attempt names, the route's timeout, and the waits of the service's streams in the last two minutes, which origins carry from VM to VM; without a deadline, by the lifetime of origins. A history that has forgotten the time asked for finds no version.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -159,6 +159,31 @@
 std::optional<std::string>
 FindVersion(const VersionRanges& aRanges, std::string_view aStreamId);
 
+/// The longest time for which callers waited for streams of each service, by
+/// what they and the configurations said while the streams ran.
+class StreamWaits
+{
+public:
+  void Note(const std::string& aService,
+            std::chrono::milliseconds aWait,
+            TimePoint aNow);
+  /// Returns the longest one of the last kOriginLifetime, or 0 if no stream of
+  /// the service is known.
+  std::chrono::milliseconds Longest(const std::string& aService,
+                                    TimePoint aNow) const;
+  void Expire(TimePoint aNow);
+
+private:
+  struct Wait
+  {
+    TimePoint m_notedAt;
+    std::chrono::milliseconds m_wait;
+  };
+
+  /// By service; later ones are shorter.
+  std::map<std::string, std::deque<Wait>> m_waits;
+};
+
 /// The capacities of each service's versions over the recent past. With them a
 /// VM finds the version of a stream that another VM began, even if no VM
 /// remembers that stream.
@@ -203,6 +228,7 @@
   {
     VersionCapacity m_now;
     std::vector<Past> m_past;
+    TimePoint m_forgottenUntil{ TimePoint::min() }; ///< nothing known before
   };
 
   TimePoint m_knownFrom{ TimePoint::max() };
--- a/src/route_versions.cpp
+++ b/src/route_versions.cpp
@@ -285,7 +285,8 @@
                      TimePoint aSince) const
 {
   auto found = m_services.find(aService);
-  if (found == m_services.end() || !Knows(aSince)) {
+  if (found == m_services.end() || !Knows(aSince) ||
+      aSince < found->second.m_forgottenUntil) {
     return {};
   }
   std::optional<std::string> version =
@@ -303,10 +304,58 @@
 VersionHistory::Expire(TimePoint aNow)
 {
   for (auto& [name, service] : m_services) {
-    std::erase_if(service.m_past, [&](const Past& aPast) {
-      return aNow - aPast.m_until > kOriginLifetime;
-    });
+    std::erase_if(
+      service.m_past,
+      [&, &forgotten = service.m_forgottenUntil](const Past& aPast) {
+        bool isOld = aNow - aPast.m_until > kOriginLifetime;
+        if (isOld) {
+          forgotten = std::max(forgotten, aPast.m_until);
+        }
+        return isOld;
+      });
+  }
+}
+
+void
+StreamWaits::Note(const std::string& aService,
+                  std::chrono::milliseconds aWait,
+                  TimePoint aNow)
+{
+  std::deque<Wait>& waits = m_waits[aService];
+  while (!waits.empty() && waits.back().m_wait <= aWait) {
+    waits.pop_back();
+  }
+  // Many different waits within a short time count as their longest one.
+  if (waits.empty() || aNow - waits.back().m_notedAt > kWaitPrecision) {
+    waits.push_back({ .m_notedAt = aNow, .m_wait = aWait });
+  }
+}
+
+std::chrono::milliseconds
+StreamWaits::Longest(const std::string& aService, TimePoint aNow) const
+{
+  auto found = m_waits.find(aService);
+  if (found == m_waits.end()) {
+    return {};
+  }
+  for (const Wait& wait : found->second) {
+    if (aNow - wait.m_notedAt <= kOriginLifetime) {
+      return wait.m_wait;
+    }
+  }
+  return {};
+}
+
+void
+StreamWaits::Expire(TimePoint aNow)
+{
+  for (auto& [service, waits] : m_waits) {
+    while (!waits.empty() && aNow - waits.front().m_notedAt > kOriginLifetime) {
+      waits.pop_front();
+    }
   }
+  std::erase_if(m_waits,
+                [](const auto& aService) { return aService.second.empty(); });
 }
 
 std::optional<VersionSpans>
--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -21,6 +21,7 @@
 StreamOrigins::Put(const StreamOrigin& aOrigin)
 {
   TimePoint now = m_parts.m_loop.Now();
+  m_waits.Note(aOrigin.m_service, aOrigin.m_wait, now);
   auto [found, added] = m_origins.try_emplace(aOrigin.m_requestId, aOrigin);
   if (added) {
     m_byAge.emplace_back(now, aOrigin.m_requestId);
@@ -34,6 +35,7 @@
 StreamOrigins::Expire()
 {
   TimePoint now = m_parts.m_loop.Now();
+  m_waits.Expire(now);
   while (!m_byAge.empty() && (now - m_byAge.front().first > kOriginLifetime ||
                               m_byAge.size() > kMaxOrigins)) {
     m_origins.erase(m_byAge.front().second);
@@ -47,7 +49,9 @@
   Put(aOrigin);
   Json::Value params(Json::objectValue);
   params["request"] = aOrigin.m_requestId;
+  params["service"] = aOrigin.m_service;
   params["software"] = aOrigin.m_softwareVersion;
+  params["wait_ms"] = static_cast<Json::Int64>(aOrigin.m_wait.count());
   params["attempt"] = aOrigin.m_attempt;
   for (const std::string& peer : m_parts.m_peers.Closest(
          aOrigin.m_requestId, kOriginReplicas, m_parts.m_loop.Now())) {
@@ -149,8 +153,14 @@
   if (!attempt.isUInt()) {
     throw RpcError(kRpcInvalidParams, "\"attempt\" is not a whole number");
   }
+  // VMs that run an older program name neither the service nor the wait.
+  const Json::Value& wait = aParams["wait_ms"];
   Put({ .m_requestId = RpcStringParam(aParams, "request"),
+        .m_service =
+          aParams["service"].isString() ? aParams["service"].asString() : "",
         .m_softwareVersion = RpcStringParam(aParams, "software"),
+        .m_wait = std::chrono::milliseconds(
+          wait.isInt64() ? std::max<Json::Int64>(wait.asInt64(), 0) : 0),
         .m_attempt = attempt.asUInt() });
   return Json::Value(Json::objectValue);
 }
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -16,7 +16,10 @@
 struct StreamOrigin
 {
   std::string m_requestId;
+  std::string m_service; ///< empty if a VM of an older program doesn't say it
   std::string m_softwareVersion;
+  /// Time for which its caller waits in all, at least.
+  std::chrono::milliseconds m_wait{ 0 };
   /// Number of the request's attempt; a higher one replaces a lower one.
   std::uint32_t m_attempt{ 0 };
 };
@@ -47,6 +50,12 @@
   /// @param aDone  called once, within kOriginLookupTimeout; gets nothing if no
   ///               VM knows it
   void Find(const std::string& aRequestId, Found aDone);
+  /// Returns the longest time for which callers waited for streams of a service
+  /// lately, as far as this VM knows; 0 if it knows none.
+  std::chrono::milliseconds LongestWait(const std::string& aService) const
+  {
+    return m_waits.Longest(aService, m_parts.m_loop.Now());
+  }
   /// Discards origins older than kOriginLifetime.
   void Expire();
 
@@ -63,6 +72,7 @@
   void EndLookup(Lookup& aLookup, std::string_view aFrom);
 
   StreamOriginsParts m_parts;
+  StreamWaits m_waits;
   std::map<std::string, StreamOrigin> m_origins;         ///< by request id
   std::deque<std::pair<TimePoint, std::string>> m_byAge; ///< ids, oldest first
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -101,13 +101,11 @@
 void
 RoutedRequest::FindSoftwareVersion()
 {
-  // Callers wait for the route's timeout in all, so what is left of it tells
-  // when the stream began.
   m_shared.m_versions.Find({ .m_requestId = m_facts.m_id,
                              .m_streamId = m_facts.m_resumedId,
                              .m_service = m_service,
                              .m_deadline = m_facts.m_deadline,
-                             .m_maxAge = m_route->m_timeout - TimeLeft() },
+                             .m_timeout = m_route->m_timeout },
                            [this, alive = std::weak_ptr<bool>(m_alive)](
                              const std::optional<std::string>& aVersion) {
                              if (!alive.expired() && !m_ended) {
@@ -409,7 +407,10 @@
     // if this one is lost right after it.
     m_shared.m_origins.Publish(
       { .m_requestId = m_facts.m_id,
+        .m_service = m_service,
         .m_softwareVersion = m_upstream->m_entry.m_softwareVersion,
+        .m_wait =
+          std::max(m_facts.m_deadline.value_or(0ms), m_route->m_timeout),
         .m_attempt = m_runs + m_refusals + 1 });
   }
   if (!m_reservation.empty()) {
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -67,10 +67,21 @@
   }
 }
 
+std::chrono::milliseconds
+StreamVersions::MaxAge(const StreamQuery& aQuery) const
+{
+  if (!aQuery.m_deadline) {
+    return kOriginLifetime;
+  }
+  return std::max({ *aQuery.m_deadline,
+                    aQuery.m_timeout,
+                    m_parts.m_origins.LongestWait(aQuery.m_service) });
+}
+
 TimePoint
 StreamVersions::BegunAfter(const StreamQuery& aQuery) const
 {
-  return m_parts.m_loop.Now() - aQuery.m_maxAge - kMaxUpstreamViewAge;
+  return m_parts.m_loop.Now() - MaxAge(aQuery) - kMaxUpstreamViewAge;
 }
 
 void
@@ -154,7 +165,7 @@
     .Add("software", version.value_or("uncertain"))
     .Add("current", aIsCurrent ? "yes" : "no")
     .Add("history", m_history.Knows(BegunAfter(aQuery)) ? "known" : "unknown")
-    .Add("max_age", Duration(aQuery.m_maxAge))
+    .Add("max_age", Duration(MaxAge(aQuery)))
     .Add("source_age", silence);
   if (aQuery.m_deadline) {
     event.Add("deadline", Duration(*aQuery.m_deadline));
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -31,7 +31,7 @@
   std::string m_service;
   /// Time for which the caller says that it waits from now on.
   std::optional<std::chrono::milliseconds> m_deadline;
-  std::chrono::milliseconds m_maxAge{ 0 }; ///< of the stream
+  std::chrono::milliseconds m_timeout{ 0 }; ///< of the route, at present
 };
 
 /// Used by one task only.
@@ -94,6 +94,9 @@
   /// @return nothing for an item of another kind, or a malformed one
   std::optional<UpstreamChange> ChangeOf(const DirectoryItem& aItem) const;
   HistoryClock ClockOf(const DirectoryHistory& aHistory) const;
+  /// Returns the age that the stream may have. It follows from how long callers
+  /// wait in all; an attempt may name that time anew, or what is left of it.
+  std::chrono::milliseconds MaxAge(const StreamQuery& aQuery) const;
   TimePoint BegunAfter(const StreamQuery& aQuery) const;
 
   StreamVersionsParts m_parts;
--- a/tests/route_versions_test.cpp
+++ b/tests/route_versions_test.cpp
@@ -231,6 +231,38 @@
   BOOST_TEST(!history.Find("s", "x", kStart - 1s).has_value());
 }
 
+BOOST_AUTO_TEST_CASE(a_history_finds_no_version_for_a_time_it_has_forgotten)
+{
+  TimePoint begin{};
+  VersionHistory history;
+  history.Record({ { "s", { { "v1", 8.0 } } } }, begin);
+  history.StartAt(TimePoint::min());
+  history.Record({ { "s", { { "v2", 8.0 } } } }, begin + 10s);
+  TimePoint later = begin + 10s + kOriginLifetime + 1s;
+  BOOST_TEST(!history.Find("s", "stream", begin));
+  history.Expire(later);
+  BOOST_TEST(!history.Find("s", "stream", begin));
+  BOOST_TEST(history.Find("s", "stream", begin + 20s).value_or("") == "v2");
+}
+
+BOOST_AUTO_TEST_CASE(the_longest_wait_outlasts_shorter_ones)
+{
+  TimePoint begin{};
+  StreamWaits waits;
+  BOOST_TEST((waits.Longest("s", begin) == 0ms));
+  waits.Note("s", 14s, begin);
+  waits.Note("s", 6s, begin + 5s);
+  waits.Note("other", 30s, begin + 6s);
+  BOOST_TEST((waits.Longest("s", begin + kOriginLifetime) == 14s));
+  BOOST_TEST((waits.Longest("s", begin + kOriginLifetime + 1ms) == 6s));
+  waits.Expire(begin + 5s + kOriginLifetime + 1ms);
+  BOOST_TEST((waits.Longest("s", begin + 7s) == 0ms));
+  BOOST_TEST((waits.Longest("other", begin + 7s) == 30s));
+  waits.Note("s", 8s, begin + 8s);
+  waits.Note("s", 9s, begin + 8s);
+  BOOST_TEST((waits.Longest("s", begin + 8s) == 9s));
+}
+
 BOOST_AUTO_TEST_CASE(a_version_is_never_found_wrongly)
 {
   BOOST_TEST(rc::check("a found version is the one that every VM chose", [] {
