Find streams by what all attempts of their caller have in common

Callers that broken streams had left during a release were refused: the origin that VMs keep was found only by the id of the first attempt, in a field that the protocol's page lacks. A take-up by the page has Last-Event-Id and an id of its own, so its version was computed as that of any stream, and was uncertain while two versions had served. On a split route it reached the service that its own id chose, whatever service had begun the stream.

Change: origins also carry a key, a digest of method, host, path, body and prompt parts, and the service. VMs that keep them are chosen by the key. A stream without a named attempt goes on where all streams of its key that are young enough began, if they have one place and a VM that knows one of them has kept origins for that long without a gap; else it is refused as before. A stream goes on at its service if the route still leads there, else it is refused. Replies also carry the longest wait that the VM knows.

--- a/src/config.h
+++ b/src/config.h
@@ -360,6 +360,8 @@
 /// Its origin is kept that long, and so are the capacities of software
 /// versions.
 constexpr std::chrono::milliseconds kOriginLifetime = 120'000ms;
+/// Longest time that a VM claims to remember all streams of.
+constexpr std::chrono::hours kMaxCompleteTime{ 24 };
 /// Waits of callers that begin within this time are not told apart.
 constexpr std::chrono::milliseconds kWaitPrecision = 1'000ms;
 /// Time for which a sound upstream may be silent and then go on.
--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -5,30 +5,100 @@
 
 #include "config.h"
 
+#include <set>
+
 namespace shallotford {
 
+namespace {
+
+std::chrono::milliseconds
+ReadMilliseconds(const Json::Value& aValue)
+{
+  return std::chrono::milliseconds(
+    aValue.isInt64() ? std::max<Json::Int64>(aValue.asInt64(), 0) : 0);
+}
+
+Json::Int64
+ToMilliseconds(Duration aTime)
+{
+  return std::chrono::duration_cast<std::chrono::milliseconds>(aTime).count();
+}
+
+std::string
+ReadText(const Json::Value& aValue)
+{
+  return aValue.isString() ? aValue.asString() : std::string();
+}
+
+/// Returns the key by which VMs are chosen that keep a stream's origin.
+const std::string&
+PlacementKey(const std::string& aRequestKey, const std::string& aRequestId)
+{
+  return aRequestKey.empty() ? aRequestId : aRequestKey;
+}
+
+} // namespace
+
 /// One search for an origin at other VMs.
 struct StreamOrigins::Lookup
 {
-  std::string m_requestId;
+  StreamQuery m_query;
   Found m_done; ///< empty once the lookup has ended
   std::size_t m_unanswered{ 0 };
-  std::optional<std::string> m_softwareVersion;
+  std::optional<StreamPlace> m_named; ///< found by the stream's id
+  std::vector<Candidate> m_candidates;
+  std::chrono::milliseconds m_longestWait{ 0 };
   TimersI::TimerId m_timer{ 0 };
 };
 
+std::chrono::milliseconds
+MaxStreamAge(const StreamQuery& aQuery, std::chrono::milliseconds aLongestWait)
+{
+  return aQuery.m_deadline
+           ? std::max({ *aQuery.m_deadline, aQuery.m_timeout, aLongestWait })
+           : kOriginLifetime;
+}
+
+void
+StreamOrigins::Start(bool aFirstStart)
+{
+  m_completeFrom = aFirstStart ? TimePoint::min() : m_parts.m_loop.Now();
+}
+
 void
 StreamOrigins::Put(const StreamOrigin& aOrigin)
 {
   TimePoint now = m_parts.m_loop.Now();
-  m_waits.Note(aOrigin.m_service, aOrigin.m_wait, now);
-  auto [found, added] = m_origins.try_emplace(aOrigin.m_requestId, aOrigin);
+  m_waits.Note(aOrigin.m_place.m_service, aOrigin.m_wait, now);
+  auto [found, added] = m_origins.try_emplace(
+    aOrigin.m_requestId, Record{ .m_origin = aOrigin, .m_begunAt = now });
   if (added) {
     m_byAge.emplace_back(now, aOrigin.m_requestId);
+    if (!aOrigin.m_requestKey.empty()) {
+      m_idsByKey.emplace(aOrigin.m_requestKey, aOrigin.m_requestId);
+    }
     Expire();
-  } else if (aOrigin.m_attempt > found->second.m_attempt) {
-    found->second = aOrigin;
+  } else if (aOrigin.m_attempt > found->second.m_origin.m_attempt) {
+    found->second.m_origin = aOrigin;
+  }
+}
+
+void
+StreamOrigins::Forget(const std::string& aRequestId)
+{
+  auto known = m_origins.find(aRequestId);
+  if (known == m_origins.end()) {
+    return;
+  }
+  auto [begin, end] =
+    m_idsByKey.equal_range(known->second.m_origin.m_requestKey);
+  for (auto id = begin; id != end; ++id) {
+    if (id->second == aRequestId) {
+      m_idsByKey.erase(id);
+      break;
+    }
   }
+  m_origins.erase(known);
 }
 
 void
@@ -38,23 +108,74 @@
   m_waits.Expire(now);
   while (!m_byAge.empty() && (now - m_byAge.front().first > kOriginLifetime ||
                               m_byAge.size() > kMaxOrigins)) {
-    m_origins.erase(m_byAge.front().second);
+    m_completeFrom = std::max(m_completeFrom, m_byAge.front().first);
+    Forget(m_byAge.front().second);
     m_byAge.pop_front();
   }
 }
 
+const StreamPlace*
+StreamOrigins::FindById(const std::string& aRequestId) const
+{
+  auto known = m_origins.find(aRequestId);
+  return known == m_origins.end() ? nullptr : &known->second.m_origin.m_place;
+}
+
+std::vector<StreamOrigins::Candidate>
+StreamOrigins::FindByKey(const std::string& aRequestKey) const
+{
+  TimePoint now = m_parts.m_loop.Now();
+  Duration completeFor =
+    m_completeFrom == TimePoint::min()
+      ? kMaxCompleteTime
+      : std::min<Duration>(now - m_completeFrom, kMaxCompleteTime);
+  std::map<StreamPlace, Duration> youngest;
+  auto [begin, end] = m_idsByKey.equal_range(aRequestKey);
+  for (auto id = begin; id != end; ++id) {
+    const Record& record = m_origins.at(id->second);
+    Duration age = now - record.m_begunAt;
+    auto [found, added] = youngest.try_emplace(record.m_origin.m_place, age);
+    found->second = std::min(found->second, age);
+  }
+  std::vector<Candidate> candidates;
+  for (const auto& [place, age] : youngest) {
+    candidates.push_back(
+      { .m_place = place, .m_age = age, .m_completeFor = completeFor });
+  }
+  return candidates;
+}
+
+std::optional<StreamPlace>
+StreamOrigins::Decide(const std::vector<Candidate>& aCandidates,
+                      std::chrono::milliseconds aMaxAge)
+{
+  std::set<StreamPlace> places;
+  bool isComplete = false;
+  for (const Candidate& candidate : aCandidates) {
+    if (candidate.m_age <= aMaxAge) {
+      places.insert(candidate.m_place);
+      isComplete = isComplete || candidate.m_completeFor >= aMaxAge;
+    }
+  }
+  return places.size() == 1 && isComplete ? std::optional(*places.begin())
+                                          : std::nullopt;
+}
+
 void
 StreamOrigins::Publish(const StreamOrigin& aOrigin)
 {
   Put(aOrigin);
   Json::Value params(Json::objectValue);
   params["request"] = aOrigin.m_requestId;
-  params["service"] = aOrigin.m_service;
-  params["software"] = aOrigin.m_softwareVersion;
-  params["wait_ms"] = static_cast<Json::Int64>(aOrigin.m_wait.count());
+  params["key"] = aOrigin.m_requestKey;
+  params["service"] = aOrigin.m_place.m_service;
+  params["software"] = aOrigin.m_place.m_softwareVersion;
+  params["wait_ms"] = ToMilliseconds(aOrigin.m_wait);
   params["attempt"] = aOrigin.m_attempt;
   for (const std::string& peer : m_parts.m_peers.Closest(
-         aOrigin.m_requestId, kOriginReplicas, m_parts.m_loop.Now())) {
+         PlacementKey(aOrigin.m_requestKey, aOrigin.m_requestId),
+         kOriginReplicas,
+         m_parts.m_loop.Now())) {
     m_parts.m_peerCalls.Call(
       peer,
       "stream_begun",
@@ -74,18 +195,22 @@
 }
 
 void
-StreamOrigins::Find(const std::string& aRequestId, Found aDone)
+StreamOrigins::Find(const StreamQuery& aQuery, Found aDone)
 {
-  if (auto known = m_origins.find(aRequestId); known != m_origins.end()) {
-    aDone(known->second.m_softwareVersion);
+  if (const StreamPlace* known = FindById(aQuery.m_streamId)) {
+    aDone({ .m_place = *known, .m_longestWait = {} });
     return;
   }
-  std::vector<std::string> peers =
-    m_parts.m_peers.Closest(aRequestId, kOriginLookups, m_parts.m_loop.Now());
+  std::vector<std::string> peers = m_parts.m_peers.Closest(
+    PlacementKey(aQuery.m_requestKey, aQuery.m_streamId),
+    kOriginLookups,
+    m_parts.m_loop.Now());
   auto lookup = std::make_shared<Lookup>();
-  lookup->m_requestId = aRequestId;
+  lookup->m_query = aQuery;
   lookup->m_done = std::move(aDone);
   lookup->m_unanswered = peers.size();
+  lookup->m_candidates = FindByKey(aQuery.m_requestKey);
+  lookup->m_longestWait = LongestWait(aQuery.m_service);
   if (peers.empty()) {
     EndLookup(*lookup, "nobody");
     return;
@@ -97,7 +222,9 @@
       }
     });
   Json::Value params(Json::objectValue);
-  params["request"] = aRequestId;
+  params["request"] = aQuery.m_streamId;
+  params["key"] = aQuery.m_requestKey;
+  params["service"] = aQuery.m_service;
   for (const std::string& peer : peers) {
     m_parts.m_peerCalls.Call(
       peer,
@@ -118,14 +245,35 @@
 {
   --aLookup->m_unanswered;
   const auto* reply = std::get_if<Json::Value>(&aResult);
-  if (reply != nullptr && reply->isObject() &&
-      (*reply)["software"].isString()) {
-    aLookup->m_softwareVersion = (*reply)["software"].asString();
+  if (reply != nullptr && reply->isObject()) {
+    Merge(*aLookup, *reply);
   }
-  if (aLookup->m_softwareVersion) {
+  if (aLookup->m_named) {
     EndLookup(*aLookup, "peer");
   } else if (aLookup->m_unanswered == 0) {
-    EndLookup(*aLookup, "nobody");
+    EndLookup(*aLookup, "all");
+  }
+}
+
+void
+StreamOrigins::Merge(Lookup& aLookup, const Json::Value& aReply)
+{
+  if (aReply["software"].isString()) {
+    aLookup.m_named =
+      StreamPlace{ .m_service = ReadText(aReply["service"]),
+                   .m_softwareVersion = aReply["software"].asString() };
+  }
+  aLookup.m_longestWait =
+    std::max(aLookup.m_longestWait, ReadMilliseconds(aReply["wait_ms"]));
+  for (const Json::Value& stream : aReply["streams"]) {
+    if (!stream.isObject() || !stream["software"].isString()) {
+      continue;
+    }
+    aLookup.m_candidates.push_back(
+      { .m_place = { .m_service = ReadText(stream["service"]),
+                     .m_softwareVersion = stream["software"].asString() },
+        .m_age = ReadMilliseconds(stream["age_ms"]),
+        .m_completeFor = ReadMilliseconds(aReply["complete_ms"]) });
   }
 }
 
@@ -137,13 +285,24 @@
     return;
   }
   m_parts.m_loop.CancelTimer(aLookup.m_timer);
-  m_parts.m_log.Write(
-    LogEvent("stream_origin")
-      .Add("request", aLookup.m_requestId)
-      .Add("software", aLookup.m_softwareVersion.value_or("unknown"))
-      .Add("from", aFrom)
-      .Add("unanswered", static_cast<std::int64_t>(aLookup.m_unanswered)));
-  done(aLookup.m_softwareVersion);
+  const StreamQuery& query = aLookup.m_query;
+  FoundOrigin found{ .m_place = aLookup.m_named,
+                     .m_longestWait = aLookup.m_longestWait };
+  if (query.m_streamId.empty()) {
+    found.m_place =
+      Decide(aLookup.m_candidates, MaxStreamAge(query, aLookup.m_longestWait));
+  }
+  LogEvent event("stream_origin");
+  event.Add("request", query.m_requestId)
+    .Add("stream", query.m_streamId)
+    .Add("key", query.m_requestKey)
+    .Add("software",
+         found.m_place ? found.m_place->m_softwareVersion : "unknown")
+    .Add("candidates", static_cast<std::int64_t>(aLookup.m_candidates.size()))
+    .Add("from", aFrom)
+    .Add("unanswered", static_cast<std::int64_t>(aLookup.m_unanswered));
+  m_parts.m_log.Write(event);
+  done(found);
 }
 
 Json::Value
@@ -153,14 +312,12 @@
   if (!attempt.isUInt()) {
     throw RpcError(kRpcInvalidParams, "\"attempt\" is not a whole number");
   }
-  // VMs that run an older program name neither the service nor the wait.
-  const Json::Value& wait = aParams["wait_ms"];
+  // VMs that run an older program name neither key, service nor wait.
   Put({ .m_requestId = RpcStringParam(aParams, "request"),
-        .m_service =
-          aParams["service"].isString() ? aParams["service"].asString() : "",
-        .m_softwareVersion = RpcStringParam(aParams, "software"),
-        .m_wait = std::chrono::milliseconds(
-          wait.isInt64() ? std::max<Json::Int64>(wait.asInt64(), 0) : 0),
+        .m_requestKey = ReadText(aParams["key"]),
+        .m_place = { .m_service = ReadText(aParams["service"]),
+                     .m_softwareVersion = RpcStringParam(aParams, "software") },
+        .m_wait = ReadMilliseconds(aParams["wait_ms"]),
         .m_attempt = attempt.asUInt() });
   return Json::Value(Json::objectValue);
 }
@@ -169,9 +326,18 @@
 StreamOrigins::OnAsked(const Json::Value& aParams) const
 {
   Json::Value reply(Json::objectValue);
-  auto known = m_origins.find(RpcStringParam(aParams, "request"));
-  if (known != m_origins.end()) {
-    reply["software"] = known->second.m_softwareVersion;
+  if (const StreamPlace* known = FindById(RpcStringParam(aParams, "request"))) {
+    reply["service"] = known->m_service;
+    reply["software"] = known->m_softwareVersion;
+  }
+  reply["wait_ms"] = ToMilliseconds(LongestWait(ReadText(aParams["service"])));
+  for (const Candidate& candidate : FindByKey(ReadText(aParams["key"]))) {
+    Json::Value stream(Json::objectValue);
+    stream["service"] = candidate.m_place.m_service;
+    stream["software"] = candidate.m_place.m_softwareVersion;
+    stream["age_ms"] = ToMilliseconds(candidate.m_age);
+    reply["streams"].append(stream);
+    reply["complete_ms"] = ToMilliseconds(candidate.m_completeFor);
   }
   return reply;
 }
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -1,9 +1,9 @@
 #ifndef SHALLOTFORD_SRC_ROUTER_ORIGINS_H
 #define SHALLOTFORD_SRC_ROUTER_ORIGINS_H
 
-/// The software version that began each recent stream. A caller may take a
-/// stream up again at any VM, so each VM leaves its streams' origins with some
-/// others, and asks others for those that it doesn't know.
+/// Where each recent stream began. A caller may take a stream up again at any
+/// VM, so each VM leaves its streams' origins with some others, and asks others
+/// for those that it doesn't know.
 
 #include "daemon_metrics.h"
 #include "daemon_peer.h"
@@ -12,18 +12,59 @@
 
 namespace shallotford {
 
-/// Which software version runs one request's stream.
-struct StreamOrigin
+/// Where a stream runs: no other service or software version continues it.
+struct StreamPlace
 {
-  std::string m_requestId;
   std::string m_service; ///< empty if a VM of an older program doesn't say it
   std::string m_softwareVersion;
+
+  // NOLINTNEXTLINE(modernize-use-nullptr): misreads a defaulted <=>
+  auto operator<=>(const StreamPlace&) const = default;
+};
+
+/// What VMs remember of a stream that one request began.
+struct StreamOrigin
+{
+  std::string m_requestId;
+  /// Equal for all attempts of a caller at one request, and for requests of
+  /// other callers that are the same; may be empty.
+  std::string m_requestKey;
+  StreamPlace m_place;
   /// Time for which its caller waits in all, at least.
   std::chrono::milliseconds m_wait{ 0 };
   /// Number of the request's attempt; a higher one replaces a lower one.
   std::uint32_t m_attempt{ 0 };
 };
 
+/// A stream that a caller continues.
+struct StreamQuery
+{
+  std::string m_requestId; ///< of the attempt that continues it, for the log
+  /// Id of the attempt that brought the first event; empty if the caller
+  /// doesn't name it.
+  std::string m_streamId;
+  std::string m_requestKey;
+  std::string m_service; ///< empty if requests like it may reach several
+  /// Time for which the caller says that it waits from now on.
+  std::optional<std::chrono::milliseconds> m_deadline;
+  std::chrono::milliseconds m_timeout{ 0 }; ///< of the route, at present
+};
+
+/// Returns the age that a stream may have. It follows from how long callers
+/// wait in all; an attempt may name that time anew, or what is left of it.
+/// @param aLongestWait  of callers of the service lately; 0 if it isn't known
+std::chrono::milliseconds
+MaxStreamAge(const StreamQuery& aQuery, std::chrono::milliseconds aLongestWait);
+
+/// What VMs remember of a stream that was looked for.
+struct FoundOrigin
+{
+  std::optional<StreamPlace> m_place; ///< nothing if it is uncertain
+  /// Longest time for which callers of the service waited lately, as far as the
+  /// VMs that were asked know; 0 if they know none.
+  std::chrono::milliseconds m_longestWait{ 0 };
+};
+
 struct StreamOriginsParts
 {
   LoopI& m_loop;
@@ -37,19 +78,25 @@
 class StreamOrigins
 {
 public:
-  using Found = std::function<void(const std::optional<std::string>&)>;
+  using Found = std::function<void(const FoundOrigin&)>;
 
   explicit StreamOrigins(const StreamOriginsParts& aParts)
     : m_parts(aParts)
   {
   }
 
+  /// All streams that this VM is told of from now on are remembered.
+  /// @param aFirstStart  no stream began before this process
+  void Start(bool aFirstStart);
+  /// The process was paused: it may have missed what other VMs told.
+  void OnPause() { m_completeFrom = m_parts.m_loop.Now(); }
+
   /// Stores an origin here and at kOriginReplicas other VMs.
   void Publish(const StreamOrigin& aOrigin);
-  /// Finds the software version that began a stream, here or at other VMs.
-  /// @param aDone  called once, within kOriginLookupTimeout; gets nothing if no
-  ///               VM knows it
-  void Find(const std::string& aRequestId, Found aDone);
+  /// Finds where a stream began, here or at other VMs: by the id of its first
+  /// attempt, or by its key if only streams of one place have that key.
+  /// @param aDone  called once, within kOriginLookupTimeout
+  void Find(const StreamQuery& aQuery, Found aDone);
   /// Returns the longest time for which callers waited for streams of a service
   /// lately, as far as this VM knows; 0 if it knows none.
   std::chrono::milliseconds LongestWait(const std::string& aService) const
@@ -66,14 +113,39 @@
 private:
   struct Lookup;
 
+  /// A stream with the key that was looked for, as one VM remembers it.
+  struct Candidate
+  {
+    StreamPlace m_place;
+    Duration m_age{};         ///< of the stream
+    Duration m_completeFor{}; ///< all streams of this time are remembered there
+  };
+  struct Record
+  {
+    StreamOrigin m_origin;
+    TimePoint m_begunAt;
+  };
+
   void Put(const StreamOrigin& aOrigin);
+  void Forget(const std::string& aRequestId);
+  const StreamPlace* FindById(const std::string& aRequestId) const;
+  /// Returns the youngest stream of each place.
+  std::vector<Candidate> FindByKey(const std::string& aRequestKey) const;
+  /// Returns the only place of the candidates that are young enough, if a VM
+  /// that has one would know the others, too.
+  static std::optional<StreamPlace> Decide(
+    const std::vector<Candidate>& aCandidates,
+    std::chrono::milliseconds aMaxAge);
   void OnAnswer(const std::shared_ptr<Lookup>& aLookup,
                 const PeerResult& aResult);
+  static void Merge(Lookup& aLookup, const Json::Value& aReply);
   void EndLookup(Lookup& aLookup, std::string_view aFrom);
 
   StreamOriginsParts m_parts;
   StreamWaits m_waits;
-  std::map<std::string, StreamOrigin> m_origins;         ///< by request id
+  TimePoint m_completeFrom{ TimePoint::max() }; ///< of what is remembered
+  std::map<std::string, Record> m_origins;      ///< by request id
+  std::multimap<std::string, std::string> m_idsByKey;
   std::deque<std::pair<TimePoint, std::string>> m_byAge; ///< ids, oldest first
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -16,6 +16,19 @@
   return aFacts.m_resumedId.empty() ? aFacts.m_id : aFacts.m_resumedId;
 }
 
+/// Returns a digest of what all attempts at one request have in common.
+std::string
+KeyOf(const CallerRequest& aRequest, const RequestFacts& aFacts)
+{
+  const std::string* host = FindField(aRequest.m_head.m_fields, "host");
+  std::string text = aRequest.m_head.m_method + " " +
+                     (host == nullptr ? "" : *host) + aRequest.m_head.m_target;
+  for (const std::string& part : aFacts.m_promptParts) {
+    text += "\n" + part;
+  }
+  return Hex(StableHash(*aRequest.m_body, StableHash(text)));
+}
+
 } // namespace
 
 RoutedRequest::RoutedRequest(RouterShared& aShared,
@@ -60,10 +73,15 @@
   if (EndIfObsolete()) {
     return;
   }
+  if (IsStream()) {
+    m_requestKey = KeyOf(m_request, m_facts);
+  }
   if (IsStream() && m_relayed && m_relayed->m_softwareVersion) {
-    ContinueStream(m_relayed->m_softwareVersion);
+    ContinueStream(
+      StreamPlace{ .m_service = m_service,
+                   .m_softwareVersion = *m_relayed->m_softwareVersion });
   } else if (IsStream() && m_facts.m_resumes) {
-    FindSoftwareVersion();
+    FindStream();
   } else if (!IsStream() || ChooseSoftwareVersion()) {
     Begin();
   } else {
@@ -99,19 +117,42 @@
 }
 
 void
-RoutedRequest::FindSoftwareVersion()
+RoutedRequest::FindStream()
+{
+  m_shared.m_versions.Find(
+    { .m_requestId = m_facts.m_id,
+      .m_streamId = m_facts.m_resumedId,
+      .m_requestKey = m_requestKey,
+      .m_service = m_facts.m_resumedId.empty() ? OnlyService() : m_service,
+      .m_deadline = m_facts.m_deadline,
+      .m_timeout = m_route->m_timeout },
+    [this, alive = std::weak_ptr<bool>(m_alive)](
+      const std::optional<StreamPlace>& aPlace) {
+      if (!alive.expired() && !m_ended) {
+        ContinueStream(aPlace);
+      }
+    });
+}
+
+bool
+RoutedRequest::LeadsTo(const std::string& aService) const
+{
+  return std::any_of(m_route->m_targets.begin(),
+                     m_route->m_targets.end(),
+                     [&](const RouteTarget& aTarget) {
+                       return aTarget.m_service == aService &&
+                              aTarget.m_weight > 0;
+                     });
+}
+
+std::string
+RoutedRequest::OnlyService() const
 {
-  m_shared.m_versions.Find({ .m_requestId = m_facts.m_id,
-                             .m_streamId = m_facts.m_resumedId,
-                             .m_service = m_service,
-                             .m_deadline = m_facts.m_deadline,
-                             .m_timeout = m_route->m_timeout },
-                           [this, alive = std::weak_ptr<bool>(m_alive)](
-                             const std::optional<std::string>& aVersion) {
-                             if (!alive.expired() && !m_ended) {
-                               ContinueStream(aVersion);
-                             }
-                           });
+  auto serving = std::count_if(
+    m_route->m_targets.begin(),
+    m_route->m_targets.end(),
+    [](const RouteTarget& aTarget) { return aTarget.m_weight > 0; });
+  return serving > 1 ? std::string() : m_service;
 }
 
 void
@@ -134,14 +175,22 @@
 }
 
 void
-RoutedRequest::ContinueStream(const std::optional<std::string>& aVersion)
+RoutedRequest::ContinueStream(const std::optional<StreamPlace>& aPlace)
 {
-  m_softwareVersion = aVersion;
-  if (!m_softwareVersion) {
-    // Any choice might join the output of two versions.
+  // VMs that run an older program don't say the service.
+  bool isHere =
+    aPlace && (aPlace->m_service.empty() || aPlace->m_service == m_service);
+  if (!aPlace || (!isHere && !LeadsTo(aPlace->m_service))) {
+    // Any choice might join the output of two versions or services.
     Finish(DecideEnd(Progress()));
     return;
   }
+  m_softwareVersion = aPlace->m_softwareVersion;
+  if (!isHere) {
+    m_service = aPlace->m_service;
+    m_serviceFound = true;
+    m_traits = TraitsOf(m_service, m_request, m_facts);
+  }
   Begin();
 }
 
@@ -407,8 +456,10 @@
     // if this one is lost right after it.
     m_shared.m_origins.Publish(
       { .m_requestId = m_facts.m_id,
-        .m_service = m_service,
-        .m_softwareVersion = m_upstream->m_entry.m_softwareVersion,
+        .m_requestKey = m_requestKey,
+        .m_place = { .m_service = m_service,
+                     .m_softwareVersion =
+                       m_upstream->m_entry.m_softwareVersion },
         .m_wait =
           std::max(m_facts.m_deadline.value_or(0ms), m_route->m_timeout),
         .m_attempt = m_runs + m_refusals + 1 });
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -190,11 +190,16 @@
   /// Chooses the software version of a new stream.
   /// @return whether an upstream of it may take the stream
   bool ChooseSoftwareVersion();
-  /// Finds the software version of a stream that another request began.
-  void FindSoftwareVersion();
+  /// Finds where a stream that another request began has to go on.
+  void FindStream();
   /// Continues a stream that another request began.
-  /// @param aVersion  the software version that began it, if it is known
-  void ContinueStream(const std::optional<std::string>& aVersion);
+  /// @param aPlace  where it began, if that is certain
+  void ContinueStream(const std::optional<StreamPlace>& aPlace);
+  /// Returns whether the route leads to a service.
+  bool LeadsTo(const std::string& aService) const;
+  /// Returns the service of all streams of this request's key, if the route
+  /// leads to one only.
+  std::string OnlyService() const;
   /// The stream's next events must come from the version that began it.
   void PinSoftwareVersion();
   void StartAtEngines();
@@ -346,6 +351,8 @@
   RoutingPtr m_routing;
   const Route* m_route;
   std::string m_service;
+  bool m_serviceFound{ false };      ///< it isn't the one that the id chooses
+  std::string m_requestKey;          ///< of a stream
   std::vector<std::string> m_traits; ///< what may crash upstreams
   std::optional<RelayFacts> m_relayed;
   std::function<void()> m_onEnd;
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -224,6 +224,9 @@
   if (!m_facts.m_promptParts.empty()) {
     event.Add("parts", JoinedParts());
   }
+  if (!m_requestKey.empty()) {
+    event.Add("key", m_requestKey);
+  }
   if (m_facts.m_resumes) {
     event.Add("resumes",
               m_facts.m_resumedId.empty() ? "unnamed" : m_facts.m_resumedId);
--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -114,8 +114,9 @@
   bool mayRun =
     m_runs == 0 || (progress.m_mayRepeat && m_runs < progress.m_maxAttempts);
   bool canGoOn = !m_answerBegun || progress.m_canResume;
+  // The other VM would choose the service anew.
   return !m_relayed && m_relays < kMaxRelays && mayRun && canGoOn &&
-         !m_quarantined && !m_limited && !m_stopped &&
+         !m_serviceFound && !m_quarantined && !m_limited && !m_stopped &&
          (m_linkFailed || AreLinksCut()) &&
          progress.m_timeLeft >= kMinAttemptTime;
 }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -156,6 +156,7 @@
                              .m_silenceTimeout = kCallerAckTimeout },
       m_relayHandler);
   }
+  m_origins.Start(m_options.m_firstStart);
   m_suspended = SuspendedTime();
   m_lastTick = m_loop.Now();
   m_sourceContactAt = m_lastTick;
@@ -382,6 +383,7 @@
   }
   m_log.Write(LogEvent("paused", LogLevel::Warning).Add("pause", pause));
   m_permits.OnPause();
+  m_origins.OnPause();
   for (auto& [service, links] : m_shared.m_serviceLinks) {
     links.Forget();
   }
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -67,111 +67,96 @@
   }
 }
 
-std::chrono::milliseconds
-StreamVersions::MaxAge(const StreamQuery& aQuery) const
-{
-  if (!aQuery.m_deadline) {
-    return kOriginLifetime;
-  }
-  return std::max({ *aQuery.m_deadline,
-                    aQuery.m_timeout,
-                    m_parts.m_origins.LongestWait(aQuery.m_service) });
-}
-
 TimePoint
-StreamVersions::BegunAfter(const StreamQuery& aQuery) const
+StreamVersions::BegunAfter(const Search& aSearch) const
 {
-  return m_parts.m_loop.Now() - MaxAge(aQuery) - kMaxUpstreamViewAge;
+  return m_parts.m_loop.Now() - aSearch.m_maxAge - kMaxUpstreamViewAge;
 }
 
 void
 StreamVersions::Find(const StreamQuery& aQuery, Found aDone)
 {
-  if (aQuery.m_streamId.empty()) {
-    FindFromId(aQuery, aDone);
-    return;
-  }
-  m_parts.m_origins.Find(aQuery.m_streamId,
-                         [this,
-                          aQuery,
-                          done = std::move(aDone),
-                          alive = std::weak_ptr<bool>(m_alive)](
-                           const std::optional<std::string>& aFound) {
-                           if (alive.expired()) {
-                             return;
-                           }
-                           if (aFound) {
-                             done(aFound);
-                           } else {
-                             FindFromId(aQuery, done);
-                           }
-                         });
+  m_parts.m_origins.Find(
+    aQuery,
+    [this,
+     aQuery,
+     done = std::move(aDone),
+     alive = std::weak_ptr<bool>(m_alive)](const FoundOrigin& aFound) {
+      if (alive.expired()) {
+        return;
+      }
+      if (aFound.m_place) {
+        done(aFound.m_place);
+        return;
+      }
+      FindFromId({ .m_query = aQuery,
+                   .m_maxAge = MaxStreamAge(aQuery, aFound.m_longestWait),
+                   .m_done = done });
+    });
 }
 
 void
-StreamVersions::FindFromId(const StreamQuery& aQuery, const Found& aDone)
+StreamVersions::FindFromId(const Search& aSearch)
 {
   // Other VMs may have begun the stream at a version that this one, if it was
   // cut off or held up, hasn't heard of.
   m_parts.m_source.Refresh(
-    [this, aQuery, aDone, alive = std::weak_ptr<bool>(m_alive)](
-      bool aIsCurrent) {
+    [this, aSearch, alive = std::weak_ptr<bool>(m_alive)](bool aIsCurrent) {
       if (alive.expired()) {
         return;
       }
       if (aIsCurrent) {
-        FindFromHistory(aQuery, aDone);
+        FindFromHistory(aSearch);
       } else {
-        EndFind(aQuery, aDone, false);
+        EndFind(aSearch, false);
       }
     });
 }
 
 void
-StreamVersions::FindFromHistory(const StreamQuery& aQuery, const Found& aDone)
+StreamVersions::FindFromHistory(const Search& aSearch)
 {
-  if (m_history.Knows(BegunAfter(aQuery))) {
-    EndFind(aQuery, aDone, true);
-    return;
-  }
   bool wasReadJustNow =
     m_historyReadAt &&
     m_parts.m_loop.Now() - *m_historyReadAt < kMinHistoryInterval;
-  if (wasReadJustNow) {
-    EndFind(aQuery, aDone, true);
+  if (wasReadJustNow || m_history.Knows(BegunAfter(aSearch))) {
+    EndFind(aSearch, true);
     return;
   }
-  ReadHistory([this, aQuery, aDone] { EndFind(aQuery, aDone, true); });
+  ReadHistory([this, aSearch] { EndFind(aSearch, true); });
 }
 
 void
-StreamVersions::EndFind(const StreamQuery& aQuery,
-                        const Found& aDone,
-                        bool aIsCurrent) const
+StreamVersions::EndFind(const Search& aSearch, bool aIsCurrent) const
 {
-  TimePoint now = m_parts.m_loop.Now();
-  Duration silence = now - m_sourceAnsweredAt;
+  const StreamQuery& query = aSearch.m_query;
+  Duration silence = m_parts.m_loop.Now() - m_sourceAnsweredAt;
   std::optional<std::string> version;
   if (aIsCurrent && silence < kMaxSourceSilence) {
     version =
-      m_history.Find(aQuery.m_service, aQuery.m_streamId, BegunAfter(aQuery));
+      m_history.Find(query.m_service, query.m_streamId, BegunAfter(aSearch));
   }
   m_parts.m_metrics.Count("streams_found_by_id_total",
                           version ? "certain=\"yes\"" : "certain=\"no\"");
   LogEvent event("stream_version");
-  event.Add("request", aQuery.m_requestId)
-    .Add("stream", aQuery.m_streamId)
-    .Add("service", aQuery.m_service)
+  event.Add("request", query.m_requestId)
+    .Add("stream", query.m_streamId)
+    .Add("service", query.m_service)
     .Add("software", version.value_or("uncertain"))
     .Add("current", aIsCurrent ? "yes" : "no")
-    .Add("history", m_history.Knows(BegunAfter(aQuery)) ? "known" : "unknown")
-    .Add("max_age", Duration(MaxAge(aQuery)))
+    .Add("history", m_history.Knows(BegunAfter(aSearch)) ? "known" : "unknown")
+    .Add("max_age", Duration(aSearch.m_maxAge))
     .Add("source_age", silence);
-  if (aQuery.m_deadline) {
-    event.Add("deadline", Duration(*aQuery.m_deadline));
+  if (query.m_deadline) {
+    event.Add("deadline", Duration(*query.m_deadline));
   }
   m_parts.m_log.Write(event);
-  aDone(version);
+  if (version) {
+    aSearch.m_done(StreamPlace{ .m_service = query.m_service,
+                                .m_softwareVersion = *version });
+  } else {
+    aSearch.m_done({});
+  }
 }
 
 void
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -23,22 +23,11 @@
   std::chrono::milliseconds m_heartbeat; ///< period of upstreams' reports
 };
 
-/// A stream that a caller continues.
-struct StreamQuery
-{
-  std::string m_requestId; ///< of the attempt that continues it, for the log
-  std::string m_streamId;  ///< empty if the caller doesn't name it
-  std::string m_service;
-  /// Time for which the caller says that it waits from now on.
-  std::optional<std::chrono::milliseconds> m_deadline;
-  std::chrono::milliseconds m_timeout{ 0 }; ///< of the route, at present
-};
-
 /// Used by one task only.
 class StreamVersions
 {
 public:
-  using Found = std::function<void(const std::optional<std::string>&)>;
+  using Found = std::function<void(const std::optional<StreamPlace>&)>;
 
   explicit StreamVersions(const StreamVersionsParts& aParts)
     : m_parts(aParts)
@@ -64,21 +53,26 @@
   {
     return m_history.Choose(aService, aStreamId);
   }
-  /// Finds the version that began a stream: from the VMs that remember it, else
-  /// from its id.
-  /// @param aDone  called once; gets nothing if the version is uncertain
+  /// Finds where a stream began: from the VMs that remember it, else from its
+  /// id.
+  /// @param aDone  called once; gets nothing if that is uncertain
   void Find(const StreamQuery& aQuery, Found aDone);
 
 private:
+  struct Search
+  {
+    StreamQuery m_query;
+    std::chrono::milliseconds m_maxAge{ 0 }; ///< of the stream
+    Found m_done;
+  };
+
   /// Returns whether upstreams of one service run several versions, also
   /// draining ones.
   bool ListsSeveralVersions() const;
-  void FindFromId(const StreamQuery& aQuery, const Found& aDone);
-  void FindFromHistory(const StreamQuery& aQuery, const Found& aDone);
+  void FindFromId(const Search& aSearch);
+  void FindFromHistory(const Search& aSearch);
   /// @param aIsCurrent  the published entries are known up to the query
-  void EndFind(const StreamQuery& aQuery,
-               const Found& aDone,
-               bool aIsCurrent) const;
+  void EndFind(const Search& aSearch, bool aIsCurrent) const;
   void ReadHistory(std::function<void()> aDone);
   void OnHistory(const std::optional<DirectoryHistory>& aHistory);
   /// Adds the history, and what the published items tell of the time before.
@@ -94,10 +88,8 @@
   /// @return nothing for an item of another kind, or a malformed one
   std::optional<UpstreamChange> ChangeOf(const DirectoryItem& aItem) const;
   HistoryClock ClockOf(const DirectoryHistory& aHistory) const;
-  /// Returns the age that the stream may have. It follows from how long callers
-  /// wait in all; an attempt may name that time anew, or what is left of it.
-  std::chrono::milliseconds MaxAge(const StreamQuery& aQuery) const;
-  TimePoint BegunAfter(const StreamQuery& aQuery) const;
+  /// Returns the time after which this VM's view tells what VMs chose for it.
+  TimePoint BegunAfter(const Search& aSearch) const;
 
   StreamVersionsParts m_parts;
   VersionHistory m_history;
--- a/tests/router_versions_fixture.h
+++ b/tests/router_versions_fixture.h
@@ -14,9 +14,17 @@
 /// sends event 2 and ends.
 struct Engines : Plain
 {
-  void AddEngine(const std::string& aId, const std::string& aSoftware)
+  explicit Engines(const RouterOptions& aOptions = Options())
+    : Plain(aOptions)
   {
-    PublishedServer& engine = AddServer(aId, "model", "decode", aSoftware);
+  }
+
+  void AddEngine(const std::string& aId,
+                 const std::string& aSoftware,
+                 const std::string& aService = "model",
+                 const std::string& aStage = "decode")
+  {
+    PublishedServer& engine = AddServer(aId, aService, aStage, aSoftware);
     m_loop.Do([&] {
       engine.SetScript([this, &engine, aSoftware](const PublishedCall& aCall) {
         if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
@@ -79,7 +87,8 @@
 /// Two engines of each of two software versions.
 struct TwoVersions : Engines
 {
-  TwoVersions()
+  explicit TwoVersions(const RouterOptions& aOptions = Options())
+    : Engines(aOptions)
   {
     AddEngine("i-1a", "v1");
     AddEngine("i-1b", "v1");
