Index origins so that a replaced one leaves no trace

A request that was sent again under its id with another key kept the index of the first key: a lookup by that key would have found another request's place, and, once the origin had expired, thrown. The index now holds places with their counts, which also bounds a lookup among many equal requests. Times of peers are bounded.

--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -1,5 +1,5 @@
-/// StreamOrigins: the store of streams' software versions, its replication to
-/// other VMs, and lookups there.
+/// StreamOrigins: the store of streams' origins, its replication to other VMs,
+/// and lookups there.
 
 #include "router_origins.h"
 
@@ -14,8 +14,10 @@
 std::chrono::milliseconds
 ReadMilliseconds(const Json::Value& aValue)
 {
+  constexpr Json::Int64 kMax =
+    std::chrono::milliseconds(kMaxCompleteTime).count();
   return std::chrono::milliseconds(
-    aValue.isInt64() ? std::max<Json::Int64>(aValue.asInt64(), 0) : 0);
+    aValue.isInt64() ? std::clamp<Json::Int64>(aValue.asInt64(), 0, kMax) : 0);
 }
 
 Json::Int64
@@ -74,31 +76,58 @@
     aOrigin.m_requestId, Record{ .m_origin = aOrigin, .m_begunAt = now });
   if (added) {
     m_byAge.emplace_back(now, aOrigin.m_requestId);
-    if (!aOrigin.m_requestKey.empty()) {
-      m_idsByKey.emplace(aOrigin.m_requestKey, aOrigin.m_requestId);
-    }
+    AddToIndex(found->second);
     Expire();
   } else if (aOrigin.m_attempt > found->second.m_origin.m_attempt) {
+    RemoveFromIndex(found->second.m_origin);
     found->second.m_origin = aOrigin;
+    AddToIndex(found->second);
   }
 }
 
 void
-StreamOrigins::Forget(const std::string& aRequestId)
+StreamOrigins::AddToIndex(const Record& aRecord)
 {
-  auto known = m_origins.find(aRequestId);
-  if (known == m_origins.end()) {
+  const StreamOrigin& origin = aRecord.m_origin;
+  if (origin.m_requestKey.empty()) {
     return;
   }
-  auto [begin, end] =
-    m_idsByKey.equal_range(known->second.m_origin.m_requestKey);
-  for (auto id = begin; id != end; ++id) {
-    if (id->second == aRequestId) {
-      m_idsByKey.erase(id);
-      break;
-    }
+  std::vector<KeyPlace>& places = m_placesByKey[origin.m_requestKey];
+  auto found =
+    std::find_if(places.begin(), places.end(), [&](const KeyPlace& aPlace) {
+      return aPlace.m_place == origin.m_place;
+    });
+  if (found == places.end()) {
+    found = places.insert(places.end(),
+                          { .m_place = origin.m_place, .m_lastBegunAt = {} });
+  }
+  found->m_lastBegunAt = std::max(found->m_lastBegunAt, aRecord.m_begunAt);
+  ++found->m_count;
+}
+
+void
+StreamOrigins::RemoveFromIndex(const StreamOrigin& aOrigin)
+{
+  auto places = m_placesByKey.find(aOrigin.m_requestKey);
+  if (places == m_placesByKey.end()) {
+    return;
+  }
+  std::erase_if(places->second, [&](KeyPlace& aPlace) {
+    return aPlace.m_place == aOrigin.m_place && --aPlace.m_count == 0;
+  });
+  if (places->second.empty()) {
+    m_placesByKey.erase(places);
+  }
+}
+
+void
+StreamOrigins::Forget(const std::string& aRequestId)
+{
+  auto known = m_origins.find(aRequestId);
+  if (known != m_origins.end()) {
+    RemoveFromIndex(known->second.m_origin);
+    m_origins.erase(known);
   }
-  m_origins.erase(known);
 }
 
 void
@@ -129,18 +158,16 @@
     m_completeFrom == TimePoint::min()
       ? kMaxCompleteTime
       : std::min<Duration>(now - m_completeFrom, kMaxCompleteTime);
-  std::map<StreamPlace, Duration> youngest;
-  auto [begin, end] = m_idsByKey.equal_range(aRequestKey);
-  for (auto id = begin; id != end; ++id) {
-    const Record& record = m_origins.at(id->second);
-    Duration age = now - record.m_begunAt;
-    auto [found, added] = youngest.try_emplace(record.m_origin.m_place, age);
-    found->second = std::min(found->second, age);
-  }
   std::vector<Candidate> candidates;
-  for (const auto& [place, age] : youngest) {
-    candidates.push_back(
-      { .m_place = place, .m_age = age, .m_completeFor = completeFor });
+  auto places = m_placesByKey.find(aRequestKey);
+  if (places == m_placesByKey.end()) {
+    return candidates;
+  }
+  candidates.reserve(places->second.size());
+  for (const KeyPlace& place : places->second) {
+    candidates.push_back({ .m_place = place.m_place,
+                           .m_age = now - place.m_lastBegunAt,
+                           .m_completeFor = completeFor });
   }
   return candidates;
 }
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -125,9 +125,18 @@
     StreamOrigin m_origin;
     TimePoint m_begunAt;
   };
+  /// The streams of one key at one place.
+  struct KeyPlace
+  {
+    StreamPlace m_place;
+    TimePoint m_lastBegunAt;
+    std::size_t m_count{ 0 };
+  };
 
   void Put(const StreamOrigin& aOrigin);
   void Forget(const std::string& aRequestId);
+  void AddToIndex(const Record& aRecord);
+  void RemoveFromIndex(const StreamOrigin& aOrigin);
   const StreamPlace* FindById(const std::string& aRequestId) const;
   /// Returns the youngest stream of each place.
   std::vector<Candidate> FindByKey(const std::string& aRequestKey) const;
@@ -145,7 +154,7 @@
   StreamWaits m_waits;
   TimePoint m_completeFrom{ TimePoint::max() }; ///< of what is remembered
   std::map<std::string, Record> m_origins;      ///< by request id
-  std::multimap<std::string, std::string> m_idsByKey;
+  std::map<std::string, std::vector<KeyPlace>> m_placesByKey;
   std::deque<std::pair<TimePoint, std::string>> m_byAge; ///< ids, oldest first
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
