Trust a key only if no keeper of another origin can be missing

A stream was found by its key as soon as one VM that knew one had been there for long enough. The VM may have been the one that began it and none of those that others choose, so an equal request at another version, whose keepers were lost or silent, stayed unseen.

Now fewer of the VMs that were asked may be silent or too young than keep each origin. VMs count as told of all streams only some gossip periods after they start.

--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -49,6 +49,8 @@
   std::size_t m_unanswered{ 0 };
   std::optional<StreamPlace> m_named; ///< found by the stream's id
   std::vector<Candidate> m_candidates;
+  std::size_t m_asked{ 0 };            ///< VMs, this one included
+  std::vector<Duration> m_completeFor; ///< of those that have answered
   std::chrono::milliseconds m_longestWait{ 0 };
   TimersI::TimerId m_timer{ 0 };
 };
@@ -64,7 +66,8 @@
 void
 StreamOrigins::Start(bool aFirstStart)
 {
-  m_completeFrom = aFirstStart ? TimePoint::min() : m_parts.m_loop.Now();
+  m_completeFrom =
+    aFirstStart ? TimePoint::min() : m_parts.m_loop.Now() + kMaxUpstreamViewAge;
 }
 
 void
@@ -150,14 +153,20 @@
   return known == m_origins.end() ? nullptr : &known->second.m_origin.m_place;
 }
 
+Duration
+StreamOrigins::CompleteFor() const
+{
+  if (m_completeFrom == TimePoint::min()) {
+    return kMaxCompleteTime;
+  }
+  return std::clamp<Duration>(
+    m_parts.m_loop.Now() - m_completeFrom, Duration::zero(), kMaxCompleteTime);
+}
+
 std::vector<StreamOrigins::Candidate>
 StreamOrigins::FindByKey(const std::string& aRequestKey) const
 {
   TimePoint now = m_parts.m_loop.Now();
-  Duration completeFor =
-    m_completeFrom == TimePoint::min()
-      ? kMaxCompleteTime
-      : std::min<Duration>(now - m_completeFrom, kMaxCompleteTime);
   std::vector<Candidate> candidates;
   auto places = m_placesByKey.find(aRequestKey);
   if (places == m_placesByKey.end()) {
@@ -165,25 +174,31 @@
   }
   candidates.reserve(places->second.size());
   for (const KeyPlace& place : places->second) {
-    candidates.push_back({ .m_place = place.m_place,
-                           .m_age = now - place.m_lastBegunAt,
-                           .m_completeFor = completeFor });
+    candidates.push_back(
+      { .m_place = place.m_place, .m_age = now - place.m_lastBegunAt });
   }
   return candidates;
 }
 
 std::optional<StreamPlace>
-StreamOrigins::Decide(const std::vector<Candidate>& aCandidates,
-                      std::chrono::milliseconds aMaxAge)
+StreamOrigins::Decide(const Lookup& aLookup)
 {
+  std::chrono::milliseconds maxAge =
+    MaxStreamAge(aLookup.m_query, aLookup.m_longestWait);
   std::set<StreamPlace> places;
-  bool isComplete = false;
-  for (const Candidate& candidate : aCandidates) {
-    if (candidate.m_age <= aMaxAge) {
+  for (const Candidate& candidate : aLookup.m_candidates) {
+    if (candidate.m_age <= maxAge) {
       places.insert(candidate.m_place);
-      isComplete = isComplete || candidate.m_completeFor >= aMaxAge;
     }
   }
+  auto complete = std::count_if(
+    aLookup.m_completeFor.begin(),
+    aLookup.m_completeFor.end(),
+    [maxAge](Duration aCompleteFor) { return aCompleteFor >= maxAge; });
+  // Each origin is kept by kOriginReplicas of the VMs that were asked, or by
+  // all of them, even if the VM that published it is lost.
+  std::size_t missing = aLookup.m_asked - static_cast<std::size_t>(complete);
+  bool isComplete = missing < std::min(kOriginReplicas, aLookup.m_asked);
   return places.size() == 1 && isComplete ? std::optional(*places.begin())
                                           : std::nullopt;
 }
@@ -237,6 +252,8 @@
   lookup->m_done = std::move(aDone);
   lookup->m_unanswered = peers.size();
   lookup->m_candidates = FindByKey(aQuery.m_requestKey);
+  lookup->m_asked = peers.size() + 1;
+  lookup->m_completeFor = { CompleteFor() };
   lookup->m_longestWait = LongestWait(aQuery.m_service);
   if (peers.empty()) {
     EndLookup(*lookup, "nobody");
@@ -292,6 +309,7 @@
   }
   aLookup.m_longestWait =
     std::max(aLookup.m_longestWait, ReadMilliseconds(aReply["wait_ms"]));
+  aLookup.m_completeFor.push_back(ReadMilliseconds(aReply["complete_ms"]));
   for (const Json::Value& stream : aReply["streams"]) {
     if (!stream.isObject() || !stream["software"].isString()) {
       continue;
@@ -299,8 +317,7 @@
     aLookup.m_candidates.push_back(
       { .m_place = { .m_service = ReadText(stream["service"]),
                      .m_softwareVersion = stream["software"].asString() },
-        .m_age = ReadMilliseconds(stream["age_ms"]),
-        .m_completeFor = ReadMilliseconds(aReply["complete_ms"]) });
+        .m_age = ReadMilliseconds(stream["age_ms"]) });
   }
 }
 
@@ -316,8 +333,7 @@
   FoundOrigin found{ .m_place = aLookup.m_named,
                      .m_longestWait = aLookup.m_longestWait };
   if (query.m_streamId.empty()) {
-    found.m_place =
-      Decide(aLookup.m_candidates, MaxStreamAge(query, aLookup.m_longestWait));
+    found.m_place = Decide(aLookup);
   }
   LogEvent event("stream_origin");
   event.Add("request", query.m_requestId)
@@ -364,8 +380,8 @@
     stream["software"] = candidate.m_place.m_softwareVersion;
     stream["age_ms"] = ToMilliseconds(candidate.m_age);
     reply["streams"].append(stream);
-    reply["complete_ms"] = ToMilliseconds(candidate.m_completeFor);
   }
+  reply["complete_ms"] = ToMilliseconds(CompleteFor());
   return reply;
 }
 
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -85,7 +85,7 @@
   {
   }
 
-  /// All streams that this VM is told of from now on are remembered.
+  /// Other VMs choose this one to keep origins soon.
   /// @param aFirstStart  no stream began before this process
   void Start(bool aFirstStart);
   /// The process was paused: it may have missed what other VMs told.
@@ -94,7 +94,7 @@
   /// Stores an origin here and at kOriginReplicas other VMs.
   void Publish(const StreamOrigin& aOrigin);
   /// Finds where a stream began, here or at other VMs: by the id of its first
-  /// attempt, or by its key if only streams of one place have that key.
+  /// attempt, or by its key if all streams with that key began at one place.
   /// @param aDone  called once, within kOriginLookupTimeout
   void Find(const StreamQuery& aQuery, Found aDone);
   /// Returns the longest time for which callers waited for streams of a service
@@ -113,12 +113,11 @@
 private:
   struct Lookup;
 
-  /// A stream with the key that was looked for, as one VM remembers it.
+  /// Streams with the key that was looked for, as one VM remembers them.
   struct Candidate
   {
     StreamPlace m_place;
-    Duration m_age{};         ///< of the stream
-    Duration m_completeFor{}; ///< all streams of this time are remembered there
+    Duration m_age{}; ///< of the youngest one
   };
   struct Record
   {
@@ -140,11 +139,12 @@
   const StreamPlace* FindById(const std::string& aRequestId) const;
   /// Returns the youngest stream of each place.
   std::vector<Candidate> FindByKey(const std::string& aRequestKey) const;
-  /// Returns the only place of the candidates that are young enough, if a VM
-  /// that has one would know the others, too.
-  static std::optional<StreamPlace> Decide(
-    const std::vector<Candidate>& aCandidates,
-    std::chrono::milliseconds aMaxAge);
+  /// Returns for how long this VM has been told of all streams for which it was
+  /// chosen to keep the origin.
+  Duration CompleteFor() const;
+  /// Returns the only place of the streams that are young enough, if one of the
+  /// VMs that were chosen to keep an origin has answered in any case.
+  static std::optional<StreamPlace> Decide(const Lookup& aLookup);
   void OnAnswer(const std::shared_ptr<Lookup>& aLookup,
                 const PeerResult& aResult);
   static void Merge(Lookup& aLookup, const Json::Value& aReply);
@@ -152,7 +152,7 @@
 
   StreamOriginsParts m_parts;
   StreamWaits m_waits;
-  TimePoint m_completeFrom{ TimePoint::max() }; ///< of what is remembered
+  TimePoint m_completeFrom{ TimePoint::max() }; ///< of what others told
   std::map<std::string, Record> m_origins;      ///< by request id
   std::map<std::string, std::vector<KeyPlace>> m_placesByKey;
   std::deque<std::pair<TimePoint, std::string>> m_byAge; ///< ids, oldest first
