Let one caller's long deadline not hide the ages of others

A caller that names an hour made all streams of its service count as that old for two minutes, and so all uncertain; on a split route the longest wait was never found. Waits beyond the lifetime of origins count as that, and without a known service those of all count.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -169,6 +169,7 @@
             TimePoint aNow);
   /// Returns the longest one of the last kOriginLifetime, or 0 if no stream of
   /// the service is known.
+  /// @param aService  empty for all services
   std::chrono::milliseconds Longest(const std::string& aService,
                                     TimePoint aNow) const;
   void Expire(TimePoint aNow);
--- a/src/route_versions.cpp
+++ b/src/route_versions.cpp
@@ -334,16 +334,19 @@
 std::chrono::milliseconds
 StreamWaits::Longest(const std::string& aService, TimePoint aNow) const
 {
-  auto found = m_waits.find(aService);
-  if (found == m_waits.end()) {
-    return {};
-  }
-  for (const Wait& wait : found->second) {
-    if (aNow - wait.m_notedAt <= kOriginLifetime) {
-      return wait.m_wait;
+  std::chrono::milliseconds longest{ 0 };
+  for (const auto& [service, waits] : m_waits) {
+    if (!aService.empty() && service != aService) {
+      continue;
+    }
+    for (const Wait& wait : waits) {
+      if (aNow - wait.m_notedAt <= kOriginLifetime) {
+        longest = std::max(longest, wait.m_wait);
+        break;
+      }
     }
   }
-  return {};
+  return longest;
 }
 
 void
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -461,7 +461,8 @@
                      .m_softwareVersion =
                        m_upstream->m_entry.m_softwareVersion },
         .m_wait =
-          std::max(m_facts.m_deadline.value_or(0ms), m_route->m_timeout),
+          std::max(std::min(m_facts.m_deadline.value_or(0ms), kOriginLifetime),
+                   m_route->m_timeout),
         .m_attempt = m_runs + m_refusals + 1 });
   }
   if (!m_reservation.empty()) {
