Find no service for a stream in a route that has moved since

A broken stream whose origin no VM knew any more went on at the service to which its route leads at present, though the route had led to another one when the stream began: the version was certain, as that service had one only. Origins that VMs did know, but not as the only possible ones, were not compared with it.

Change: a VM remembers when a stream's route last got other services or weights, and finds no place from the published entries if that is within the stream's age; a place that differs from a remembered one is uncertain.

a_stream_of_lost_origin_is_not_joined_at_the_service_its_route_moved_to: 8 of 8 take-ups ran at the other service without the check.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -37,6 +37,8 @@
 {
   std::string m_service;
   double m_weight{ 1.0 }; ///< relative to the route's other targets
+
+  bool operator==(const RouteTarget&) const = default;
 };
 
 struct Route
@@ -115,6 +117,22 @@
   std::unordered_map<std::string, std::vector<const Route*>> m_byHost;
 };
 
+/// When routes of streams last got other services or weights.
+class RouteMoves
+{
+public:
+  /// A configuration replaces another one.
+  void Record(const RoutingConfig& aBefore,
+              const RoutingConfig& aAfter,
+              TimePoint aNow);
+  /// @return nothing if it did not within kOriginLifetime, as far as known
+  std::optional<TimePoint> MovedAt(const Route& aRoute) const;
+  void Expire(TimePoint aNow);
+
+private:
+  std::map<std::string, TimePoint> m_movedAt; ///< by host and path prefix
+};
+
 /// Returns the service that gets a request, by the weights of the route's
 /// targets. It is the same for every attempt of a request.
 /// @param aHash  of the request's id
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -1,5 +1,6 @@
 /// Finds the route of a request by host and path, and the service that gets it.
 
+#include "config.h"
 #include "shallotford/route.h"
 
 #include <algorithm>
@@ -16,6 +17,12 @@
     std::string(aHost.substr(0, aHost.find(':'))));
 }
 
+std::string
+PlaceKey(const Route& aRoute)
+{
+  return HostKey(aRoute.m_host) + aRoute.m_pathPrefix;
+}
+
 } // namespace
 
 std::string_view
@@ -64,6 +71,44 @@
   return nullptr;
 }
 
+void
+RouteMoves::Record(const RoutingConfig& aBefore,
+                   const RoutingConfig& aAfter,
+                   TimePoint aNow)
+{
+  std::unordered_map<std::string, const Route*> before;
+  for (const Route& route : aBefore.m_routes) {
+    if (route.m_kind == RouteKind::Stream) {
+      before.emplace(PlaceKey(route), &route);
+    }
+  }
+  for (const Route& route : aAfter.m_routes) {
+    if (route.m_kind != RouteKind::Stream) {
+      continue;
+    }
+    std::string key = PlaceKey(route);
+    auto found = before.find(key);
+    if (found != before.end() && found->second->m_targets != route.m_targets) {
+      m_movedAt[key] = aNow;
+    }
+  }
+}
+
+std::optional<TimePoint>
+RouteMoves::MovedAt(const Route& aRoute) const
+{
+  auto found = m_movedAt.find(PlaceKey(aRoute));
+  return found == m_movedAt.end() ? std::nullopt : std::optional(found->second);
+}
+
+void
+RouteMoves::Expire(TimePoint aNow)
+{
+  std::erase_if(m_movedAt, [aNow](const auto& aMove) {
+    return aNow - aMove.second > kOriginLifetime;
+  });
+}
+
 const std::string&
 ChooseTarget(const Route& aRoute, std::uint64_t aHash)
 {
--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -180,8 +180,8 @@
   return candidates;
 }
 
-std::optional<StreamPlace>
-StreamOrigins::Decide(const Lookup& aLookup)
+std::set<StreamPlace>
+StreamOrigins::PossiblePlaces(const Lookup& aLookup)
 {
   std::chrono::milliseconds maxAge =
     MaxStreamAge(aLookup.m_query, aLookup.m_longestWait);
@@ -191,6 +191,14 @@
       places.insert(candidate.m_place);
     }
   }
+  return places;
+}
+
+bool
+StreamOrigins::IsComplete(const Lookup& aLookup)
+{
+  std::chrono::milliseconds maxAge =
+    MaxStreamAge(aLookup.m_query, aLookup.m_longestWait);
   auto complete = std::count_if(
     aLookup.m_completeFor.begin(),
     aLookup.m_completeFor.end(),
@@ -198,9 +206,7 @@
   // Each origin is kept by kOriginReplicas of the VMs that were asked, or by
   // all of them, even if the VM that published it is lost.
   std::size_t missing = aLookup.m_asked - static_cast<std::size_t>(complete);
-  bool isComplete = missing < std::min(kOriginReplicas, aLookup.m_asked);
-  return places.size() == 1 && isComplete ? std::optional(*places.begin())
-                                          : std::nullopt;
+  return missing < std::min(kOriginReplicas, aLookup.m_asked);
 }
 
 void
@@ -240,7 +246,7 @@
 StreamOrigins::Find(const StreamQuery& aQuery, Found aDone)
 {
   if (const StreamPlace* known = FindById(aQuery.m_streamId)) {
-    aDone({ .m_place = *known, .m_longestWait = {} });
+    aDone({ .m_place = *known, .m_possiblePlaces = {}, .m_longestWait = {} });
     return;
   }
   std::vector<std::string> peers = m_parts.m_peers.Closest(
@@ -331,9 +337,13 @@
   m_parts.m_loop.CancelTimer(aLookup.m_timer);
   const StreamQuery& query = aLookup.m_query;
   FoundOrigin found{ .m_place = aLookup.m_named,
+                     .m_possiblePlaces = {},
                      .m_longestWait = aLookup.m_longestWait };
   if (query.m_streamId.empty()) {
-    found.m_place = Decide(aLookup);
+    found.m_possiblePlaces = PossiblePlaces(aLookup);
+    if (found.m_possiblePlaces.size() == 1 && IsComplete(aLookup)) {
+      found.m_place = *found.m_possiblePlaces.begin();
+    }
   }
   LogEvent event("stream_origin");
   event.Add("request", query.m_requestId)
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -10,6 +10,8 @@
 #include "shallotford/route.h"
 #include "shallotford/rpc.h"
 
+#include <set>
+
 namespace shallotford {
 
 /// Where a stream runs: no other service or software version continues it.
@@ -48,6 +50,8 @@
   /// Time for which the caller says that it waits from now on.
   std::optional<std::chrono::milliseconds> m_deadline;
   std::chrono::milliseconds m_timeout{ 0 }; ///< of the route, at present
+  /// When the route last got other services or weights, if it did.
+  std::optional<TimePoint> m_movedAt;
 };
 
 /// Returns the age that a stream may have. It follows from how long callers
@@ -60,6 +64,9 @@
 struct FoundOrigin
 {
   std::optional<StreamPlace> m_place; ///< nothing if it is uncertain
+  /// Where streams with the key began that may be the one; none if the stream
+  /// was looked for by its id.
+  std::set<StreamPlace> m_possiblePlaces;
   /// Longest time for which callers of the service waited lately, as far as the
   /// VMs that were asked know; 0 if they know none.
   std::chrono::milliseconds m_longestWait{ 0 };
@@ -142,9 +149,11 @@
   /// Returns for how long this VM has been told of all streams for which it was
   /// chosen to keep the origin.
   Duration CompleteFor() const;
-  /// Returns the only place of the streams that are young enough, if one of the
-  /// VMs that were chosen to keep an origin has answered in any case.
-  static std::optional<StreamPlace> Decide(const Lookup& aLookup);
+  /// Returns the places of the streams that are young enough.
+  static std::set<StreamPlace> PossiblePlaces(const Lookup& aLookup);
+  /// Returns whether one of the VMs that were chosen to keep an origin has
+  /// answered in any case.
+  static bool IsComplete(const Lookup& aLookup);
   void OnAnswer(const std::shared_ptr<Lookup>& aLookup,
                 const PeerResult& aResult);
   static void Merge(Lookup& aLookup, const Json::Value& aReply);
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -138,6 +138,9 @@
   if (aRouting->m_version <= current) {
     return;
   }
+  if (m_routes.Config() != nullptr) {
+    m_shared.m_routeMoves.Record(*m_routes.Config(), *aRouting, m_loop.Now());
+  }
   m_routes = RouteTable(aRouting);
   m_log.Write(
     LogEvent("configuration")
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -125,7 +125,8 @@
       .m_requestKey = m_requestKey,
       .m_service = m_facts.m_resumedId.empty() ? OnlyService() : m_service,
       .m_deadline = m_facts.m_deadline,
-      .m_timeout = m_route->m_timeout },
+      .m_timeout = m_route->m_timeout,
+      .m_movedAt = m_shared.m_routeMoves.MovedAt(*m_route) },
     [this, alive = std::weak_ptr<bool>(m_alive)](
       const std::optional<StreamPlace>& aPlace) {
       if (!alive.expired() && !m_ended) {
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -46,6 +46,7 @@
   UpstreamPermits& m_permits;
   RelayTable& m_relays;
   StreamTimes m_streamTimes;
+  RouteMoves m_routeMoves;
   std::map<std::string, LinkState> m_serviceLinks; ///< by service
   std::map<std::string, TimePoint> m_reachedAt;    ///< last answer, by service
 
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -66,6 +66,7 @@
               .m_permits = m_permits,
               .m_relays = m_relays,
               .m_streamTimes = {},
+              .m_routeMoves = {},
               .m_serviceLinks = {},
               .m_reachedAt = {} }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
@@ -350,6 +351,7 @@
     Gossip();
   }
   m_origins.Expire();
+  m_shared.m_routeMoves.Expire(now);
   m_versions.Expire();
   m_crashes.Expire();
   m_permits.Expire();
--- a/src/router_versions.cpp
+++ b/src/router_versions.cpp
@@ -91,6 +91,7 @@
       }
       FindFromId({ .m_query = aQuery,
                    .m_maxAge = MaxStreamAge(aQuery, aFound.m_longestWait),
+                   .m_possiblePlaces = aFound.m_possiblePlaces,
                    .m_done = done });
     });
 }
@@ -126,23 +127,42 @@
   ReadHistory([this, aSearch] { EndFind(aSearch, true); });
 }
 
+std::optional<StreamPlace>
+StreamVersions::PlaceOf(const Search& aSearch) const
+{
+  const StreamQuery& query = aSearch.m_query;
+  TimePoint begunAfter = BegunAfter(aSearch);
+  bool hasMoved = query.m_movedAt && *query.m_movedAt >= begunAfter;
+  std::optional<std::string> version =
+    m_history.Find(query.m_service, query.m_streamId, begunAfter);
+  if (hasMoved || !version) {
+    return {};
+  }
+  StreamPlace place{ .m_service = query.m_service,
+                     .m_softwareVersion = *version };
+  bool isContradicted = std::any_of(
+    aSearch.m_possiblePlaces.begin(),
+    aSearch.m_possiblePlaces.end(),
+    [&](const StreamPlace& aPossible) { return aPossible != place; });
+  return isContradicted ? std::nullopt : std::optional(place);
+}
+
 void
 StreamVersions::EndFind(const Search& aSearch, bool aIsCurrent) const
 {
   const StreamQuery& query = aSearch.m_query;
   Duration silence = m_parts.m_loop.Now() - m_sourceAnsweredAt;
-  std::optional<std::string> version;
+  std::optional<StreamPlace> place;
   if (aIsCurrent && silence < kMaxSourceSilence) {
-    version =
-      m_history.Find(query.m_service, query.m_streamId, BegunAfter(aSearch));
+    place = PlaceOf(aSearch);
   }
   m_parts.m_metrics.Count("streams_found_by_id_total",
-                          version ? "certain=\"yes\"" : "certain=\"no\"");
+                          place ? "certain=\"yes\"" : "certain=\"no\"");
   LogEvent event("stream_version");
   event.Add("request", query.m_requestId)
     .Add("stream", query.m_streamId)
     .Add("service", query.m_service)
-    .Add("software", version.value_or("uncertain"))
+    .Add("software", place ? place->m_softwareVersion : "uncertain")
     .Add("current", aIsCurrent ? "yes" : "no")
     .Add("history", m_history.Knows(BegunAfter(aSearch)) ? "known" : "unknown")
     .Add("max_age", Duration(aSearch.m_maxAge))
@@ -151,12 +171,7 @@
     event.Add("deadline", Duration(*query.m_deadline));
   }
   m_parts.m_log.Write(event);
-  if (version) {
-    aSearch.m_done(StreamPlace{ .m_service = query.m_service,
-                                .m_softwareVersion = *version });
-  } else {
-    aSearch.m_done({});
-  }
+  aSearch.m_done(place);
 }
 
 void
--- a/src/router_versions.h
+++ b/src/router_versions.h
@@ -63,6 +63,7 @@
   {
     StreamQuery m_query;
     std::chrono::milliseconds m_maxAge{ 0 }; ///< of the stream
+    std::set<StreamPlace> m_possiblePlaces;  ///< as VMs remember; may be empty
     Found m_done;
   };
 
@@ -73,6 +74,8 @@
   void FindFromHistory(const Search& aSearch);
   /// @param aIsCurrent  the published entries are known up to the query
   void EndFind(const Search& aSearch, bool aIsCurrent) const;
+  /// Returns the place that the published entries tell, if it is certain.
+  std::optional<StreamPlace> PlaceOf(const Search& aSearch) const;
   void ReadHistory(std::function<void()> aDone);
   void OnHistory(const std::optional<DirectoryHistory>& aHistory);
   /// Adds the history, and what the published items tell of the time before.
--- a/tests/router_origins_test.cpp
+++ b/tests/router_origins_test.cpp
@@ -87,6 +87,16 @@
       }));
     }
   }
+  /// Leaves the route only the service of one version.
+  void PublishMoved()
+  {
+    std::string moved = kSplitRoute;
+    std::string share = R"({"service":"model","weight":1},)";
+    moved.replace(moved.find(share), share.size(), "");
+    Publish(ConfigText(3, moved));
+    BOOST_TEST(WaitFor(
+      [this] { return CountLogLines("event=configuration version=3") == 2U; }));
+  }
 };
 
 std::string
@@ -159,6 +169,19 @@
   }
 }
 
+BOOST_FIXTURE_TEST_CASE(
+  a_stream_of_lost_origin_is_not_joined_at_the_service_its_route_moved_to,
+  SplitRoute)
+{
+  PublishMoved();
+  for (int i = 0; i < kStreams; ++i) {
+    std::string lost =
+      "Last-Event-Id: 1\r\nResumes: lost" + std::to_string(i) + "\r\n";
+    Send(Port(), "/split/x", Name("m", i), Name("body", i), lost);
+    BOOST_TEST(Versions(Name("m", i)).empty());
+  }
+}
+
 BOOST_FIXTURE_TEST_CASE(
   a_stream_whose_route_moved_is_not_joined_at_another_service,
   SplitRoute)
@@ -166,12 +189,7 @@
   for (int i = 0; i < kStreams; ++i) {
     Begin("/split/x", Name("f", i), Name("body", i));
   }
-  std::string moved = kSplitRoute;
-  std::string share = R"({"service":"model","weight":1},)";
-  moved.replace(moved.find(share), share.size(), "");
-  Publish(ConfigText(3, moved));
-  BOOST_TEST(WaitFor(
-    [this] { return CountLogLines("event=configuration version=3") == 2U; }));
+  PublishMoved();
   for (int i = 0; i < kStreams; ++i) {
     std::string fields = "Last-Event-Id: 1\r\n";
     std::string named = fields + "Resumes: " + Name("f", i) + "\r\n";
