Don't count on keepers of an origin that are lost or were paused

Change: VMs with a contact in the last minute that are no longer reached count as keepers that may be missing, and so does a VM that was paused and hasn't noticed it yet.

--- a/src/router_origins.cpp
+++ b/src/router_origins.cpp
@@ -49,7 +49,9 @@
   std::size_t m_unanswered{ 0 };
   std::optional<StreamPlace> m_named; ///< found by the stream's id
   std::vector<Candidate> m_candidates;
-  std::size_t m_asked{ 0 };            ///< VMs, this one included
+  std::size_t m_asked{ 0 }; ///< VMs, this one included
+  /// VMs that may keep an origin and can't be asked, or haven't answered.
+  std::size_t m_missing{ 0 };
   std::vector<Duration> m_completeFor; ///< of those that have answered
   std::chrono::milliseconds m_longestWait{ 0 };
   TimersI::TimerId m_timer{ 0 };
@@ -156,6 +158,9 @@
 Duration
 StreamOrigins::CompleteFor() const
 {
+  if (m_parts.m_wasPaused()) {
+    return Duration::zero();
+  }
   if (m_completeFrom == TimePoint::min()) {
     return kMaxCompleteTime;
   }
@@ -205,7 +210,7 @@
     [maxAge](Duration aCompleteFor) { return aCompleteFor >= maxAge; });
   // Each origin is kept by kOriginReplicas of the VMs that were asked, or by
   // all of them, even if the VM that published it is lost.
-  std::size_t missing = aLookup.m_asked - static_cast<std::size_t>(complete);
+  std::size_t missing = aLookup.m_missing - static_cast<std::size_t>(complete);
   return missing < std::min(kOriginReplicas, aLookup.m_asked);
 }
 
@@ -258,7 +263,11 @@
   lookup->m_done = std::move(aDone);
   lookup->m_unanswered = peers.size();
   lookup->m_candidates = FindByKey(aQuery.m_requestKey);
+  TimePoint now = m_parts.m_loop.Now();
+  std::size_t lost =
+    m_parts.m_peers.KnownCount(now) - m_parts.m_peers.LiveCount(now);
   lookup->m_asked = peers.size() + 1;
+  lookup->m_missing = lookup->m_asked + lost;
   lookup->m_completeFor = { CompleteFor() };
   lookup->m_longestWait = LongestWait(aQuery.m_service);
   if (peers.empty()) {
--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -79,6 +79,8 @@
   const PeerList& m_peers;
   LogI& m_log;
   Metrics& m_metrics;
+  /// Returns whether the process was paused and OnPause() is due.
+  std::function<bool()> m_wasPaused;
 };
 
 /// Used by one task only.
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -71,7 +71,12 @@
               .m_reachedAt = {} }
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
-  , m_origins({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
+  , m_origins({ m_loop,
+                m_peerCalls,
+                m_peers,
+                m_log,
+                m_metrics,
+                [this] { return PauseSinceTick() >= kMinDetectedPause; } })
   , m_versions({ m_loop,
                  m_source,
                  m_decoder,
@@ -365,13 +370,19 @@
     m_loop.RunAfter(m_leaving ? kLeavingTick : kRouterTick, [this] { Tick(); });
 }
 
+Duration
+RouterTask::PauseSinceTick() const
+{
+  Duration late = m_loop.Now() - m_lastTick - kRouterTick;
+  return std::max(SuspendedTime() - m_suspended, late);
+}
+
 void
 RouterTask::DetectPause()
 {
-  Duration suspended = SuspendedTime();
   Duration late = m_loop.Now() - m_lastTick - kRouterTick;
-  Duration pause = std::max(suspended - m_suspended, late);
-  m_suspended = suspended;
+  Duration pause = PauseSinceTick();
+  m_suspended = SuspendedTime();
   m_metrics.Observe(Latency::LoopDelay, std::max(late, Duration::zero()));
   if (late >= kLongLoopDelay) {
     m_log.Write(
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -153,6 +153,9 @@
 
   // Periodic work.
   void Tick();
+  /// Returns how long the process was paused, or the machine suspended, since
+  /// the last Tick().
+  Duration PauseSinceTick() const;
   /// Closes idle connections if the process was paused or the machine
   /// suspended.
   void DetectPause();
--- a/tests/router_stream_ages_test.cpp
+++ b/tests/router_stream_ages_test.cpp
@@ -38,10 +38,13 @@
   std::string Attempt(const std::string& aId, const std::string& aFields)
   {
     RawSocket socket(Port());
-    socket.Send("POST /fixed/x HTTP/1.1\r\nHost: h\r\n"
-                "X-Shallotford-Request-Id: " +
-                aId + "\r\nConnection: close\r\n" + aFields +
-                "Content-Length: 1\r\n\r\nb");
+    std::string request = "POST /fixed/x HTTP/1.1\r\nHost: h\r\n"
+                          "X-Shallotford-Request-Id: ";
+    request += aId;
+    request += "\r\nConnection: close\r\n";
+    request += aFields;
+    request += "Content-Length: 1\r\n\r\nb";
+    socket.Send(request);
     return socket.ReadToEnd();
   }
 
