Test the refusal of another VM without depending on the machine's speed

Cause: a fault of the test. A VM offers to pass requests on until it has reached no service for 3 s. Both VMs reached their last service at the start of the case, the other one just before this one. The streams were passed on only in the time between this VM's cut, which lets it pick a VM that doesn't confirm the service, and the gossip that withdrew the other VM's offer. If the streams began later, the offer was gone by then. The count of log lines also took in lines of the requests "p", and 4 of 6 streams were enough.

Change: the plain upstreams answer, and the other VM is asked for them until each stream was passed on, so its offer stays while its links to the engines are cut. The streams have 60 s, more than the wait. Each of the six must be put aside and be refused by the other VM; before, six lines of any request were enough. This VM still counts as cut off, since nothing else asks it. The streams' refusals now come from the cut links to the engines. Before, most came from CheckRelayed() as the other VM was cut off from all services; no check asked for that, and this case no longer leads there. The VM that passes a stream on gets a 503 from either.

--- a/tests/router_silence_test.cpp
+++ b/tests/router_silence_test.cpp
@@ -7,18 +7,24 @@
 #include "config.h"
 #include "router_fixture.h"
 
+#include <algorithm>
 #include <future>
+#include <ranges>
 
 using namespace shallotford;
 using namespace shallotford::test;
 
 namespace {
 
-/// A repeatable route that allows more attempts than there are upstreams.
+/// A repeatable route that allows more attempts than there are upstreams, and a
+/// route of streams that outlast WaitFor().
 constexpr const char* kMoreRoutes =
   R"(,{"name":"wide","host":"h","prefix":"/wide/","kind":"safe",)"
   R"("timeout-ms":6000,"target-latency-ms":200,"max-attempts":3,)"
-  R"("service":"plain"})";
+  R"("service":"plain"},)"
+  R"({"name":"long","host":"h","prefix":"/long/",)"
+  R"("kind":"streaming","timeout-ms":60000,"target-latency-ms":900,)"
+  R"("max-attempts":2,"resumable":true,"service":"model"})";
 
 /// Two plain upstreams and two engines, which can all be silent: they take
 /// requests and answer them once they go on.
@@ -132,6 +138,32 @@
                       [this, aPath, aId] { return Ask(aPath, aId); });
   }
 
+  /// Asks for a stream of route "long" with that route's time.
+  std::future<std::string> AskLong(const std::string& aId)
+  {
+    const std::string shorter = "Deadline-Ms: 6000\r\n";
+    std::string request =
+      Request("/long/x", aId, "body", "Connection: close\r\n");
+    request.replace(
+      request.find(shorter), shorter.size(), "Deadline-Ms: 60000\r\n");
+    return std::async(std::launch::async, [this, request] {
+      RawSocket socket(Port());
+      socket.Send(request);
+      return socket.ReadToEnd();
+    });
+  }
+
+  /// Returns whether one line of the log holds all parts.
+  bool HasLogLine(const std::vector<std::string>& aParts)
+  {
+    auto hasAll = [&](const std::string& aLine) {
+      return std::ranges::all_of(
+        aParts, [&](const std::string& aPart) { return Has(aLine, aPart); });
+    };
+    return m_loop.Do(
+      [&] { return std::ranges::any_of(m_log.Lines(), hasAll); });
+  }
+
   bool IsPaused(std::size_t aStreams)
   {
     return WaitFor(
@@ -184,18 +216,19 @@
   OtherVm other(*this, options, m_store->Address());
   options.m_seeds = { "127.0.0.1:" + std::to_string(other.PeerPort()) };
   m_loop.Do([&] { m_router->Reload(options); });
-  BOOST_TEST(WaitFor([&] {
+  auto isServedByOther = [&other] {
     RawSocket socket(other.Port());
     socket.Send(Request("/safe/x", "o", "body", "Connection: close\r\n"));
     return socket.ReadToEnd().starts_with("HTTP/1.1 200 ");
-  }));
+  };
+  BOOST_TEST(WaitFor(isServedByOther));
   constexpr std::size_t kBegun = 6;
   std::vector<std::future<std::string>> answers;
   for (std::size_t i = 0; i < kBegun; ++i) {
-    answers.push_back(AskLater("/stream/x", "s" + std::to_string(i)));
+    answers.push_back(AskLong("s" + std::to_string(i)));
   }
   BOOST_TEST(IsPaused(kBegun));
-  SetSilent(All());
+  SetSilent(m_engines);
   // The links of both VMs to the engines count as cut, so each one refuses what
   // the other one passes on.
   std::vector<std::unique_ptr<RawSocket>> more;
@@ -206,9 +239,17 @@
   }
   BOOST_TEST(WaitFor(
     [this] { return CountLogLines("event=links_cut service=model") == 2; }));
-  BOOST_TEST(WaitFor([this] {
-    return CountLogLines("phase=relay") >= kBegun &&
-           CountLogLines("event=attempt_silent") >= kBegun;
+  auto isRefused = [this](std::size_t aStream) {
+    std::string request = "request=s" + std::to_string(aStream) + " ";
+    return HasLogLine({ "event=attempt_silent", request, "phase=run" }) &&
+           HasLogLine({ request, "phase=relay", "end=refused" });
+  };
+  // A VM that reaches no service doesn't offer to pass requests on, so the
+  // other one has to reach service "plain" until each stream was passed to it.
+  BOOST_TEST(WaitFor([&] {
+    return isServedByOther() &&
+           std::ranges::all_of(std::views::iota(std::size_t{ 0 }, kBegun),
+                               isRefused);
   }));
   GoOn();
   for (std::size_t i = 0; i < kBegun; ++i) {
