Read the load of upstreams that tell how long work takes

Cause: a load was taken only with exactly three figures. One with a fourth was dropped whole, so that neither running nor waiting requests of such upstreams were known. Change: the fourth is read as slowness. The types for organisations and for the urgency of a request, and the fields that carry them, come with it; nothing sets them yet, so no message changes. Result: platform_test passes; its new cases need the new fields, so they weren't run on the code before.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -6,7 +6,7 @@
 /// published routes, the health of upstreams and the list of other VMs. Pure:
 /// time is passed in, and there are no sockets, threads or logs.
 
-#include "shallotford/base.h"
+#include "shallotford/organisation.h"
 
 #include <deque>
 #include <functional>
@@ -54,6 +54,7 @@
   std::chrono::milliseconds m_callerTimeout{ 10'000 };
   std::uint32_t m_maxAttempts{ 1 }; ///< upstreams that may run one request
   std::int32_t m_priority{ 0 };     ///< 0 is the most urgent
+  bool m_public{ false };           ///< needs no key of an organisation
   std::vector<RouteTarget> m_targets;
 
   /// Returns whether a request may run more than once.
@@ -96,6 +97,8 @@
   std::vector<Route> m_routes;
   std::map<std::string, RoutedService> m_services;
   CallerLimits m_limits;
+  /// If there are any, requests on routes that aren't public need a key of one.
+  std::vector<Organisation> m_organisations;
 };
 using RoutingPtr = std::shared_ptr<const RoutingConfig>;
 
@@ -304,6 +307,9 @@
   std::uint32_t m_running{ 0 };
   std::uint32_t m_waiting{ 0 };
   std::uint32_t m_slots{ 0 };
+  /// How long work takes there at this moment, against what is usual; 1 if the
+  /// upstream doesn't tell it.
+  double m_slowness{ 1 };
 };
 
 /// Location of this VM, used to prefer near upstreams.
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -21,6 +21,8 @@
   std::optional<std::chrono::milliseconds> m_deadline; ///< from its receipt
   std::uint32_t m_promptTokens{ 0 }; ///< 0 if it isn't for a model
   std::uint32_t m_outputTokens{ 0 }; ///< upper bound
+  /// The caller's estimate of the output; right at the median, often far off.
+  std::optional<std::uint32_t> m_outputHint;
   /// Ids of the prompt's parts, in order. Requests share parts, except the last
   /// one.
   std::vector<std::string> m_promptParts;
@@ -40,6 +42,11 @@
   std::string m_prefillHandle;
   std::string m_reservation; ///< id of reserved engine memory
   std::string m_lastEventId; ///< id of the last event that the caller has
+  /// Set if the configuration has organisations: the caller's one, empty on a
+  /// public route. No key is passed on then.
+  std::optional<std::string> m_organisation;
+  /// 0 is the most urgent; not set if the upstream has no use for it.
+  std::optional<std::uint32_t> m_urgency;
 };
 
 /// A call to an engine's own API, such as a reservation.
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -230,6 +230,55 @@
   BOOST_CHECK_THROW(dialect->ReadPrefill("no json"), Error);
 }
 
+BOOST_AUTO_TEST_CASE(load_with_the_time_that_work_takes_is_read)
+{
+  auto loadOf = [](const std::string& aText) {
+    return platform::MakeDialect()
+      ->ReadAnswer({ .m_status = 200,
+                     .m_fields = { { "X-Shallotford-Server-Load", aText } } })
+      .m_load;
+  };
+  BOOST_REQUIRE(loadOf("1,2,6,250").has_value());
+  BOOST_TEST(loadOf("1,2,6,250")->m_running == 1U);
+  BOOST_TEST(loadOf("1,2,6,250")->m_waiting == 2U);
+  BOOST_TEST(loadOf("1,2,6,250")->m_slowness == 2.5);
+  BOOST_TEST(loadOf("1,2,6")->m_slowness == 1.0);
+  BOOST_TEST(loadOf("1,2,6,0")->m_slowness == 1.0);
+  BOOST_TEST(!loadOf("1,2,6,x").has_value());
+  BOOST_TEST(!loadOf("1,2,6,100,3").has_value());
+}
+
+BOOST_AUTO_TEST_CASE(organisation_and_urgency_are_set_for_the_upstream)
+{
+  auto dialect = platform::MakeDialect();
+  RequestHead head = MakeCallerHead();
+  head.m_fields.push_back({ "authorization", "Bearer secret" });
+  head.m_fields.push_back({ "X-Shallotford-Tenant", "forged" });
+  head.m_fields.push_back({ "X-Shallotford-Request-Priority", "0" });
+  HttpHeaders known = dialect->FieldsForUpstream(
+    head, { .m_organisation = "shop", .m_urgency = 12 });
+  BOOST_TEST(FieldValue(known, "Authorization") == "(none)");
+  BOOST_TEST(FieldValue(known, "X-Shallotford-Tenant") == "shop");
+  BOOST_TEST(FieldValue(known, "X-Shallotford-Request-Priority") == "9");
+  HttpHeaders open = dialect->FieldsForUpstream(head, { .m_organisation = "" });
+  BOOST_TEST(FieldValue(open, "Authorization") == "(none)");
+  BOOST_TEST(FieldValue(open, "X-Shallotford-Tenant") == "(none)");
+  BOOST_TEST(FieldValue(open, "X-Shallotford-Request-Priority") == "(none)");
+  HttpHeaders without = dialect->FieldsForUpstream(head, {});
+  BOOST_TEST(FieldValue(without, "Authorization") == "Bearer secret");
+}
+
+BOOST_AUTO_TEST_CASE(length_hint_is_read)
+{
+  auto hintOf = [](const std::string& aText) {
+    return platform::MakeDialect()
+      ->ReadRequest({ .m_fields = { { "X-Shallotford-Length-Hint", aText } } })
+      .m_outputHint;
+  };
+  BOOST_TEST(hintOf("781").value_or(0) == 781U);
+  BOOST_TEST(!hintOf("many").has_value());
+}
+
 BOOST_AUTO_TEST_CASE(the_parts_of_a_prompt_are_read_in_order)
 {
   std::vector<std::string> expected{ "5c1e07a2", "91bd3f06", "e4402b7d" };
