Carry a request's organisation to upstreams and relays

Cause: the parts for organisations need one place where a request knows its organisation and its urgency. Change: a request's options name the organisation; its head for the upstream and its relay fields carry it, if the configuration has organisations. Nothing sets it yet.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -39,6 +39,7 @@
   , m_facts(std::move(aOptions.m_facts))
   , m_routing(std::move(aOptions.m_routing))
   , m_route(aOptions.m_route)
+  , m_organisation(aOptions.m_organisation)
   , m_service(ChooseTarget(*m_route, StableHash(StreamId(m_facts))))
   , m_traits(TraitsOf(m_service, m_request, m_facts))
   , m_relayed(std::move(aOptions.m_relayed))
@@ -244,6 +245,14 @@
   return service != nullptr && service->m_engines;
 }
 
+std::int32_t
+RoutedRequest::Urgency() const
+{
+  return m_organisation != nullptr && m_organisation->m_priority
+           ? *m_organisation->m_priority
+           : m_route->m_priority;
+}
+
 std::string
 RoutedRequest::QueueName() const
 {
@@ -567,6 +576,10 @@
   if (aPhase == Phase::Run && m_reservedEngine.get() == &aUpstream) {
     dispatch.m_reservation = m_reservation;
   }
+  if (!m_routing->m_organisations.empty()) {
+    dispatch.m_organisation =
+      m_organisation == nullptr ? "" : m_organisation->m_name;
+  }
   const RequestHead& head = m_request.m_head;
   HttpHeaders fields = m_shared.m_dialect.FieldsForUpstream(head, dispatch);
   if (head.m_framing == BodyFraming::Chunked ||
@@ -576,7 +589,8 @@
   }
   if (aPhase == Phase::Relay) {
     AddRelayFacts({ .m_configVersion = m_routing->m_version,
-                    .m_softwareVersion = m_softwareVersion },
+                    .m_softwareVersion = m_softwareVersion,
+                    .m_organisation = dispatch.m_organisation },
                   fields);
   }
   return WriteRequestHead(head.m_method, head.m_target, fields);
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -71,6 +71,8 @@
   std::uint64_t m_configVersion{ 0 };
   /// The software version that runs the stream, if it is chosen already.
   std::optional<std::string> m_softwareVersion;
+  /// The caller's organisation, which that VM has found by its key.
+  std::optional<std::string> m_organisation;
 };
 
 /// Reads the fields of a request that another VM has passed on, and removes
@@ -91,6 +93,8 @@
   RequestFacts m_facts;
   RoutingPtr m_routing; ///< keeps m_route alive
   const Route* m_route{ nullptr };
+  /// Of the configuration; nullptr on a public route or without organisations.
+  const Organisation* m_organisation{ nullptr };
   /// Set if another VM has passed the request on; it isn't passed on again.
   std::optional<RelayFacts> m_relayed;
   std::function<void()> m_onEnd; ///< called last, after the answer
@@ -182,6 +186,9 @@
   RequestProgress Progress() const;
   const RoutedService* Service() const;
   bool ServedByEngines() const;
+  /// Returns the request's rank, 0 for the most urgent: its organisation's
+  /// priority, or else its route's.
+  std::int32_t Urgency() const;
   /// Returns the admission queue of the request.
   std::string QueueName() const;
   bool IsStream() const;
@@ -351,6 +358,7 @@
   RequestFacts m_facts;
   RoutingPtr m_routing;
   const Route* m_route;
+  const Organisation* m_organisation;
   std::string m_service;
   bool m_serviceFound{ false };      ///< it isn't the one that the id chooses
   std::string m_requestKey;          ///< of a stream
--- a/src/router_request_relay.cpp
+++ b/src/router_request_relay.cpp
@@ -13,6 +13,8 @@
 
 constexpr std::string_view kConfigVersionField = "Shallotford-Relay-Config";
 constexpr std::string_view kSoftwareField = "Shallotford-Relay-Software";
+constexpr std::string_view kOrganisationField =
+  "Shallotford-Relay-Organisation";
 /// "STARTED_MS ID" of the upstream that ran a request which was passed on.
 constexpr std::string_view kUpstreamField = "Shallotford-Relay-Upstream";
 
@@ -68,7 +70,8 @@
                 "Send callers' requests to the port for callers.");
   }
   return { .m_configVersion = *number,
-           .m_softwareVersion = TakeField(aFields, kSoftwareField) };
+           .m_softwareVersion = TakeField(aFields, kSoftwareField),
+           .m_organisation = TakeField(aFields, kOrganisationField) };
 }
 
 void
@@ -77,12 +80,17 @@
   // Callers' own fields of these names have no meaning here.
   TakeField(aFields, kConfigVersionField);
   TakeField(aFields, kSoftwareField);
+  TakeField(aFields, kOrganisationField);
   aFields.push_back({ std::string(kConfigVersionField),
                       std::to_string(aFacts.m_configVersion) });
   if (aFacts.m_softwareVersion) {
     aFields.push_back(
       { std::string(kSoftwareField), *aFacts.m_softwareVersion });
   }
+  if (aFacts.m_organisation) {
+    aFields.push_back(
+      { std::string(kOrganisationField), *aFacts.m_organisation });
+  }
 }
 
 bool
