Read the platform as often as the time for changes asks

Cause: every VM read the platform's changes 0.8 s after the last answer, wherever changes have 2.5, 4 or 5 s to be in force. Change: the setting changes_within_ms, from which the delay follows (a third), and the time after which peers are asked. Settings without it behave as before.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -40,6 +40,9 @@
   /// seconds; 0 if that isn't known.
   double m_history{ 0 };
   double m_heartbeat{ 1.2 }; ///< seconds between upstreams' heartbeats
+  /// Time until a change that the platform publishes must be in force, in
+  /// seconds. How often the platform is read follows from it.
+  double m_changesWithin{ 2.5 };
   /// True when the whole system starts for the first time and has no requests
   /// yet.
   bool m_firstStart{ false };
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -182,6 +182,9 @@
   std::size_t m_maxConnections{ 2048 };
   /// Longest time from the stop signal to the end of the process.
   std::chrono::milliseconds m_drainTime{ 8'000 };
+  /// Time without an answer of the directory's source after which this VM asks
+  /// its peers for changes.
+  std::chrono::milliseconds m_sourceTimeout{ 1'500 };
   /// Period of the heartbeats that keep upstreams' entries.
   std::chrono::milliseconds m_heartbeat{ 1'200 };
   /// All VMs start for the first time.
--- a/src/config.h
+++ b/src/config.h
@@ -459,9 +459,6 @@
 constexpr const char* kPermitMethod = "permits";
 /// Streams whose origins are kept at most.
 constexpr std::size_t kMaxOrigins = 50'000;
-/// Time without an answer of the directory's source after which this VM asks
-/// its peers for changes.
-constexpr std::chrono::milliseconds kSourceTimeout = 1'500ms;
 /// Time for which an upstream whose entry was removed still gets requests that
 /// no other upstream can take.
 constexpr std::chrono::milliseconds kRemovedEntryGrace = 1'000ms;
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -65,6 +65,7 @@
 constexpr Range<double> kSeconds{ 0.1, 3600.0 };
 constexpr Range<double> kHistorySeconds{ 0.0, 86'400.0 };
 constexpr Range<double> kHeartbeatMilliseconds{ 1.0, 3'600'000.0 };
+constexpr Range<double> kChangesWithinMilliseconds{ 100.0, 3'600'000.0 };
 constexpr Range<double> kTypicalTokens{ 0.0, 1e7 };
 
 void
@@ -73,6 +74,7 @@
   RoutingSettings& routing = aSettings.m_routing.emplace();
   constexpr double kMillisecondsPerSecond = 1'000;
   double heartbeatMs = routing.m_heartbeat * kMillisecondsPerSecond;
+  double changesMs = routing.m_changesWithin * kMillisecondsPerSecond;
   aReader.Read("seeds", routing.m_seeds);
   aReader.Read("failure_domains", routing.m_failureDomains);
   aReader.Read("retry_ratio", routing.m_retryRatio, kRetryRatio);
@@ -82,6 +84,8 @@
   aReader.Read("history_s", routing.m_history, kHistorySeconds);
   aReader.Read("heartbeat_ms", heartbeatMs, kHeartbeatMilliseconds);
   routing.m_heartbeat = heartbeatMs / kMillisecondsPerSecond;
+  aReader.Read("changes_within_ms", changesMs, kChangesWithinMilliseconds);
+  routing.m_changesWithin = changesMs / kMillisecondsPerSecond;
   aReader.Read("first_start", routing.m_firstStart);
   aReader.Read(
     "typical_prompt_tokens", routing.m_typicalPrompt, kTypicalTokens);
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -21,6 +21,12 @@
 /// Maximum of the loop's sockets beyond the callers' connections.
 constexpr std::size_t kMaxOtherSockets = 1'024;
 
+/// Delay between two reads of the platform, as a share of the time within which
+/// a change must be in force. The rest is for calls that fail or take long.
+constexpr double kReadDelayShare = 0.32;
+/// Time that a read may be late before this VM asks its peers for changes.
+constexpr std::chrono::milliseconds kMaxReadLateness{ 700 };
+
 std::chrono::milliseconds
 SecondsToMilliseconds(double aSeconds)
 {
@@ -28,6 +34,12 @@
     std::chrono::duration<double>(aSeconds));
 }
 
+std::chrono::milliseconds
+ReadDelay(const RoutingSettings& aRouting)
+{
+  return SecondsToMilliseconds(kReadDelayShare * aRouting.m_changesWithin);
+}
+
 RouterOptions
 ToRouterOptions(const Settings& aSettings)
 {
@@ -46,6 +58,7 @@
                                 SecondsToMilliseconds(routing.m_retryWindow) },
            .m_maxConnections = aSettings.m_maxConnections,
            .m_drainTime = SecondsToMilliseconds(routing.m_drainTime),
+           .m_sourceTimeout = ReadDelay(routing) + kMaxReadLateness,
            .m_heartbeat = SecondsToMilliseconds(routing.m_heartbeat),
            .m_firstStart = routing.m_firstStart,
            .m_typicalRequest = { .m_promptTokens = routing.m_typicalPrompt,
@@ -139,7 +152,8 @@
     *log,
     *random,
     { .m_address = aSettings.m_platformAddress,
-      .m_history = SecondsToMilliseconds(aSettings.m_routing->m_history) });
+      .m_history = SecondsToMilliseconds(aSettings.m_routing->m_history),
+      .m_readDelay = ReadDelay(*aSettings.m_routing) });
   auto decoder = platform::MakeDecoder();
   auto dialect = platform::MakeDialect();
   auto router =
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -107,7 +107,7 @@
   // A VM asks peers for items only while the source doesn't answer it, or if it
   // has no configuration.
   request["wants"] =
-    now - m_sourceContactAt > kSourceTimeout || m_routes.Config() == nullptr;
+    now - m_sourceContactAt > m_options.m_sourceTimeout || m_routes.Config() == nullptr;
   for (const auto& [address, age] : m_peers.ContactAges(now)) {
     Json::Value entry(Json::arrayValue);
     entry.append(address);
