Read how many tokens an event of a stream holds

The length of an answer in tokens isn't in its events. The published configuration of an engine service says how many tokens one event holds, which gives it from the id of the last event. Not used yet.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -76,6 +76,7 @@
   std::chrono::milliseconds m_reservationLifetime{ 0 };
   std::uint32_t m_engineSlots{ 0 };  ///< requests that one engine runs at once
   std::uint32_t m_engineTokens{ 0 }; ///< tokens that one engine's memory holds
+  std::uint32_t m_tokensPerEvent{ 0 }; ///< of a stream; 0 if it isn't known
   /// Time for which an engine is unavailable while it changes its role; 0 if it
   /// can't change it.
   std::chrono::milliseconds m_roleChangeTime{ 0 };
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -120,21 +120,21 @@
 
 BOOST_AUTO_TEST_CASE(configuration_decoded_to_routes_services_and_limits)
 {
-  auto decoded = platform::MakeDecoder()->Decode(
-    Item("op/config",
-         R"({"version":7,"routes":[)"
-         R"({"name":"r1","host":"h","prefix":"/a/","kind":"streaming",)"
-         R"("timeout-ms":14000,"target-latency-ms":900,"priority":1,)"
-         R"("traffic-split":[{"service":"m","weight":90},)"
-         R"({"service":"n","weight":10}],"max-attempts":2,"resumable":true,)"
-         R"("gap-aim-ms":300},)"
-         R"({"name":"r2","host":"h","prefix":"/b/","kind":"unsafe",)"
-         R"("service":"n"}],)"
-         R"("services":[{"name":"m","max-connections":630,"engine":{)"
-         R"("kv-tokens":59729,"handle-ttl-s":0.5,"hold-ms":2000.0}},)"
-         R"({"name":"n","max-connections":110}],)"
-         R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
-         R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})"));
+  auto decoded = platform::MakeDecoder()->Decode(Item(
+    "op/config",
+    R"({"version":7,"routes":[)"
+    R"({"name":"r1","host":"h","prefix":"/a/","kind":"streaming",)"
+    R"("timeout-ms":14000,"target-latency-ms":900,"priority":1,)"
+    R"("traffic-split":[{"service":"m","weight":90},)"
+    R"({"service":"n","weight":10}],"max-attempts":2,"resumable":true,)"
+    R"("gap-aim-ms":300},)"
+    R"({"name":"r2","host":"h","prefix":"/b/","kind":"unsafe",)"
+    R"("service":"n"}],)"
+    R"("services":[{"name":"m","max-connections":630,"engine":{)"
+    R"("kv-tokens":59729,"stride":11,"handle-ttl-s":0.5,"hold-ms":2000.0}},)"
+    R"({"name":"n","max-connections":110}],)"
+    R"("limits":{"max-header-bytes":16384,"max-body-bytes":4194304,)"
+    R"("header-timeout-ms":3000,"idle-timeout-ms":15000}})"));
   BOOST_REQUIRE(decoded.m_routing != nullptr);
   const RoutingConfig& config = *decoded.m_routing;
   BOOST_TEST(config.m_version == 7U);
@@ -145,6 +145,7 @@
   BOOST_TEST(!config.m_routes[1].MayRepeat());
   BOOST_TEST(config.m_services.at("m").m_engines);
   BOOST_TEST((config.m_services.at("m").m_reservationLifetime == 2'000ms));
+  BOOST_TEST(config.m_services.at("m").m_tokensPerEvent == 11U);
   BOOST_TEST(!config.m_services.at("n").m_engines);
   BOOST_TEST((config.m_limits.m_idleTimeout == 15'000ms));
 }
