--- a/src/config.h
+++ b/src/config.h
@@ -67,6 +67,24 @@
 // engines
 constexpr std::uint32_t kKvPieceTokens = 2'000;
 
+// organisations
+/// From the end of a proof to the latest time at which a withdrawn key may
+/// work: for requests that were judged but not yet sent to an upstream.
+constexpr std::chrono::milliseconds kRevokeMargin = 500ms;
+/// A key that isn't in a configuration whose proof is older may be a new one.
+/// Below the time in which VMs that are in touch have a new configuration.
+constexpr std::chrono::milliseconds kMaxKeyListAge = 3'000ms;
+/// Peers are asked for a newer proof after this share of the revocation time.
+constexpr int kPeerProofShare = 3;
+/// After a VM learns of a new era it asks peers for a configuration that the
+/// source has lost: some ten calls, which one of two VMs would answer.
+constexpr std::chrono::milliseconds kEraSettleTime = 2'000ms;
+/// Peers asked for a proof at once, and calls to them under way.
+constexpr std::size_t kProofCallsPerTick = 2;
+constexpr std::size_t kMaxProofCalls = 6;
+/// Callers come back when a proof has probably arrived.
+constexpr std::chrono::milliseconds kNoProofRetryAfter = 1'000ms;
+
 // daemon
 constexpr std::chrono::milliseconds kCancelTimeout = 1'000ms;
 constexpr std::chrono::milliseconds kLoadReportTimeout = 1'000ms;
