--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -108,6 +108,57 @@
              std::string::npos);
 }
 
+BOOST_AUTO_TEST_CASE(organisations_and_public_routes_decoded)
+{
+  const std::string kConfig =
+    R"({"version":1,"routes":[{"name":"r","host":"h","prefix":"/a/",)"
+    R"("kind":"safe","public":true,"service":"n"},{"name":"s","host":"h",)"
+    R"("prefix":"/b/","kind":"safe","public":false,"service":"n"},)"
+    R"({"name":"t","host":"h","prefix":"/c/","kind":"safe","service":"n"}],)"
+    R"("tenants":[{"name":"o","api-keys":["k1","k2"],"priority":3,)"
+    R"("unit":"tokens","plain-tokens":200.5,"rate-per-s":64.25,)"
+    R"("burst":90},{"name":"p","api-keys":[]}]})";
+  RoutingPtr config =
+    platform::MakeDecoder()->Decode(Item("op/config", kConfig)).m_routing;
+  BOOST_TEST(config->m_routes[0].m_public);
+  BOOST_TEST(!config->m_routes[1].m_public);
+  BOOST_TEST(!config->m_routes[2].m_public);
+  BOOST_REQUIRE(config->m_organisations.size() == 2U);
+  const Organisation& first = config->m_organisations[0];
+  BOOST_TEST(first.m_name == "o");
+  BOOST_TEST((first.m_keys == std::vector<std::string>{ "k1", "k2" }));
+  BOOST_TEST((first.m_priority == 3));
+  BOOST_TEST((first.m_limit == RateLimit{ .m_perSecond = 64.25,
+                                          .m_burst = 90,
+                                          .m_countsTokens = true,
+                                          .m_plainTokens = 200.5 }));
+  const Organisation& second = config->m_organisations[1];
+  BOOST_TEST(second.m_keys.empty());
+  BOOST_TEST(!second.m_priority.has_value());
+  BOOST_TEST((second.m_limit == RateLimit{}));
+  const std::vector<std::array<std::string, 3>> kWrong{
+    { "\"public\":true", "\"public\":1", "\"public\"" },
+    { R"("name":"o")", R"("name":7)", "\"name\"" },
+    { R"(["k1","k2"])", R"("k1")", "\"api-keys\"" },
+    { R"("k2")", "2", "\"api-keys\"" },
+    { R"("k2")", R"("")", "\"api-keys\"" },
+    { "3", "-3", "\"priority\"" },
+    { R"("unit":"tokens")", R"("unit":"bytes")", "\"unit\"" },
+    { "64.25", "-1", "\"rate-per-s\"" },
+    { "90", "\"90\"", "\"burst\"" },
+    { "200.5", "[]", "\"plain-tokens\"" },
+  };
+  for (const auto& [part, wrong, field] : kWrong) {
+    std::string error =
+      ErrorOf("op/config", ReplaceFirst(kConfig, part, wrong));
+    BOOST_TEST(error.find(field) != std::string::npos, field << ": " << error);
+    BOOST_TEST(error.find("k1") == std::string::npos);
+  }
+  BOOST_TEST(
+    ErrorOf("op/config", R"({"version":1,"tenants":{}})").find("\"tenants\"") !=
+    std::string::npos);
+}
+
 BOOST_AUTO_TEST_CASE(removed_server_entry_keeps_upstream_id)
 {
   DirectoryItem item{
