Judge callers' keys, and refuse them without a recent proof

Cause: requests of organisations must run only with a key that the configuration allows, and a withdrawn key must end at every VM in time, in touch or not. Change: the key is judged when the head has been read and when the request starts. The source tells when the call began that proves its state; gossip replies carry the age of the proof if the configuration has organisations. With revoke_ms a VM without a recent proof answers 503 and seeks a newer one at the source and at peers. A relayed request brings its organisation instead of a key.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -39,6 +39,9 @@
   /// Time for which the platform keeps the changes of what it publishes, in
   /// seconds; 0 if that isn't known.
   double m_history{ 0 };
+  /// Seconds after which a withdrawn key of an organisation must not work at
+  /// any VM, in touch or not; 0 if that isn't asked for.
+  double m_revoke{ 0 };
   double m_heartbeat{ 1.2 }; ///< seconds between upstreams' heartbeats
   /// Time until a change that the platform publishes must be in force, in
   /// seconds. How often the platform is read follows from it.
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -89,6 +89,9 @@
   virtual ~DialectI() = default;
   /// @throws Error (InvalidRequest) naming the field that is wrong
   virtual RequestFacts ReadRequest(const RequestHead& aHead) const = 0;
+  /// Returns the key that the caller presents; empty if there is none, more
+  /// than one, or one that can't be valid.
+  virtual std::string ReadKey(const RequestHead& aHead) const = 0;
   /// Returns the fields for the upstream, without those of the connection
   /// (such as Connection) and of the body's framing.
   virtual HttpHeaders FieldsForUpstream(const RequestHead& aHead,
@@ -115,12 +118,18 @@
 
 // -------------------------------------------------------------- directory
 
+/// Returns the time since this machine's boot, suspensions included.
+BootTime
+BootNow();
+
 /// Receives the published entries and their changes from a directory source.
 class DirectoryListenerI
 {
 public:
   virtual ~DirectoryListenerI() = default;
   virtual void OnDelta(const DirectoryDelta& aDelta) = 0;
+  /// All changes that were acknowledged before aCallBegan have been reported.
+  virtual void OnProven(BootTime /*aCallBegan*/) {}
   /// The source answers, for the first time or again.
   virtual void OnSourceUp() = 0;
   /// The source doesn't answer.
@@ -185,6 +194,10 @@
   /// Time without an answer of the directory's source after which this VM asks
   /// its peers for changes.
   std::chrono::milliseconds m_sourceTimeout{ 1'500 };
+  /// Time after its acknowledgement at which a withdrawn key must not work at
+  /// any VM. VMs that can't know of a withdrawal refuse requests with keys; 0:
+  /// they serve them.
+  std::chrono::milliseconds m_revoke{ 0 };
   /// Period of the heartbeats that keep upstreams' entries.
   std::chrono::milliseconds m_heartbeat{ 1'200 };
   /// All VMs start for the first time.
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -64,6 +64,8 @@
 constexpr Range<double> kRetrySlack{ 0.0, 1e6 }; // extra sends
 constexpr Range<double> kSeconds{ 0.1, 3600.0 };
 constexpr Range<double> kHistorySeconds{ 0.0, 86'400.0 };
+/// Above the margin that VMs keep.
+constexpr Range<double> kRevokeMilliseconds{ 1'000.0, 3'600'000.0 };
 constexpr Range<double> kHeartbeatMilliseconds{ 1.0, 3'600'000.0 };
 constexpr Range<double> kChangesWithinMilliseconds{ 100.0, 3'600'000.0 };
 constexpr Range<double> kTypicalTokens{ 0.0, 1e7 };
@@ -82,6 +84,9 @@
   aReader.Read("retry_window_s", routing.m_retryWindow, kSeconds);
   aReader.Read("drain_s", routing.m_drainTime, kSeconds);
   aReader.Read("history_s", routing.m_history, kHistorySeconds);
+  double revokeMs = routing.m_revoke * kMillisecondsPerSecond;
+  aReader.Read("revoke_ms", revokeMs, kRevokeMilliseconds);
+  routing.m_revoke = revokeMs / kMillisecondsPerSecond;
   aReader.Read("heartbeat_ms", heartbeatMs, kHeartbeatMilliseconds);
   routing.m_heartbeat = heartbeatMs / kMillisecondsPerSecond;
   aReader.Read("changes_within_ms", changesMs, kChangesWithinMilliseconds);
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -265,6 +265,7 @@
     if (aHead.m_length > limits.m_maxBody) {
       ThrowBodyTooLarge(limits.m_maxBody);
     }
+    m_handler.OnHead(aHead);
     m_keepAlive = aHead.m_keepAlive;
     m_oldVersion = aHead.m_oldVersion;
     m_toHead = aHead.m_method == "HEAD";
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -72,6 +72,9 @@
   /// Bytes of the caller were read and dropped, as this VM had closed the
   /// connection or was just closing it.
   virtual void OnDropped(CloseCause /*aCause*/, std::size_t /*aBytes*/) {}
+  /// A request's head has been read; its body has not.
+  /// @throws Error that refuses the request and closes its connection
+  virtual void OnHead(const RequestHead& /*aHead*/) {}
   virtual void OnRequest(CallerExchangePtr aExchange,
                          CallerRequest aRequest) = 0;
   /// A request was refused before it was complete.
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -84,15 +84,46 @@
     return;
   }
   m_gossiping = true;
-  m_peerCalls.Call(peer,
+  CallPeer(peer, [this] { m_gossiping = false; });
+}
+
+void
+RouterTask::CallPeer(const std::string& aPeer, std::function<void()> aDone)
+{
+  m_peerCalls.Call(aPeer,
                    "directory",
                    GossipRequest(),
-                   [this, peer](const PeerResult& aResult) {
-                     m_gossiping = false;
-                     OnGossipReply(peer, aResult);
+                   [this, aPeer, began = BootNow(), done = std::move(aDone)](
+                     const PeerResult& aResult) {
+                     done();
+                     OnGossipReply(aPeer, aResult, began);
                    });
 }
 
+void
+RouterTask::SeekProof()
+{
+  if (m_keys.IsClosed() && !m_refreshing) {
+    m_refreshing = true;
+    m_source.Refresh([this, alive = std::weak_ptr<bool>(m_alive)](bool) {
+      if (!alive.expired()) {
+        m_refreshing = false;
+      }
+    });
+  }
+  for (std::size_t i = 0; i < kProofCallsPerTick; ++i) {
+    if (!m_keys.WantsPeers() || m_proofCalls >= kMaxProofCalls) {
+      return;
+    }
+    std::string peer = m_peers.Next(m_random, m_loop.Now());
+    if (peer.empty()) {
+      return;
+    }
+    ++m_proofCalls;
+    CallPeer(peer, [this] { --m_proofCalls; });
+  }
+}
+
 Json::Value
 RouterTask::GossipRequest()
 {
@@ -106,8 +137,8 @@
     m_routes.Config() == nullptr ? 0 : m_routes.Config()->m_version);
   // A VM asks peers for items only while the source doesn't answer it, or if it
   // has no configuration.
-  request["wants"] =
-    now - m_sourceContactAt > m_options.m_sourceTimeout || m_routes.Config() == nullptr;
+  request["wants"] = now - m_sourceContactAt > m_options.m_sourceTimeout ||
+                     m_routes.Config() == nullptr || m_keys.WantsPeers();
   for (const auto& [address, age] : m_peers.ContactAges(now)) {
     Json::Value entry(Json::arrayValue);
     entry.append(address);
@@ -139,6 +170,7 @@
     reply["delta"] = ToJson(m_directory.Since(known));
   }
   AddLostRouting(aParams, reply);
+  m_keys.AddProofAge(reply);
   return reply;
 }
 
@@ -183,7 +215,9 @@
 }
 
 void
-RouterTask::OnGossipReply(const std::string& aPeer, const PeerResult& aResult)
+RouterTask::OnGossipReply(const std::string& aPeer,
+                          const PeerResult& aResult,
+                          BootTime aCallBegan)
 {
   TimePoint now = m_loop.Now();
   if (const auto* failure = std::get_if<PeerFailure>(&aResult)) {
@@ -197,6 +231,7 @@
   m_peers.OnContact(aPeer, now);
   try {
     ApplyPeerReply(aPeer, std::get<Json::Value>(aResult));
+    TakePeerProof(std::get<Json::Value>(aResult), aCallBegan);
   } catch (const std::exception& error) {
     m_metrics.Count("gossip_failures_total", "");
     m_log.Write(LogEvent("peer_malformed", LogLevel::Warning)
@@ -235,6 +270,21 @@
   m_source.SkipTo(m_directory.Position());
 }
 
+void
+RouterTask::TakePeerProof(const Json::Value& aReply, BootTime aCallBegan)
+{
+  const Json::Value& age = aReply["proof_age_ms"];
+  DirectoryPosition position = m_directory.Position();
+  // The peer may have a configuration that the source has lost.
+  bool isAsNew = aReply["era"].asUInt64() == position.m_era &&
+                 aReply["up_to"].asUInt64() <= position.m_revision &&
+                 m_routes.Config() != nullptr &&
+                 aReply["version"].asUInt64() <= m_routes.Config()->m_version;
+  if (age.isInt64() && isAsNew) {
+    m_keys.Proof().OnPeer(aCallBegan, std::chrono::milliseconds(age.asInt64()));
+  }
+}
+
 void
 RouterTask::OnOperator(HttpExchangeI& aExchange, const HttpRequest& aRequest)
 {
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -13,6 +13,12 @@
   ApplyDelta(aDelta, "source");
 }
 
+void
+RouterTask::OnProven(BootTime aCallBegan)
+{
+  m_keys.Proof().OnSource(aCallBegan);
+}
+
 void
 RouterTask::OnSourceContact()
 {
@@ -55,6 +61,7 @@
 {
   DirectoryPosition before = m_directory.Position();
   m_upstreams.OnSourceDisturbed(m_loop.Now());
+  m_keys.Proof().OnNewEra(BootNow());
   m_log.Write(
     LogEvent("directory_era", LogLevel::Warning)
       .Add("era", static_cast<std::int64_t>(aDelta.m_era))
@@ -142,6 +149,7 @@
     m_shared.m_routeMoves.Record(*m_routes.Config(), *aRouting, m_loop.Now());
   }
   m_routes = RouteTable(aRouting);
+  m_keys.OnConfig(aRouting);
   m_log.Write(
     LogEvent("configuration")
       .Add("version", static_cast<std::int64_t>(aRouting->m_version))
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -69,6 +69,8 @@
               .m_routeMoves = {},
               .m_serviceLinks = {},
               .m_reachedAt = {} }
+  , m_keys({ .m_dialect = m_dialect, .m_log = m_log, .m_metrics = m_metrics },
+           aOptions.m_revoke)
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
   , m_origins({ m_loop,
@@ -185,6 +187,18 @@
 
 // --------------------------------------------------------------- callers
 
+void
+RouterTask::OnHead(const RequestHead& aHead)
+{
+  const std::string* host = FindField(aHead.m_fields, "host");
+  const Route* route =
+    host == nullptr ? nullptr : m_routes.Find(*host, aHead.m_target);
+  // Without a route or a configuration the complete request is refused.
+  if (route != nullptr) {
+    m_keys.Judge(aHead, *route);
+  }
+}
+
 void
 RouterTask::OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest)
 {
@@ -226,6 +240,10 @@
                 "no route matches host " + *host,
                 "Use a host and path of the configuration.");
   }
+  // The configuration may have changed since the head was read.
+  const Organisation* organisation = aRelayed
+                                       ? m_keys.FindRelayed(*aRelayed, *route)
+                                       : m_keys.Judge(aRequest.m_head, *route);
   RequestFacts facts = m_dialect.ReadRequest(aRequest.m_head);
   RefuseWhileLeaving(*route, facts);
   auto key = std::make_shared<RoutedRequest*>(nullptr);
@@ -236,6 +254,7 @@
                           .m_facts = std::move(facts),
                           .m_routing = m_routes.Config(),
                           .m_route = route,
+                          .m_organisation = organisation,
                           .m_relayed = aRelayed,
                           .m_onEnd = [this, key] { RemoveLater(key); } });
   *key = request.get();
@@ -306,7 +325,10 @@
 void
 RouterTask::OnBadRequest(const Error& aError)
 {
-  m_log.Write(LogEvent("request_malformed")
+  // Keys are judged before the body is read.
+  bool isRefused = aError.Kind() == ErrorKind::Unauthenticated ||
+                   aError.Kind() == ErrorKind::NotReady;
+  m_log.Write(LogEvent(isRefused ? "request_rejected" : "request_malformed")
                 .Add("code", ToString(aError.Kind()))
                 .Add("reason", aError.what()));
   m_metrics.Count("rejected_total",
@@ -355,6 +377,8 @@
     m_lastGossip = now;
     Gossip();
   }
+  m_keys.Tick();
+  SeekProof();
   m_origins.Expire();
   m_shared.m_routeMoves.Expire(now);
   m_versions.Expire();
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -6,6 +6,7 @@
 /// other VMs. It runs on one event loop.
 
 #include "daemon_peer.h"
+#include "router_keys.h"
 #include "router_request.h"
 #include "shallotford/rpc.h"
 
@@ -78,6 +79,7 @@
   };
 
   // Callers.
+  void OnHead(const RequestHead& aHead) override;
   void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override;
   void OnBadRequest(const Error& aError) override;
   void OnClose(CloseCause aCause) override;
@@ -108,6 +110,7 @@
   // Published configuration and upstreams. aFrom is the origin in the log:
   // "source" or "peer".
   void OnDelta(const DirectoryDelta& aDelta) override;
+  void OnProven(BootTime aCallBegan) override;
   void OnSourceUp() override;
   void OnSourceDown(const std::string& aReason) override;
   void ApplyDelta(const DirectoryDelta& aDelta, std::string_view aFrom);
@@ -124,12 +127,21 @@
 
   // Other VMs.
   void Gossip();
+  /// Exchanges gossip with aPeer.
+  /// @param aDone  called first at the end
+  void CallPeer(const std::string& aPeer, std::function<void()> aDone);
+  /// Asks the source, and further peers, which configuration is the newest.
+  void SeekProof();
   Json::Value GossipRequest();
   Json::Value OnGossip(const Json::Value& aParams);
   /// Adds the configuration in force to a reply if the source has lost it and
   /// the calling VM has an older one.
   void AddLostRouting(const Json::Value& aParams, Json::Value& aReply) const;
-  void OnGossipReply(const std::string& aPeer, const PeerResult& aResult);
+  void OnGossipReply(const std::string& aPeer,
+                     const PeerResult& aResult,
+                     BootTime aCallBegan);
+  /// Takes over the proof of a peer whose changes are all known here.
+  void TakePeerProof(const Json::Value& aReply, BootTime aCallBegan);
   /// @throws std::exception if a field is malformed; no item is applied then
   void ApplyPeerReply(const std::string& aPeer, const Json::Value& aReply);
   void MergePeers(const Json::Value& aPeers);
@@ -179,6 +191,7 @@
   RouterShared m_shared;
   Directory m_directory;
   RouteTable m_routes;
+  KeyGate m_keys;
   DirectoryItem m_routingItem;     ///< the configuration in force
   std::uint64_t m_routingEra{ 0 }; ///< the last era in which it was published
   PeerList m_peers;
@@ -200,6 +213,8 @@
   bool m_sourceUp{ false };
   TimePoint m_sourceContactAt{}; ///< last answer of the directory's source
   bool m_gossiping{ false };
+  std::size_t m_proofCalls{ 0 }; ///< to peers, under way
+  bool m_refreshing{ false };    ///< a SeekProof() at the source is under way
   bool m_ready{ false };
   TimersI::TimerId m_tickTimer{ 0 };
   TimePoint m_lastTick{};
