Reserve room for growth from the mean output of requests

Cause: the room that a reservation asks for beside the prompt, 90 tokens for each request of the engine and 800 at least, fits answers of 780 tokens only. With answers of 5,000 tokens engines' memory is promised many times over.

Change: GrowthEstimate (library admission) learns the mean output of each service from callers' estimates and bounds; typical_output_tokens is its start value. The room is 1.25 mean outputs, and a late request's extra 7.7. While nothing is known the constants hold.

--- a/src/config.h
+++ b/src/config.h
@@ -322,14 +322,28 @@
 /// Time from a reservation to the first event: prefill, transfer of the KV
 /// cache and first tokens.
 constexpr std::chrono::milliseconds kReserveToFirstEventTime = 250ms;
-/// Tokens for which an engine must have room beside the prompt, for each of its
-/// requests: what they generate until one of them ends.
+/// Mean outputs for which an engine must have room beside a prompt. One is what
+/// its requests generate on average until one of them ends; the rest is for
+/// outputs that end unevenly.
+constexpr double kGrowthOutputs = 1.25;
+/// Mean outputs that are reserved in addition for a request that can't meet its
+/// latency target any more, so that room is left for requests that can: the
+/// prompt and some output of one more request, at 5,200 and 780 tokens.
+constexpr double kLateRequestExtraOutputs = 7.7;
+/// Requests for which the mean output in the settings stands.
+constexpr double kTypicalOutputWeight = 20;
+/// Requests from which a mean output is known.
+constexpr double kMinOutputWeight = 5;
+/// Time in which requests lose half of their weight in the mean output.
+constexpr std::chrono::milliseconds kOutputHalfLife = 60'000ms;
+/// Share of an engine's memory that one request reserves at most, unless its
+/// prompt alone is larger: more isn't free while others run.
+constexpr double kMaxReservedShare = 0.75;
+/// While no mean output is known: tokens for which an engine must have room
+/// beside the prompt, for each of its requests, and at least over all.
 constexpr double kGrowthTokensPerRequest = 90;
-/// Lower bound of that room over all requests of an engine, as its reports of
-/// running requests lag behind.
 constexpr double kMinGrowthTokens = 800;
-/// Tokens reserved in addition for a request that can't meet its latency target
-/// any more, so that room is left for requests that can.
+/// The same for kLateRequestExtraOutputs.
 constexpr std::uint32_t kLateRequestExtraTokens = 6'000;
 /// Prompt tokens that a prefill engine processes in a millisecond, and the time
 /// in which a decode engine generates one token for each of its requests. They
--- a/src/router_admission.h
+++ b/src/router_admission.h
@@ -4,6 +4,7 @@
 /// Queues of requests that wait for memory of decode engines. It decides when
 /// each request tries again to reserve memory.
 
+#include "shallotford/admission.h"
 #include "shallotford/net.h"
 #include "shallotford/route.h"
 
@@ -24,8 +25,10 @@
 class Admission
 {
 public:
-  explicit Admission(TimersI& aTimers)
+  /// @param aTypicalOutput  mean output in tokens to begin with; 0: not known
+  explicit Admission(TimersI& aTimers, double aTypicalOutput = 0)
     : m_timers(aTimers)
+    , m_typicalOutput(aTypicalOutput)
   {
   }
   ~Admission() { m_timers.CancelTimer(m_timer); }
@@ -47,6 +50,11 @@
   /// Returns whether a new request has to wait behind others.
   bool HasTimely(const std::string& aQueue) const;
   std::size_t Size() const { return m_clients.size(); }
+  /// Returns how much memory requests of a service need.
+  GrowthEstimate& GrowthOf(const std::string& aService)
+  {
+    return m_growth.try_emplace(aService, m_typicalOutput).first->second;
+  }
 
 private:
   struct Client
@@ -60,6 +68,8 @@
   void StartNext(const std::string& aQueue);
 
   TimersI& m_timers;
+  double m_typicalOutput;
+  std::map<std::string, GrowthEstimate> m_growth; ///< by service
   std::uint64_t m_lastNumber{ 0 };
   std::map<std::string, EngineMemoryQueue> m_queues;
   std::map<std::uint64_t, Client> m_clients;
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -8,6 +8,8 @@
 void
 RoutedRequest::StartAtEngines()
 {
+  m_shared.m_admission.GrowthOf(m_service).OnRequest(
+    m_facts.m_outputHint, m_facts.m_outputTokens, m_shared.m_loop.Now());
   if (Service()->m_reservationLifetime.count() == 0) {
     StartPrefill();
   } else if (m_shared.m_admission.HasTimely(QueueName())) {
@@ -54,14 +56,13 @@
 std::uint32_t
 RoutedRequest::TokensToReserve(const Upstream& aEngine) const
 {
-  double requests = aEngine.m_health.Utilisation(1, m_shared.m_loop.Now()) + 1;
-  auto growth = static_cast<std::uint32_t>(
-    std::max(kMinGrowthTokens, kGrowthTokensPerRequest * requests));
-  std::uint32_t tokens =
-    m_facts.m_promptTokens + std::min(m_facts.m_outputTokens, growth);
-  return m_shared.m_loop.Now() > TargetDeadline()
-           ? tokens + kLateRequestExtraTokens
-           : tokens;
+  TimePoint now = m_shared.m_loop.Now();
+  return m_shared.m_admission.GrowthOf(m_service).TokensToReserve(
+    { .m_promptTokens = m_facts.m_promptTokens,
+      .m_outputTokens = m_facts.m_outputTokens,
+      .m_engineRequests = aEngine.m_health.Utilisation(1, now) + 1,
+      .m_engineTokens = Service()->m_engineTokens,
+      .m_isLate = now > TargetDeadline() });
 }
 
 TimePoint
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -36,7 +36,7 @@
   , m_random(aParts.m_random)
   , m_pool(m_loop)
   , m_upstreams(aOptions.m_location)
-  , m_admission(m_loop)
+  , m_admission(m_loop, aOptions.m_typicalRequest.m_outputTokens)
   , m_relays(aOptions.m_location)
   , m_engineCalls(m_loop,
                   m_pool,
