Give scarce engine memory to the most urgent requests first

Cause: requests that waited for memory were ordered by their latest time on time only, so that above the engines' limits the most urgent ones, which have the shortest time, were served least.

Change: the queue (MemoryQueue, moved to the library admission) orders by urgency, then as before. After four grants to the most urgent one is owed to the less urgent request that has waited longest, of those that can be on time if there are any; it needs no extra room if it is late. A new request waits only behind as urgent or more urgent ones, or while one is owed. With one urgency everything is as before.

--- a/include/shallotford/admission.h
+++ b/include/shallotford/admission.h
@@ -2,11 +2,12 @@
 #define SHALLOTFORD_ADMISSION_H
 
 /// Decisions about the memory of decode engines when it is scarce: how much of
-/// it a request needs. Pure: time is passed in.
+/// it a request needs, and who gets it first. Pure: time is passed in.
 
 #include "shallotford/base.h"
 
 #include <optional>
+#include <vector>
 
 namespace shallotford {
 
@@ -49,6 +50,60 @@
   TimePoint m_addedAt{};
 };
 
+/// A request that waits for memory of an engine.
+struct WaitingRequest
+{
+  std::uint64_t m_id{ 0 };
+  TimePoint m_onTimeUntil;     ///< latest time to serve it on time
+  TimePoint m_giveUpAt;        ///< time at which its caller will have left
+  std::int32_t m_urgency{ 0 }; ///< 0 is the most urgent
+  TimePoint m_since{};         ///< time of its receipt
+};
+
+/// A waiting request whose turn it is to try.
+struct MemoryTurn
+{
+  std::uint64_t m_id{ 0 };
+  bool m_isOwed{ false }; ///< more urgent ones wait on
+};
+
+/// The order in which requests of one service get engine memory: the most
+/// urgent first, and of these the ones that can still be on time, oldest first;
+/// late ones get the memory that is left. When the load exceeds the engine
+/// memory for some seconds, serving strictly in order of arrival would make all
+/// requests late. While less urgent requests wait, one grant in five is owed to
+/// the one of them that has waited longest and can still be on time, or else
+/// that has waited longest.
+class MemoryQueue
+{
+public:
+  void Add(const WaitingRequest& aRequest);
+  void Remove(std::uint64_t aId);
+  /// Returns the id of the next request to serve, if any waits.
+  std::optional<std::uint64_t> Next(TimePoint aNow) const;
+  /// Removes the next request, which tries to get memory. If it finds none it
+  /// is added again.
+  std::optional<MemoryTurn> Take(TimePoint aNow);
+  /// A request that isn't in the queue, or not any more, got memory.
+  void OnGrant(std::int32_t aUrgency);
+  /// Removes the requests that have reached m_giveUpAt and returns their ids.
+  std::vector<std::uint64_t> TakeExpired(TimePoint aNow);
+  /// Returns whether a request waits that can still be on time and goes before
+  /// a new one of aUrgency, which then has to wait behind it.
+  bool HasTimely(TimePoint aNow, std::int32_t aUrgency) const;
+  bool IsEmpty() const { return m_waiting.empty(); }
+  std::size_t Size() const { return m_waiting.size(); }
+
+private:
+  bool IsOwed() const;
+  /// Returns the less urgent request that is owed the next grant, if any.
+  const WaitingRequest* Longest(TimePoint aNow) const;
+
+  std::vector<WaitingRequest> m_waiting; ///< by m_urgency, then m_onTimeUntil
+  std::uint32_t m_urgentGrants{ 0 };     ///< since one that was owed
+  bool m_owedTried{ false }; ///< and found no memory, since the last grant
+};
+
 } // namespace shallotford
 
 #endif // SHALLOTFORD_ADMISSION_H
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -707,39 +707,6 @@
   std::deque<TimePoint> m_extra;
 };
 
-// ------------------------------------------------------------ admission
-
-/// A request that waits for memory of an engine.
-struct WaitingRequest
-{
-  std::uint64_t m_id{ 0 };
-  TimePoint m_onTimeUntil; ///< latest time to serve it on time
-  TimePoint m_giveUpAt;    ///< time at which its caller will have left
-};
-
-/// The order in which requests of one service get engine memory. Requests that
-/// can still be on time go first, oldest first; late ones get the memory that
-/// is left. When the load exceeds the engine memory for some seconds, serving
-/// strictly in order of arrival would make all requests late.
-class EngineMemoryQueue
-{
-public:
-  void Add(const WaitingRequest& aRequest);
-  void Remove(std::uint64_t aId);
-  /// Returns the id of the next request to serve, if any waits.
-  std::optional<std::uint64_t> Next(TimePoint aNow) const;
-  /// Removes the requests that have reached m_giveUpAt and returns their ids.
-  std::vector<std::uint64_t> TakeExpired(TimePoint aNow);
-  /// Returns whether a waiting request can still be on time. A new request then
-  /// has to wait behind it.
-  bool HasTimely(TimePoint aNow) const;
-  bool IsEmpty() const { return m_waiting.empty(); }
-  std::size_t Size() const { return m_waiting.size(); }
-
-private:
-  std::vector<WaitingRequest> m_waiting; ///< by m_onTimeUntil
-};
-
 // -------------------------------------------------------------- directory
 
 /// One published item with an opaque value.
--- a/src/config.h
+++ b/src/config.h
@@ -322,6 +322,10 @@
 /// Time from a reservation to the first event: prefill, transfer of the KV
 /// cache and first tokens.
 constexpr std::chrono::milliseconds kReserveToFirstEventTime = 250ms;
+/// Grants of engine memory to the most urgent requests, after which one is owed
+/// to a less urgent one. A fifth of the memory keeps the least urgent kind of
+/// requests above a quarter of the mean share served.
+constexpr std::uint32_t kUrgentGrantsInTurn = 4;
 /// Mean outputs for which an engine must have room beside a prompt. One is what
 /// its requests generate on average until one of them ends; the rest is for
 /// outputs that end unevenly.
--- a/src/router_admission.cpp
+++ b/src/router_admission.cpp
@@ -9,14 +9,12 @@
 std::uint64_t
 Admission::Enter(const std::string& aQueue,
                  AdmissionClientI& aClient,
-                 TimePoint aOnTimeUntil,
-                 TimePoint aExpiresAt)
+                 WaitingRequest aRequest)
 {
   std::uint64_t number = ++m_lastNumber;
   m_clients[number] = { .m_queue = aQueue, .m_client = &aClient };
-  m_queues[aQueue].Add({ .m_id = number,
-                         .m_onTimeUntil = aOnTimeUntil,
-                         .m_giveUpAt = aExpiresAt });
+  aRequest.m_id = number;
+  m_queues[aQueue].Add(aRequest);
   Arm();
   return number;
 }
@@ -39,10 +37,11 @@
 }
 
 bool
-Admission::HasTimely(const std::string& aQueue) const
+Admission::HasTimely(const std::string& aQueue, std::int32_t aUrgency) const
 {
   auto found = m_queues.find(aQueue);
-  return found != m_queues.end() && found->second.HasTimely(m_timers.Now());
+  return found != m_queues.end() &&
+         found->second.HasTimely(m_timers.Now(), aUrgency);
 }
 
 void
@@ -79,13 +78,13 @@
   if (found == m_queues.end()) {
     return;
   }
-  std::optional<std::uint64_t> next = found->second.Next(m_timers.Now());
-  if (!next) {
+  std::optional<MemoryTurn> turn = found->second.Take(m_timers.Now());
+  if (!turn) {
     return;
   }
-  AdmissionClientI* client = m_clients.at(*next).m_client;
-  Leave(*next);
-  client->OnMayReserve();
+  AdmissionClientI* client = m_clients.at(turn->m_id).m_client;
+  m_clients.erase(turn->m_id);
+  client->OnMayReserve(turn->m_isOwed);
 }
 
 } // namespace shallotford
--- a/src/router_admission.h
+++ b/src/router_admission.h
@@ -16,7 +16,8 @@
 public:
   virtual ~AdmissionClientI() = default;
   /// The request may try to reserve memory now. It has left the queue.
-  virtual void OnMayReserve() = 0;
+  /// @param aIsOwed  it goes before more urgent ones
+  virtual void OnMayReserve(bool aIsOwed) = 0;
   /// The request can't be served in time any more. It has left the queue.
   virtual void OnExpired() = 0;
 };
@@ -35,20 +36,23 @@
   Admission(const Admission&) = delete;
   Admission& operator=(const Admission&) = delete;
 
-  /// @param aQueue        a service, or its upstreams of one software version
-  /// @param aOnTimeUntil  latest time for memory to meet the latency target
-  /// @param aExpiresAt    when the request leaves the queue without memory
+  /// @param aQueue    a service, or its upstreams of one software version
+  /// @param aRequest  its m_id is set here; at m_giveUpAt it leaves the queue
   /// @return a number for Leave()
   std::uint64_t Enter(const std::string& aQueue,
                       AdmissionClientI& aClient,
-                      TimePoint aOnTimeUntil,
-                      TimePoint aExpiresAt);
+                      WaitingRequest aRequest);
   void Leave(std::uint64_t aNumber);
   /// Lets the next request try: memory of an engine of aQueue may have become
   /// free.
   void OnFreed(const std::string& aQueue);
-  /// Returns whether a new request has to wait behind others.
-  bool HasTimely(const std::string& aQueue) const;
+  /// A request got memory of an engine of aQueue.
+  void OnGrant(const std::string& aQueue, std::int32_t aUrgency)
+  {
+    m_queues[aQueue].OnGrant(aUrgency);
+  }
+  /// Returns whether a new request of aUrgency has to wait behind others.
+  bool HasTimely(const std::string& aQueue, std::int32_t aUrgency) const;
   std::size_t Size() const { return m_clients.size(); }
   /// Returns how much memory requests of a service need.
   GrowthEstimate& GrowthOf(const std::string& aService)
@@ -71,7 +75,7 @@
   double m_typicalOutput;
   std::map<std::string, GrowthEstimate> m_growth; ///< by service
   std::uint64_t m_lastNumber{ 0 };
-  std::map<std::string, EngineMemoryQueue> m_queues;
+  std::map<std::string, MemoryQueue> m_queues;
   std::map<std::uint64_t, Client> m_clients;
   TimersI::TimerId m_timer{ 0 };
   bool m_armed{ false };
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -738,7 +738,7 @@
     ServedByEngines() && Service()->m_reservationLifetime.count() > 0;
   if (reserve) {
     ReleaseReservation(); // of a run that never left
-    OnMayReserve();
+    OnMayReserve(false);
   } else {
     StartRun();
   }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -221,7 +221,7 @@
   TimePoint TargetDeadline() const;
   /// Returns the latest time for a reservation before its caller disconnects.
   TimePoint ExpiresAt() const;
-  void OnMayReserve() override;
+  void OnMayReserve(bool aIsOwed) override;
   void OnExpired() override;
   void StartPrefill();
   void StartRun();
@@ -435,6 +435,7 @@
   std::uint32_t m_reserveRefusals{ 0 };    ///< by full engines, in this round
   std::uint32_t m_unansweredReserves{ 0 }; ///< in this round
   std::set<UpstreamKey> m_enginesWithoutRoom; ///< in this round
+  bool m_isOwed{ false }; ///< goes before more urgent ones in this round
   UpstreamPtr m_reservedEngine;
   std::string m_reservation;
   TimePoint m_reservedSince{};
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -12,16 +12,17 @@
     m_facts.m_outputHint, m_facts.m_outputTokens, m_shared.m_loop.Now());
   if (Service()->m_reservationLifetime.count() == 0) {
     StartPrefill();
-  } else if (m_shared.m_admission.HasTimely(QueueName())) {
+  } else if (m_shared.m_admission.HasTimely(QueueName(), Urgency())) {
     WaitForMemory();
   } else {
-    OnMayReserve();
+    OnMayReserve(false);
   }
 }
 
 void
-RoutedRequest::OnMayReserve()
+RoutedRequest::OnMayReserve(bool aIsOwed)
 {
+  m_isOwed = aIsOwed;
   m_queueNumber = 0;
   m_reserveRefusals = 0;
   m_unansweredReserves = 0;
@@ -62,7 +63,8 @@
       .m_outputTokens = m_facts.m_outputTokens,
       .m_engineRequests = aEngine.m_health.Utilisation(1, now) + 1,
       .m_engineTokens = Service()->m_engineTokens,
-      .m_isLate = now > TargetDeadline() });
+      // What is owed isn't left for others.
+      .m_isLate = !m_isOwed && now > TargetDeadline() });
 }
 
 TimePoint
@@ -103,8 +105,13 @@
     return;
   }
   m_shared.m_metrics.Count("waits_for_memory_total", "");
-  m_queueNumber = m_shared.m_admission.Enter(
-    QueueName(), *this, TargetDeadline(), ExpiresAt());
+  m_queueNumber =
+    m_shared.m_admission.Enter(QueueName(),
+                               *this,
+                               { .m_onTimeUntil = TargetDeadline(),
+                                 .m_giveUpAt = ExpiresAt(),
+                                 .m_urgency = Urgency(),
+                                 .m_since = m_received });
 }
 
 void
@@ -169,6 +176,7 @@
   m_reservedSince = m_shared.m_loop.Now();
   ++m_reservedEngine->m_reserved;
   m_enginesWithoutRoom.clear();
+  m_shared.m_admission.OnGrant(QueueName(), Urgency());
   StartPrefill();
 }
 
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -5,6 +5,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "config.h"
+#include "shallotford/admission.h"
 #include "shallotford/route.h"
 
 #include <rapidcheck.h>
@@ -526,7 +527,7 @@
 {
   constexpr auto kTarget = 900ms;
   constexpr auto kCallerTimeout = 3'600ms;
-  EngineMemoryQueue queue;
+  MemoryQueue queue;
   std::map<std::uint64_t, TimePoint> received;
   std::vector<TimePoint> busyUntil(static_cast<std::size_t>(aPlaces), kStart);
   int onTime = 0;
@@ -571,12 +572,12 @@
 
 BOOST_AUTO_TEST_CASE(late_requests_are_served_after_those_that_can_be_on_time)
 {
-  EngineMemoryQueue queue;
+  MemoryQueue queue;
   queue.Add({ 1, kStart + 1s, kStart + 4s });
   queue.Add({ 2, kStart + 3s, kStart + 6s });
   BOOST_TEST(*queue.Next(kStart) == 1U);
   BOOST_TEST(*queue.Next(kStart + 2s) == 2U);
-  BOOST_TEST(!queue.HasTimely(kStart + 4s));
+  BOOST_TEST(!queue.HasTimely(kStart + 4s, 0));
   BOOST_TEST(*queue.Next(kStart + 3'500ms) == 1U);
   BOOST_TEST(queue.TakeExpired(kStart + 4s).size() == 1U);
   BOOST_TEST(queue.Size() == 1U);
