Learn how slow each upstream is, and how much it takes

Cause: upstreams of one service differ in speed and some slow down before they are full, but only counts of requests are known of them.

--- a/src/config.h
+++ b/src/config.h
@@ -211,6 +211,51 @@
 /// Time for which a peer isn't called after a failed call.
 constexpr std::chrono::milliseconds kFailedPeerPause = 2'000ms;
 
+// capacity
+/// Halving of what was learnt of an upstream; neighbours on its machine change
+/// within a second, the machine doesn't.
+constexpr std::chrono::milliseconds kPaceHalfLife = 60'000ms;
+constexpr std::chrono::milliseconds kRecentPaceHalfLife = 400ms;
+/// Answers that the lasting slowness averages, and those that a slowness of 1
+/// counts for at first.
+constexpr double kMaxPaceWeight = 10;
+constexpr double kPriorPaceWeight = 2;
+/// Answers from which the lasting slowness is steady enough to learn a limit.
+constexpr double kSteadyPaceWeight = 5;
+constexpr double kMinPaceGain = 0.1;    // of what an upstream tells
+constexpr double kRecentPaceGain = 0.4; // of the newest answer
+/// Factor within which one answer counts: pauses of this VM and preemptions
+/// make some take much longer.
+constexpr double kMaxPaceStep = 3;
+constexpr double kMaxSlowness = 5;
+/// Factor by which what an upstream tells moves its slowness at most.
+constexpr double kMaxToldFactor = 1.5;
+constexpr std::uint32_t kMaxNormSamples = 50;
+/// Share of the limit from which times tell of it, and the factor by which
+/// they grow there.
+constexpr double kMinLimitLoad = 0.75;
+constexpr double kStretchedTime = 1.3;
+constexpr double kLimitGain = 0.1;
+constexpr double kMaxLimitFactor = 2;
+/// Halving of a told load. Loads come late, so they are smoothed: VMs that
+/// followed each one at once would move their requests to and fro.
+constexpr std::chrono::milliseconds kLoadHalfLife = 1'500ms;
+constexpr double kMinLoadGain = 0.2;
+/// Scale of the cost by pace and of its random part, beside the cost of
+/// distance: of equal upstreams, one in another region gets e^-3 as much.
+constexpr double kPaceCostScale = 0.1;
+/// Powers of e by which an upstream's share falls with its slowness and use;
+/// with more for used ones, VMs that get loads 0.9 s late swing
+/// (pace_model_test).
+constexpr double kSlownessCost = 2;
+constexpr double kUsedCost = 1;
+constexpr double kOverusedCost = 1;
+/// Added for this VM's own requests, which are known without delay.
+constexpr double kOwnUsedCost = 3;
+/// Kinds of work whose usual time is kept.
+constexpr std::size_t kMaxServicePaces = 256;
+constexpr std::chrono::milliseconds kServicePaceRetention = 60'000ms;
+
 // relays
 /// Upstreams that must leave attempts without an answer for this VM's links to
 /// count as cut: all that are known, within these bounds.
