Choose upstreams by expected completion where pace is told

Cause: the choice weighs counts of requests, whatever the upstream makes of them, and all VMs that know the same choose the same one. Change: UpstreamTable learns pace (OnLoad, OnWork) and, if it is adaptive, its cost is that of the expected completion with a random part by which shares fall exponentially. Distance, failures, refusals, drain and versions act as before; without pace the cost is the same as before (a differential test).

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -6,6 +6,7 @@
 /// published routes, the health of upstreams and the list of other VMs. Pure:
 /// time is passed in, and there are no sockets, threads or logs.
 
+#include "shallotford/capacity.h"
 #include "shallotford/organisation.h"
 
 #include <deque>
@@ -302,6 +303,11 @@
 bool
 BeginsStreams(const UpstreamEntry& aEntry);
 
+/// Returns how many requests an upstream is expected to serve at once without
+/// delay, by its entry.
+double
+Concurrency(const UpstreamEntry& aEntry);
+
 /// Load that an upstream reported with an answer.
 struct UpstreamLoad
 {
@@ -311,6 +317,7 @@
   /// How long work takes there at this moment, against what is usual; 1 if the
   /// upstream doesn't tell it.
   double m_slowness{ 1 };
+  bool m_tellsSlowness{ false };
 };
 
 /// Location of this VM, used to prefer near upstreams.
@@ -432,6 +439,7 @@
 {
   UpstreamEntry m_entry;
   UpstreamHealth m_health;
+  UpstreamPace m_pace;
   /// This VM's reservations of its memory that no request uses yet.
   std::uint32_t m_reserved{ 0 };
   /// Set when its entry has been removed: until then, requests use it only if
@@ -467,8 +475,10 @@
 class UpstreamTable
 {
 public:
-  explicit UpstreamTable(Location aLocation)
+  explicit UpstreamTable(Location aLocation,
+                         AdaptiveChoice aAdaptive = AdaptiveChoice::Never)
     : m_location(std::move(aLocation))
+    , m_adaptive(aAdaptive)
   {
   }
 
@@ -504,7 +514,18 @@
                    const std::optional<std::string>& aSoftwareVersion,
                    TimePoint aNow) const;
   UpstreamPtr Find(const UpstreamKey& aKey) const;
-  /// Chooses an upstream by distance, load and failures.
+  /// An answer of the upstream names its load.
+  void OnLoad(Upstream& aUpstream, const UpstreamLoad& aLoad, TimePoint aNow);
+  /// An upstream has done work of a kind of its service.
+  /// @param aKind   work of one kind takes a time that grows with aUnits
+  /// @param aUnits  of work; 0 if they aren't known
+  void OnWork(Upstream& aUpstream,
+              const std::string& aKind,
+              double aUnits,
+              Duration aTook,
+              TimePoint aNow);
+  /// Chooses an upstream by distance, load, failures and, if it is adaptive,
+  /// pace.
   /// @return nullptr if no ready upstream meets aRequest's criteria
   UpstreamPtr Pick(const PickRequest& aRequest, TimePoint aNow) const;
   /// Returns whether any upstream of aService that isn't draining is known.
@@ -525,8 +546,15 @@
   double Cost(const Upstream& aUpstream,
               const PickRequest& aRequest,
               TimePoint aNow) const;
+  /// Returns whether the choice among upstreams of aService weighs their pace.
+  bool WeighsPace(const std::string& aService) const;
+  /// Returns the expected completion of a request, in units of a usual one.
+  static double CompletionCost(const Upstream& aUpstream, TimePoint aNow);
 
   Location m_location;
+  AdaptiveChoice m_adaptive;
+  std::set<std::string> m_tellingServices; ///< whose upstreams tell slowness
+  std::map<std::string, ServicePace> m_servicePaces; ///< by kind of work
   std::map<UpstreamKey, UpstreamPtr> m_upstreams;
   /// Upstreams that were leaving and have been removed, oldest first.
   std::deque<UpstreamKey> m_left;
--- a/src/route_upstreams.cpp
+++ b/src/route_upstreams.cpp
@@ -17,26 +17,21 @@
   return found == aLocation.m_regions.end() ? aDomain : found->second;
 }
 
-/// Returns how many requests an upstream serves at once without delay.
+/// Spreads the requests of all VMs over upstreams of equal cost.
 double
-Concurrency(const UpstreamEntry& aEntry)
+RandomCost(const UpstreamEntry& aEntry, std::uint64_t aSalt)
 {
-  switch (aEntry.m_stage) {
-    case EngineStage::Prefill:
-      return std::min<double>(kPrefillConcurrency, aEntry.m_slots);
-    case EngineStage::Decode:
-      return std::min<double>(kDecodeConcurrency, aEntry.m_slots);
-    case EngineStage::None:
-      return aEntry.m_slots;
-  }
-  return 1;
+  return kMaxRandomCost * UnitOf(StableHash(aEntry.m_key.m_id, aSalt));
 }
 
-/// Spreads the requests of all VMs over upstreams of equal cost.
+/// Returns the cost of the load by count of requests.
 double
-RandomCost(const UpstreamEntry& aEntry, std::uint64_t aSalt)
+UtilisationCost(const Upstream& aUpstream, TimePoint aNow)
 {
-  return kMaxRandomCost * UnitOf(StableHash(aEntry.m_key.m_id, aSalt));
+  double concurrency = Concurrency(aUpstream.m_entry);
+  double utilisation = aUpstream.m_health.Utilisation(concurrency, aNow) +
+                       aUpstream.m_reserved / concurrency;
+  return utilisation + kWaitingCost * std::max(0.0, utilisation - 1);
 }
 
 bool
@@ -90,6 +85,20 @@
   return "?";
 }
 
+double
+Concurrency(const UpstreamEntry& aEntry)
+{
+  switch (aEntry.m_stage) {
+    case EngineStage::Prefill:
+      return std::min<double>(kPrefillConcurrency, aEntry.m_slots);
+    case EngineStage::Decode:
+      return std::min<double>(kDecodeConcurrency, aEntry.m_slots);
+    case EngineStage::None:
+      return aEntry.m_slots;
+  }
+  return 1;
+}
+
 Distance
 DistanceBetween(const Location& aLocation,
                 const std::string& aFrom,
@@ -310,15 +319,17 @@
   const std::string& from = aRequest.m_fromDomain.empty()
                               ? m_location.m_failureDomain
                               : aRequest.m_fromDomain;
-  double utilisation = health.Utilisation(Concurrency(entry), aNow) +
-                       aUpstream.m_reserved / Concurrency(entry);
+  bool weighsPace = WeighsPace(entry.m_service);
   double cost =
     DistanceCost(DistanceBetween(m_location, from, entry.m_failureDomain));
-  cost += utilisation + kWaitingCost * std::max(0.0, utilisation - 1);
+  cost += weighsPace ? CompletionCost(aUpstream, aNow)
+                     : UtilisationCost(aUpstream, aNow);
   cost += kFailureCost *
           std::max(0.0, health.FailureShare(aNow) - kToleratedFailureShare);
   cost += health.RefusedRecently(aNow) ? kRefusalCost : 0;
-  return cost + RandomCost(entry, aRequest.m_salt);
+  return cost + (weighsPace ? PaceRandomCost(UnitOf(
+                                StableHash(entry.m_key.m_id, aRequest.m_salt)))
+                            : RandomCost(entry, aRequest.m_salt));
 }
 
 UpstreamPtr
--- a/tests/platform_test.cpp
+++ b/tests/platform_test.cpp
@@ -294,6 +294,8 @@
   BOOST_TEST(loadOf("1,2,6,250")->m_running == 1U);
   BOOST_TEST(loadOf("1,2,6,250")->m_waiting == 2U);
   BOOST_TEST(loadOf("1,2,6,250")->m_slowness == 2.5);
+  BOOST_TEST(loadOf("1,2,6,250")->m_tellsSlowness);
+  BOOST_TEST(!loadOf("1,2,6")->m_tellsSlowness);
   BOOST_TEST(loadOf("1,2,6")->m_slowness == 1.0);
   BOOST_TEST(loadOf("1,2,6,0")->m_slowness == 1.0);
   BOOST_TEST(!loadOf("1,2,6,x").has_value());
