Account for organisations' limits over all VMs

Cause: organisations' limits were read by nobody. Equal parts of a limit refuse most of what lies below it, as most organisations ask at few VMs.

--- a/src/config.h
+++ b/src/config.h
@@ -538,6 +538,81 @@
 constexpr std::chrono::milliseconds kPermitFailurePause = 50ms;
 constexpr std::uint32_t kMaxPermitFailureDoublings = 4; // of it
 constexpr const char* kPermitMethod = "permits";
+
+// limits of organisations
+
+/// Time in which leased units may be used: more than a VM's time between asks,
+/// and short, as leases add to what may run in a window.
+constexpr std::chrono::milliseconds kGrantLease = 1'500ms;
+/// A VM leases what it expects to need in this time.
+constexpr std::chrono::milliseconds kGrantAheadTime = 800ms;
+/// It leases ahead if at least so many requests are expected in that time.
+constexpr double kMinGrantAheadRequests = 2;
+/// It asks again once less than this part of that is left.
+constexpr double kGrantRenewShare = 0.35;
+/// A VM's lease ahead is at most this part of what the bucket holds beyond its
+/// reserve, which is for requests that wait.
+constexpr double kMaxGrantAheadShare = 0.25;
+constexpr double kGrantReserveShare = 0.3; // of the burst
+/// Time constant of a VM's recent demand.
+constexpr std::chrono::milliseconds kGrantDemandTime = 2'000ms;
+/// A VM without demand for this time gives a share back that is at least so
+/// large.
+constexpr std::chrono::milliseconds kGrantQuietTime = 1'500ms;
+constexpr double kMinReturnedGrantShare = 0.02;
+/// Time constant of the demand by which shares of a limit are told.
+constexpr std::chrono::milliseconds kGrantShareDemandTime = 6'000ms;
+/// Time for which a VM may use its last told share: until other VMs have a new
+/// owner (kPeerLiveTime), and some gossip.
+constexpr std::chrono::milliseconds kGrantShareTime = 8'000ms;
+/// Sum of the shares that one owner tells.
+constexpr double kMaxGrantShares = 1;
+/// Part of the limit that VMs out of touch may use before the owner issues less
+/// for them: within the overage that limits allow.
+constexpr double kUnreservedGrantShare = 0.15;
+/// Sum of the parts of a limit that owners in a partition use.
+constexpr double kMaxGrantPartsSum = 1.12;
+/// Most of the limit that an owner holds back for VMs out of touch.
+constexpr double kMaxReservedGrantShare = 0.8;
+/// An owner takes a VM to be out of touch after this time and so many times its
+/// usual time between asks.
+constexpr std::chrono::milliseconds kGrantSilence = 1'000ms;
+constexpr double kGrantSilenceIntervals = 4;
+/// Bounds on what a new owner begins with, as shares of a bucket's burst and of
+/// a second of its rate: less than the overage in a window.
+constexpr double kNewOwnerBurstShare = 0.5;
+constexpr double kMaxNewOwnerBurstShare = 0.2;
+/// Time after a start, or a pause of the process, in which nothing is issued:
+/// gossip tells all VMs of this one meanwhile.
+constexpr std::chrono::milliseconds kGrantHoldOff = 1'000ms;
+/// Units of tokens that one request may cost beyond the whole burst.
+constexpr double kMaxGrantOverdraft = 40'000;
+/// Bounds on the time for which a VM refuses without asking again.
+constexpr std::chrono::milliseconds kMinGrantPause = 20ms;
+constexpr std::chrono::milliseconds kMaxGrantPause = 500ms;
+/// Longest Retry-After beyond a limit.
+constexpr std::chrono::milliseconds kMaxGrantRetryAfter = 60'000ms;
+/// Time in which refused requests count as coming back, at most.
+constexpr std::chrono::milliseconds kMaxGrantBacklog = 20'000ms;
+/// Retry-After is drawn from its time and up to this share more.
+constexpr double kGrantRetrySpread = 0.3;
+/// Time without asks after which an owner forgets a bucket.
+constexpr std::chrono::milliseconds kGrantBucketLifetime = 120'000ms;
+/// Time after which an owner is taken not to answer, and tries before that.
+constexpr std::chrono::milliseconds kGrantTimeout = 150ms;
+constexpr std::uint32_t kMaxGrantTries = 2;
+/// Time for which a VM uses its own share before it asks again, the first time.
+constexpr std::chrono::milliseconds kGrantAlonePause = 100ms;
+constexpr std::uint32_t kMaxGrantAloneDoublings = 3; // of it
+/// Units that a VM alone may save up, in time.
+constexpr std::chrono::milliseconds kGrantAloneBurst = 2'000ms;
+/// Requests in one ask for an organisation.
+constexpr std::size_t kMaxGrantRequests = 64;
+/// Time for which VMs that were known count towards equal shares.
+constexpr std::chrono::minutes kGrantKnownTime{ 10 };
+/// Organisations with metrics of their own.
+constexpr std::size_t kMaxGrantMetrics = 512;
+constexpr const char* kGrantMethod = "grants";
 /// Streams whose origins are kept at most.
 constexpr std::size_t kMaxOrigins = 50'000;
 /// Time for which an upstream whose entry was removed still gets requests that
