--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -122,6 +122,11 @@
   std::unordered_map<std::string, std::vector<const Route*>> m_byHost;
 };
 
+/// Returns the services whose requests may differ in urgency, by the priorities
+/// of their routes and of organisations.
+std::set<std::string>
+ServicesWithUrgencies(const RoutingConfig& aConfig);
+
 /// When routes of streams last got other services or weights.
 class RouteMoves
 {
--- a/src/route_table.cpp
+++ b/src/route_table.cpp
@@ -55,6 +55,32 @@
   }
 }
 
+std::set<std::string>
+ServicesWithUrgencies(const RoutingConfig& aConfig)
+{
+  std::set<std::int32_t> ofOrganisations;
+  for (const Organisation& organisation : aConfig.m_organisations) {
+    if (organisation.m_priority) {
+      ofOrganisations.insert(*organisation.m_priority);
+    }
+  }
+  std::map<std::string, std::set<std::int32_t>> urgencies;
+  for (const Route& route : aConfig.m_routes) {
+    for (const RouteTarget& target : route.m_targets) {
+      std::set<std::int32_t>& all =
+        urgencies.try_emplace(target.m_service, ofOrganisations).first->second;
+      all.insert(route.m_priority);
+    }
+  }
+  std::set<std::string> services;
+  for (const auto& [service, all] : urgencies) {
+    if (all.size() > 1) {
+      services.insert(service);
+    }
+  }
+  return services;
+}
+
 const Route*
 RouteTable::Find(std::string_view aHost, std::string_view aTarget) const
 {
--- a/src/router_admission.cpp
+++ b/src/router_admission.cpp
@@ -44,6 +44,16 @@
          found->second.HasTimely(m_timers.Now(), aUrgency);
 }
 
+bool
+Admission::TellsUrgency(const RoutingPtr& aConfig, const std::string& aService)
+{
+  if (m_config != aConfig) {
+    m_config = aConfig;
+    m_withUrgencies = ServicesWithUrgencies(*aConfig);
+  }
+  return m_withUrgencies.contains(aService);
+}
+
 void
 Admission::Arm()
 {
--- a/src/router_admission.h
+++ b/src/router_admission.h
@@ -54,6 +54,8 @@
   /// Returns whether a new request of aUrgency has to wait behind others.
   bool HasTimely(const std::string& aQueue, std::int32_t aUrgency) const;
   std::size_t Size() const { return m_clients.size(); }
+  /// Returns whether upstreams of a service are told how urgent requests are.
+  bool TellsUrgency(const RoutingPtr& aConfig, const std::string& aService);
   /// Returns how much memory requests of a service need.
   GrowthEstimate& GrowthOf(const std::string& aService)
   {
@@ -74,6 +76,8 @@
   TimersI& m_timers;
   double m_typicalOutput;
   std::map<std::string, GrowthEstimate> m_growth; ///< by service
+  RoutingPtr m_config;                            ///< m_withUrgencies is of it
+  std::set<std::string> m_withUrgencies;          ///< services
   std::uint64_t m_lastNumber{ 0 };
   std::map<std::string, MemoryQueue> m_queues;
   std::map<std::uint64_t, Client> m_clients;
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -580,6 +580,10 @@
     dispatch.m_organisation =
       m_organisation == nullptr ? "" : m_organisation->m_name;
   }
+  if (aPhase != Phase::Relay && ServedByEngines() &&
+      m_shared.m_admission.TellsUrgency(m_routing, m_service)) {
+    dispatch.m_urgency = static_cast<std::uint32_t>(std::max(Urgency(), 0));
+  }
   const RequestHead& head = m_request.m_head;
   HttpHeaders fields = m_shared.m_dialect.FieldsForUpstream(head, dispatch);
   if (head.m_framing == BodyFraming::Chunked ||
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -87,6 +87,43 @@
   BOOST_TEST(*FindField(run.m_head.m_fields, "X-Shallotford-Kv-Hold") == "h1");
 }
 
+BOOST_FIXTURE_TEST_CASE(engines_are_told_the_urgency_where_routes_differ,
+                        Engines)
+{
+  constexpr const char* kPriority = "X-Shallotford-Request-Priority";
+  StreamAll(*m_decode, 1);
+  StreamAll(*m_other, 1);
+  auto urgencies = [&](const std::string& aId) {
+    std::multiset<std::string> found;
+    m_loop.Do([&] {
+      for (PublishedServer* server : { m_prefill, m_decode, m_other }) {
+        for (const CallerRequest& request : server->Received()) {
+          const HttpHeaders& fields = request.m_head.m_fields;
+          const std::string* id = FindField(fields, "X-Shallotford-Request-Id");
+          const std::string* urgency = FindField(fields, kPriority);
+          if (id != nullptr && *id == aId) {
+            found.insert(urgency == nullptr ? "none" : *urgency);
+          }
+        }
+      }
+    });
+    return found;
+  };
+  Ask("/stream/x", "r1");
+  BOOST_TEST(urgencies("r1").count("none") == urgencies("r1").size());
+  Publish(ConfigText(2,
+                     R"(,{"name":"low","host":"h","prefix":"/low/",)"
+                     R"("kind":"streaming","timeout-ms":8000,)"
+                     R"("target-latency-ms":900,"max-attempts":1,)"
+                     R"("priority":3,"service":"model"})"));
+  BOOST_TEST(WaitFor([this] { return Has(Ask("/low/x", "w"), "200 OK"); }));
+  Ask("/low/x", "r2");
+  Ask("/stream/x", "r3");
+  // Of the prefill and of the run.
+  BOOST_TEST((urgencies("r2") == std::multiset<std::string>{ "3", "3" }));
+  BOOST_TEST((urgencies("r3") == std::multiset<std::string>{ "0", "0" }));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_broken_stream_is_resumed_at_another_engine, Engines)
 {
   // The first run breaks inside the third event.
