--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -88,12 +88,13 @@
         self.stopping = False
         self.starts = 0
 
-    def write_settings(self, seeds):
+    def write_settings(self, seeds, limits=None):
         routing = {"seeds": seeds, "failure_domains": {"z1": "r1"},
                    "retry_slack": 50, "drain_s": DRAIN_S}
         settings = {
             "platform": self.store_proxy.address, "region": "r1",
-            "failure_domain": "z1", "routing": routing}
+            "failure_domain": "z1", "routing": routing,
+            "limits": limits or {}}
         for name, port in self.ports.items():
             settings[name] = {"listen": f"127.0.0.1:{port}"}
         with open(self.file + ".new", "w", encoding="utf-8") as file:
