Account for what callers' connections hold

Cause: nothing sums what the connections of a process hold, so a bound on each of them bounds the process only by their number.

Change: a pure library with the sum, the steps near its bound (stop reading the heavy ones, close new ones, close the heaviest without progress), and the shares of a VM's memory and descriptors. Nothing uses it yet.

--- /dev/null
+++ b/include/shallotford/intake.h
@@ -0,0 +1,104 @@
+#ifndef SHALLOTFORD_INTAKE_H
+#define SHALLOTFORD_INTAKE_H
+
+/// One account of what callers' connections make this process hold, and what is
+/// done when it nears its bound. Pure: it knows no sockets and no clock.
+
+#include "shallotford/base.h"
+
+#include <cstddef>
+#include <vector>
+
+namespace shallotford {
+
+/// Share of a VM's memory that the account may fill. The rest is for the
+/// process in calm (about 12 MB, and as much as the configuration needs) and
+/// for what the heap holds without using it.
+inline constexpr double kIntakeShare = 0.4;
+/// The bound if the VM's memory isn't stated: many of the largest requests (4
+/// MB), on a VM of usual size.
+inline constexpr std::size_t kDefaultIntakeBytes = 64u << 20;
+/// Memory of a connection without a request: its object, its parser and the
+/// loop's state.
+inline constexpr std::size_t kConnectionBytes = 4u << 10;
+/// A heavy connection without progress for so long is closed near the bound.
+/// Longer than a caller in calm is between two packets.
+inline constexpr std::chrono::milliseconds kMaxIntakeStall{ 2'000 };
+
+/// Descriptors of a VM that are kept for files, and for upstreams, peers, the
+/// directory's source and listeners.
+inline constexpr std::size_t kFileDescriptors = 200;
+inline constexpr std::size_t kOtherDescriptors = 1'024;
+
+/// Returns how many bytes the account of a VM may hold.
+/// @param aMegabytes  the VM's memory; 0 if not stated
+std::size_t
+IntakeBytes(double aMegabytes);
+
+/// Returns how many connections of callers fit a VM, at least one.
+/// @param aDescriptors  the VM's limit; 0 if not stated
+std::size_t
+IntakeConnections(std::size_t aConfigured, std::size_t aDescriptors);
+
+/// What is done as the account fills.
+enum class IntakeStep
+{
+  Calm,
+  Pause,  ///< connections above their share aren't read
+  Refuse, ///< new ones are closed, then the heaviest without progress
+};
+const char*
+ToString(IntakeStep aStep);
+
+/// One connection, for the choice of those to close.
+struct IntakeHolder
+{
+  std::size_t m_bytes{ 0 };
+  Duration m_stalled{}; ///< time since its last progress
+};
+
+class Intake
+{
+public:
+  explicit Intake(std::size_t aMaxBytes)
+    : m_maxBytes(aMaxBytes)
+  {
+  }
+
+  void Open()
+  {
+    ++m_connections;
+    m_bytes += kConnectionBytes;
+  }
+  /// @param aBytes  what the connection still holds
+  void Close(std::size_t aBytes)
+  {
+    --m_connections;
+    m_bytes -= kConnectionBytes + aBytes;
+  }
+  /// A connection holds aTo bytes instead of aFrom.
+  void Change(std::size_t aFrom, std::size_t aTo)
+  {
+    m_bytes = m_bytes - aFrom + aTo;
+  }
+
+  std::size_t Bytes() const { return m_bytes; }
+  std::size_t Connections() const { return m_connections; }
+  IntakeStep Step() const;
+  /// Returns whether a connection that holds aBytes may be read on.
+  bool MayRead(std::size_t aBytes) const;
+
+  /// Returns the indices of the connections to close, the heaviest first, until
+  /// the account would be below the step Refuse.
+  std::vector<std::size_t> ToClose(
+    const std::vector<IntakeHolder>& aHolders) const;
+
+private:
+  std::size_t m_maxBytes;
+  std::size_t m_bytes{ 0 };
+  std::size_t m_connections{ 0 };
+};
+
+} // namespace shallotford
+
+#endif // SHALLOTFORD_INTAKE_H
