Take no answer whose status is outside HTTP

Change: an answer with a status below 100 or above 599 is malformed, which ends the attempt as broken.

--- a/src/http1_reader.cpp
+++ b/src/http1_reader.cpp
@@ -16,6 +16,8 @@
 using ParserError = boost::system::error_code;
 
 constexpr int kHttp10 = 10;
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 599;
 
 [[noreturn]] void
 Refuse(const std::string& aWhat)
@@ -282,6 +284,9 @@
           .m_expectsContinue = expect && SameFieldName(*expect, "100-continue"),
           .m_oldVersion = parsed.m_version == kHttp10 });
     } else {
+      if (parsed.m_status < kLowestStatus || parsed.m_status > kHighestStatus) {
+        Refuse("the status " + std::to_string(parsed.m_status) + " is none");
+      }
       if (parsed.m_status < 200) {
         m_parser.reset();
         return;
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -185,6 +185,20 @@
   BOOST_TEST(recorder.m_ends == 1);
 }
 
+BOOST_AUTO_TEST_CASE(a_status_outside_http_is_no_answer)
+{
+  for (const char* status : { "000", "099", "600", "999" }) {
+    for (const char* after : { "", "HTTP/1.1 200 OK\r\n\r\n" }) {
+      auto reader = MakeAnswerReader(kMaxHead);
+      Recorder recorder;
+      std::string answer =
+        std::string("HTTP/1.1 ") + status + " X\r\n\r\n" + after;
+      BOOST_CHECK_THROW(reader->Feed(answer, recorder), Error);
+      BOOST_TEST(recorder.m_answer.m_status == 0, answer);
+    }
+  }
+}
+
 BOOST_AUTO_TEST_CASE(what_precedes_a_head_has_a_bound)
 {
   const std::string answers[] = { "HTTP/1.1 100 Continue\r\n\r\n", "\r\n" };
