Fail a call whose answer's status is outside HTTP

Change: such an answer fails the call. A test shows that an early answer whose connection is reset under an upload is not taken for whole; libwebsockets reads no answer before the upload is written.

--- a/src/net_client_call.cpp
+++ b/src/net_client_call.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+constexpr int kLowestStatus = 100;
+constexpr int kHighestStatus = 599;
+
 /// Splits "IP:PORT", or "[IPV6]:PORT". Returns whether it is that.
 bool
 SplitAddress(const std::string& aAddress, std::string& aIp, int& aPort)
@@ -214,6 +217,10 @@
     return -1;
   }
   auto status = static_cast<int>(lws_http_client_http_response(m_wsi));
+  if (status < kLowestStatus || status > kHighestStatus) {
+    Fail("the status " + std::to_string(status) + " is none");
+    return -1;
+  }
   HttpHeaders headers = ReadHeaders(m_wsi, m_call.m_answerHeaders);
   const std::string* length = FindHeader(headers, "content-length");
   if (HasNoBody(status)) {
--- a/tests/net_client_test.cpp
+++ b/tests/net_client_test.cpp
@@ -267,6 +267,37 @@
   BOOST_TEST(call->Next() == "failure");
 }
 
+BOOST_AUTO_TEST_CASE(a_status_outside_http_is_no_answer)
+{
+  for (const char* status : { "000", "099", "600", "999" }) {
+    HttpResult result = FetchFrom(std::string("HTTP/1.1 ") + status +
+                                  " X\r\ncontent-length: 0\r\n\r\n");
+    BOOST_TEST(result.m_failure.has_value(), status);
+  }
+}
+
+/// The loop may meet the reset while it writes, which clears the socket's error.
+BOOST_AUTO_TEST_CASE(a_reset_under_an_upload_does_not_end_an_answer)
+{
+  for (int round = 0; round < 20; ++round) {
+    LoopThread loop;
+    RawListener listener;
+    HttpCall call = CallTo(listener.Address());
+    call.m_method = "POST";
+    call.m_body = std::string(8u << 20, 'b');
+    RecordedCall upload(loop, call);
+    auto socket = listener.Accept();
+    socket->ReadUntil("\r\n\r\n");
+    socket->Send("HTTP/1.1 200 OK\r\nconnection: close\r\n\r\nhello");
+    socket->Reset();
+    std::string event = upload->Next();
+    while (event.starts_with("headers") || event.starts_with("body")) {
+      event = upload->Next();
+    }
+    BOOST_TEST(event == "failure");
+  }
+}
+
 BOOST_AUTO_TEST_CASE(cancelling_closes_the_socket_without_events)
 {
   LoopThread loop;
