Let raw streams give memory back, and accepting pause without descriptors

Cause: the sent part of a stream's queue stayed until all of it was sent, which a slow reader may never let happen, and an idle connection kept the memory of its largest write. Without a free descriptor the listener was woken in each turn.

Change: a queue drops its sent half; an empty one keeps 4 KB. Accepting pauses for 100 ms when no descriptor or memory is left, and tells its owner.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -293,6 +293,9 @@
   std::string m_address; ///< "IP:PORT"; port 0 takes a free one
   std::size_t m_maxConnections{ 4096 };
   std::chrono::milliseconds m_silenceTimeout{ 15'000 };
+  /// Called when no descriptor is left for a connection that waits; accepting
+  /// then pauses for a moment.
+  std::function<void()> m_onExhausted;
 };
 
 /// A listening socket. Destroying it closes it and leaves its connections.
--- a/src/config.h
+++ b/src/config.h
@@ -59,6 +59,8 @@
 constexpr std::size_t kMaxEventBytes = 1u << 20;
 /// Bytes read from a raw stream at once, on the stack.
 constexpr std::size_t kStreamReadBytes = 16u << 10;
+/// Memory that a raw stream keeps for its next writes once all is sent.
+constexpr std::size_t kKeptQueueBytes = 4u << 10;
 /// Connections that wait to be accepted.
 constexpr int kListenBacklog = 512;
 /// Connections accepted in one turn of the loop.
@@ -300,8 +302,13 @@
 constexpr std::chrono::seconds kMaxIdleTime = 60s;
 /// Idle connections are closed this long before the upstream's own timeout.
 constexpr std::chrono::milliseconds kIdleMargin = 700ms;
-/// Bytes of pipelined requests that are buffered while one is answered.
+/// A connection isn't read on while so many bytes that were sent ahead wait;
+/// one read of kStreamReadBytes more may be held.
 constexpr std::size_t kMaxPipelinedBytes = 64u << 10;
+/// A connection's next request isn't begun while more bytes of its earlier
+/// answers are unread. A caller that reads one answer after the other meets it
+/// never.
+constexpr std::size_t kMaxUnreadAnswerBytes = 64u << 10;
 /// Bytes of incomplete request bodies, over all connections.
 constexpr std::size_t kMaxBufferedBodyBytes = 16u << 20;
 constexpr std::chrono::milliseconds kBodyBufferFullRetryAfter = 500ms;
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -13,6 +13,9 @@
 
 namespace {
 
+/// Time without accepting after descriptors ran out.
+constexpr std::chrono::milliseconds kAcceptPause{ 100 };
+
 /// @throws Error (InvalidConfig) if aAddress isn't an IPv4 "IP:PORT"
 sockaddr_in
 ToSockaddr(const std::string& aAddress)
@@ -312,6 +315,11 @@
     return;
   }
   bool wasEmpty = Buffered() == 0;
+  if (m_offset > m_queued.size() / 2) {
+    // A slow reader may never take all that is queued.
+    m_queued = m_queued.substr(m_offset);
+    m_offset = 0;
+  }
   m_queued.append(aBytes);
   if (wasEmpty && !m_connecting && !SendQueued()) {
     // Errors are reported by an event, not from inside this call.
@@ -370,9 +378,18 @@
     m_offset += static_cast<std::size_t>(count);
     m_sent += static_cast<std::uint64_t>(count);
   }
+  ReleaseQueue();
+  return true;
+}
+
+void
+Stream::ReleaseQueue()
+{
   m_queued.clear();
   m_offset = 0;
-  return true;
+  if (m_queued.capacity() > kKeptQueueBytes) {
+    m_queued.shrink_to_fit();
+  }
 }
 
 bool
@@ -402,8 +419,7 @@
     return;
   }
   m_broken = true;
-  m_queued.clear();
-  m_offset = 0;
+  ReleaseQueue();
   m_descriptor->AllowReading(false);
   m_handler->OnBroken(aError == 0 ? "the peer reset the connection"
                                   : std::strerror(aError));
@@ -500,6 +516,10 @@
                                 SOCK_NONBLOCK | SOCK_CLOEXEC));
     if (guard.Get() < 0) {
       m_isBacklogged = false;
+      if (errno == EMFILE || errno == ENFILE || errno == ENOBUFS ||
+          errno == ENOMEM) {
+        PauseAccepting();
+      }
       return;
     }
     SetTcpOptions(guard.Get(), m_options.m_silenceTimeout);
@@ -520,6 +540,23 @@
   m_isBacklogged = true;
 }
 
+void
+StreamListener::PauseAccepting()
+{
+  m_descriptor->AllowReading(false);
+  m_loop.CancelTimer(m_acceptTimer);
+  m_acceptTimer =
+    m_loop.RunAfter(kAcceptPause, [this] { m_descriptor->AllowReading(true); });
+  if (m_options.m_onExhausted) {
+    m_options.m_onExhausted();
+  }
+}
+
+StreamListener::~StreamListener()
+{
+  m_loop.CancelTimer(m_acceptTimer);
+}
+
 std::unique_ptr<StreamI>
 Streams::Connect(const StreamOptions& aOptions, StreamHandlerI& aHandler)
 {
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -99,6 +99,8 @@
   /// Gives queued bytes to the socket. Returns false, with errno set, unless it
   /// took all of them.
   bool SendQueued();
+  /// Empties the queue; memory of a large one is given back.
+  void ReleaseQueue();
   /// The same on an event, which reports the end. Returns false if the
   /// connection broke.
   bool Flush();
@@ -133,6 +135,9 @@
   StreamListener(Loop& aLoop,
                  const StreamListenerOptions& aOptions,
                  std::function<void(std::unique_ptr<StreamI>)> aOnAccept);
+  ~StreamListener() override;
+  StreamListener(const StreamListener&) = delete;
+  StreamListener& operator=(const StreamListener&) = delete;
 
   static int OnEvent(lws* aWsi,
                      lws_callback_reasons aReason,
@@ -143,6 +148,9 @@
 
 private:
   void AcceptAll();
+  /// No descriptor was left. The connection that waits would wake the loop in
+  /// each turn.
+  void PauseAccepting();
 
   Loop& m_loop;
   StreamListenerOptions m_options;
@@ -151,6 +159,7 @@
   /// The last turn left connections that wait to be accepted.
   bool m_isBacklogged{ false };
   TimePoint m_arrivedAfter{}; ///< connections that are accepted now
+  TimersI::TimerId m_acceptTimer{ 0 };
   std::unique_ptr<PolledDescriptor> m_descriptor;
 };
 
