Report a reset that a write meets as a break, not as an end

Cause: an error that send() takes clears the socket's error, so that a read which comes next returns 0. A stream then reported the peer's end, which completes an answer that ends with its connection (MIXED).

Change: the stream remembers the error and breaks instead. EPIPE follows an end that the peer has sent, and stays an end.

Result: net_stream_test, a_reset_that_a_write_meets_is_no_end, failed before (end != broken) and passes now, as does an_end_that_a_write_follows_is_an_end, which passed before.

--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -247,6 +247,10 @@
       }
       return;
     }
+    if (count == 0 && m_sendError != 0) {
+      Break(m_sendError);
+      return;
+    }
     if (count == 0) {
       m_peerFinished = true;
       m_descriptor->AllowReading(false);
@@ -373,6 +377,11 @@
                            Buffered(),
                            MSG_NOSIGNAL);
     if (count < 0) {
+      // The socket forgets its error, and a read would find an end. EPIPE
+      // follows an end that the peer has sent.
+      if (errno != EAGAIN && errno != EINTR && errno != EPIPE) {
+        m_sendError = errno;
+      }
       return false;
     }
     m_offset += static_cast<std::size_t>(count);
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -121,6 +121,7 @@
   bool m_finished{ false };     ///< the end is sent
   bool m_peerFinished{ false }; ///< the peer's end was read
   bool m_broken{ false };
+  int m_sendError{ 0 }; ///< that a write met, with which the connection broke
   bool m_paused{ false };
   bool m_drainDue{ false }; ///< OnDrained() is owed
   /// What the first read brings has arrived after this time.
--- a/tests/net_stream_test.cpp
+++ b/tests/net_stream_test.cpp
@@ -32,8 +32,11 @@
   Sender& operator=(const Sender&) = delete;
 
   void OnBytes(std::string_view /*aBytes*/) override {}
-  void OnPeerFinished() override {}
-  void OnBroken(const std::string& /*aReason*/) override {}
+  void OnPeerFinished() override { m_ends.Put("end"); }
+  void OnBroken(const std::string& /*aReason*/) override
+  {
+    m_ends.Put("broken");
+  }
   void OnDrained() override
   {
     while (m_refills > 0 && m_stream->Buffered() == 0) {
@@ -48,6 +51,7 @@
   LoopThread m_loop;
   RawListener m_listener;
   int m_refills{ 0 }; ///< writes that follow from inside OnDrained()
+  Inbox<std::string> m_ends;
   std::unique_ptr<StreamI> m_stream;
   std::unique_ptr<RawSocket> m_peer;
 };
@@ -71,3 +75,31 @@
   BOOST_TEST(m_peer->ReadToEnd().size() == kMuch + kRefills * kRefill);
   BOOST_TEST(m_peer->IsClosedByPeer());
 }
+
+/// A write that meets the reset first takes the socket's error.
+BOOST_FIXTURE_TEST_CASE(a_reset_that_a_write_meets_is_no_end, Sender)
+{
+  m_loop.Do([this] { m_stream->Write("first"); });
+  m_peer->ReadUntil("first");
+  m_loop.Do([this] {
+    m_peer->Reset();
+    while (!m_stream->HasPeerLeft()) {
+    }
+    m_stream->Write("second");
+  });
+  BOOST_TEST(m_ends.Take().value_or("nothing") == "broken");
+}
+
+BOOST_FIXTURE_TEST_CASE(an_end_that_a_write_follows_is_an_end, Sender)
+{
+  m_loop.Do([this] { m_stream->Write("first"); });
+  m_peer->ReadUntil("first");
+  m_loop.Do([this] {
+    m_peer->Close();
+    while (!m_stream->HasPeerLeft()) {
+    }
+    m_stream->Write("second");
+    m_stream->Write("third");
+  });
+  BOOST_TEST(m_ends.Take().value_or("nothing") == "end");
+}
