Let settings say where pace is weighed

Cause: the choice by pace must act only where it is wanted. Change: routing.adaptive is told (the default: services whose upstreams tell how long work takes), always or never. Result: fleet_test passes, with the default, each value and a refused one.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -7,6 +7,7 @@
 /// line, field and remedy.
 
 #include "shallotford/base.h"
+#include "shallotford/capacity.h"
 
 #include <map>
 #include <memory>
@@ -53,6 +54,8 @@
   /// from them at the first start; if either is 0, the roles stay as they are.
   double m_typicalPrompt{ 0 };
   double m_typicalOutput{ 0 };
+  /// For which services the choice of upstreams weighs their pace.
+  AdaptiveChoice m_adaptive{ AdaptiveChoice::Told };
 };
 
 /// Settings of one daemon. Addresses are "IP:PORT".
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -205,6 +205,8 @@
   /// Request shape by which engines' roles are set at the first start; zeros
   /// leave the roles unchanged.
   RequestShape m_typicalRequest;
+  /// For which services the choice of upstreams weighs their pace.
+  AdaptiveChoice m_adaptive{ AdaptiveChoice::Told };
 };
 
 /// One VM's router.
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -70,6 +70,13 @@
 constexpr Range<double> kChangesWithinMilliseconds{ 100.0, 3'600'000.0 };
 constexpr Range<double> kTypicalTokens{ 0.0, 1e7 };
 
+constexpr std::array<std::pair<std::string_view, AdaptiveChoice>, 3>
+  kAdaptiveChoices{ {
+    { "told", AdaptiveChoice::Told },
+    { "always", AdaptiveChoice::Always },
+    { "never", AdaptiveChoice::Never },
+  } };
+
 void
 ReadRouting(ObjectReader& aReader, Settings& aSettings)
 {
@@ -92,6 +99,7 @@
   aReader.Read("changes_within_ms", changesMs, kChangesWithinMilliseconds);
   routing.m_changesWithin = changesMs / kMillisecondsPerSecond;
   aReader.Read("first_start", routing.m_firstStart);
+  aReader.ReadChoice("adaptive", routing.m_adaptive, kAdaptiveChoices);
   aReader.Read(
     "typical_prompt_tokens", routing.m_typicalPrompt, kTypicalTokens);
   aReader.Read(
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -63,7 +63,8 @@
            .m_heartbeat = SecondsToMilliseconds(routing.m_heartbeat),
            .m_firstStart = routing.m_firstStart,
            .m_typicalRequest = { .m_promptTokens = routing.m_typicalPrompt,
-                                 .m_outputTokens = routing.m_typicalOutput } };
+                                 .m_outputTokens = routing.m_typicalOutput },
+           .m_adaptive = routing.m_adaptive };
 }
 
 /// Applies the settings file to a running router when its text has changed.
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -35,7 +35,7 @@
   , m_log(aParts.m_log)
   , m_random(aParts.m_random)
   , m_pool(m_loop)
-  , m_upstreams(aOptions.m_location)
+  , m_upstreams(aOptions.m_location, aOptions.m_adaptive)
   , m_admission(m_loop, aOptions.m_typicalRequest.m_outputTokens)
   , m_relays(aOptions.m_location)
   , m_engineCalls(m_loop,
--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -94,6 +94,7 @@
   { "fleet-list.json", 6, "links", "Write a list" },
   { "settings-unknown.json", 10, "log_levl", "docs/CONFIG.md" },
   { "settings-level.json", 10, "log_level", "Use one of" },
+  { "settings-adaptive.json", 11, "routing.adaptive", "Use one of" },
   { "settings-listen.json", 5, "operators.listen", "Write IP:PORT" },
   { "settings-listen-twice.json", 5, "operators.listen", "a port of its own" },
   { "settings-platform.json", 7, "platform", "double quotes" },
@@ -217,6 +218,20 @@
              "f:2: field \"x\": is unknown to this version");
 }
 
+BOOST_AUTO_TEST_CASE(AdaptiveChoiceIsRead)
+{
+  std::string text = ReadFile("broken/settings-adaptive.json");
+  auto choiceOf = [&](const std::string& aMember) {
+    std::string changed =
+      Replaced(text, "\"adaptive\": \"sometimes\"", aMember);
+    return ParseSettings(changed, "s").m_routing->m_adaptive;
+  };
+  BOOST_TEST((choiceOf("") == AdaptiveChoice::Told));
+  BOOST_TEST((choiceOf("\"adaptive\": \"told\"") == AdaptiveChoice::Told));
+  BOOST_TEST((choiceOf("\"adaptive\": \"always\"") == AdaptiveChoice::Always));
+  BOOST_TEST((choiceOf("\"adaptive\": \"never\"") == AdaptiveChoice::Never));
+}
+
 BOOST_AUTO_TEST_CASE(ExamplesAreAccepted)
 {
   const std::pair<const char*, const char*> examples[] = {
--- a/tests/route_pace_test.cpp
+++ b/tests/route_pace_test.cpp
@@ -118,10 +118,13 @@
     TimePoint now = Fill(table, random, never);
     std::uint64_t salt = random();
     std::vector<UpstreamPtr> all = table.All();
-    auto expected = std::min_element(
-      all.begin(), all.end(), [&](const UpstreamPtr& a, const UpstreamPtr& b) {
-        return CostWithoutPace(*a, salt, now) < CostWithoutPace(*b, salt, now);
-      });
+    auto expected =
+      std::min_element(all.begin(),
+                       all.end(),
+                       [&](const UpstreamPtr& aOne, const UpstreamPtr& aOther) {
+                         return CostWithoutPace(*aOne, salt, now) <
+                                CostWithoutPace(*aOther, salt, now);
+                       });
     PickRequest request{ .m_service = "s",
                          .m_fromDomain = {},
                          .m_excluded = {},
