Learn pace from the answers of requests, and show it

Cause: the table can weigh pace, but nothing observed any. Change: the end of an attempt tells its time: prefills by prompt tokens, streams by the time from the first event to the end, plain requests by their time. Pauses of this VM, slow callers, errors and resumed streams count for nothing. /metrics shows slowness, limit and age of up to 200 upstreams; a log line tells a large change of the lasting slowness.

--- a/include/shallotford/capacity.h
+++ b/include/shallotford/capacity.h
@@ -60,6 +60,8 @@
   /// Returns the learnt factor on the requests that it is published to serve
   /// at once; above these it only gets slower.
   double LimitFactor(TimePoint aNow) const;
+  /// Returns the lasting part of the slowness alone.
+  double LastingSlowness(TimePoint aNow) const;
   /// Returns the time since the last answer that it learnt from.
   std::optional<Duration> Age(TimePoint aNow) const;
 
--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -445,6 +445,7 @@
   UpstreamEntry m_entry;
   UpstreamHealth m_health;
   UpstreamPace m_pace;
+  double m_loggedSlowness{ 1 }; ///< in the last log line on its pace
   /// This VM's reservations of its memory that no request uses yet.
   std::uint32_t m_reserved{ 0 };
   /// Set when its entry has been removed: until then, requests use it only if
--- a/src/capacity_pace.cpp
+++ b/src/capacity_pace.cpp
@@ -78,6 +78,13 @@
   return std::exp(LogSlowness(aNow));
 }
 
+double
+UpstreamPace::LastingSlowness(TimePoint aNow) const
+{
+  double weight = Weight(aNow);
+  return std::exp(m_lasting * weight / (weight + kPriorPaceWeight));
+}
+
 double
 UpstreamPace::LimitFactor(TimePoint aNow) const
 {
--- a/src/config.h
+++ b/src/config.h
@@ -254,6 +254,10 @@
 constexpr double kOverusedCost = 1;
 /// Added for this VM's own requests, which are known without delay.
 constexpr double kOwnUsedCost = 3;
+/// Factor by which lasting slowness changes until the next log line.
+constexpr double kLoggedPaceChange = 1.5;
+/// Upstreams whose pace the metrics show.
+constexpr std::size_t kMaxPaceMetrics = 200;
 /// Kinds of work whose usual time is kept.
 constexpr std::size_t kMaxServicePaces = 256;
 constexpr std::chrono::milliseconds kServicePaceRetention = 60'000ms;
--- a/src/daemon_metrics.cpp
+++ b/src/daemon_metrics.cpp
@@ -127,6 +127,12 @@
   m_state->m_gauges[aName][aLabels] = aValue;
 }
 
+void
+Metrics::Clear(const std::string& aName)
+{
+  m_state->m_gauges.erase(aName);
+}
+
 std::string
 Metrics::Text() const
 {
--- a/src/daemon_metrics.h
+++ b/src/daemon_metrics.h
@@ -34,6 +34,8 @@
              std::uint64_t aBy = 1);
   /// Sets the gauge NAME{LABELS}.
   void Set(const std::string& aName, const std::string& aLabels, double aValue);
+  /// Removes the gauge NAME with all labels.
+  void Clear(const std::string& aName);
   /// Returns all metrics in the Prometheus text exposition format.
   std::string Text() const;
 
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -323,6 +323,7 @@
   auto set = [this](const std::string& aName, double aValue) {
     m_metrics.Set(aName, "", aValue);
   };
+  SetPaceGauges();
   set("upstreams", static_cast<double>(m_upstreams.Size()));
   set("requests_in_flight", static_cast<double>(m_requests.size()));
   set("caller_connections", static_cast<double>(m_callers->Count()));
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -672,6 +672,7 @@
     }
   }
   ReportRun(aEnd);
+  NotePace(aEnd);
   if (aEnd == AttemptEnd::Replaced) {
     m_shared.m_upstreams.Remove(m_upstream->m_entry.m_key);
   }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -49,6 +49,7 @@
   RouteMoves m_routeMoves;
   std::map<std::string, LinkState> m_serviceLinks; ///< by service
   std::map<std::string, TimePoint> m_reachedAt;    ///< last answer, by service
+  TimePoint m_heldUpAt{};                          ///< when this VM last paused
 
   RetryBudget& BudgetOf(const std::string& aService);
   /// An answer of an upstream says that it leaves: it gets no more requests.
@@ -325,6 +326,10 @@
   void AbandonCall(AttemptEnd aEnd, const std::string& aReason);
   /// Passes on what the end of an attempt tells about crashes.
   void ReportRun(AttemptEnd aEnd);
+  /// Learns from the attempt's time how slow its upstream is.
+  void NotePace(AttemptEnd aEnd);
+  /// Logs a large change of the upstream's slowness.
+  void LogPace(Upstream& aUpstream, TimePoint aNow) const;
   void ReportSilentRun(const SilentAttempt& aSilent,
                        AttemptEnd aEnd,
                        bool aClosedByUpstream);
@@ -428,6 +433,7 @@
   TimersI::TimerId m_silenceTimer{ 0 };
   TimePoint m_nextSearchAt{};    ///< for another upstream
   bool m_readingPaused{ false }; ///< until the caller has taken its bytes
+  bool m_callerSlow{ false };    ///< reading has been paused
   /// Permits that were asked for before are of no use.
   std::uint64_t m_permitRound{ 0 };
 
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -57,7 +57,8 @@
     m_shared.OnLeaving(m_upstream->m_entry.m_key);
   }
   if (facts.m_load) {
-    m_upstream->m_health.OnLoad(*facts.m_load, m_shared.m_loop.Now());
+    m_shared.m_upstreams.OnLoad(
+      *m_upstream, *facts.m_load, m_shared.m_loop.Now());
   }
   if (!facts.m_requestId.empty() && facts.m_requestId != m_facts.m_id) {
     EndAttempt(AttemptEnd::Broken, "answer to request " + facts.m_requestId);
@@ -177,6 +178,7 @@
   m_exchange->Write(aBytes);
   if (m_exchange->Buffered() > kMaxCallerQueueBytes) {
     m_readingPaused = true;
+    m_callerSlow = true;
     m_call->PauseReading();
   }
 }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -415,6 +415,9 @@
         .Add("requests", static_cast<std::int64_t>(m_requests.size()))
         .Add("connections", static_cast<std::int64_t>(m_callers->Count())));
   }
+  if (late >= kLongLoopDelay || pause >= kMinDetectedPause) {
+    m_shared.m_heldUpAt = m_loop.Now();
+  }
   if (pause < kMinDetectedPause) {
     return;
   }
