Learn the mean output from streams that ended

Cause: a request's bound on its output is about 2.4 times the mean at engines whose events hold several tokens, and callers needn't send an estimate, so room for growth would be asked for many times over. Change: the last event's number and the tokens of an event give the output of a stream that ended; the bound counts only where neither is known.

--- a/src/router_request.h
+++ b/src/router_request.h
@@ -218,6 +218,8 @@
   void WaitForMemory();
   /// Refuses a new request that would wait in vain.
   bool RefuseByForecast(const WaitingRequest& aWaiting);
+  /// A stream has ended in order: its last event tells how long its answer was.
+  void NoteOutput();
   std::uint32_t TokensToReserve(const Upstream& aEngine) const;
   /// Returns the latest time for a reservation that still meets the latency
   /// target, or resumes the stream before its caller disconnects.
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -187,6 +187,7 @@
   if (m_answerBegun && IsStream() && aOutcome == "answered") {
     m_shared.m_streamTimes.OnEnd(
       *m_route, m_facts.m_outputTokens, took, m_shared.m_loop.Now());
+    NoteOutput();
   }
   LogEvent event("request_end",
                  aOutcome == "answered" ? LogLevel::Info : LogLevel::Warning);
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -3,13 +3,18 @@
 #include "config.h"
 #include "router_request.h"
 
+#include <charconv>
+
 namespace shallotford {
 
 void
 RoutedRequest::StartAtEngines()
 {
-  m_shared.m_admission.GrowthOf(m_service).OnRequest(
-    m_facts.m_outputHint, m_facts.m_outputTokens, m_shared.m_loop.Now());
+  // A bound says little of the mean, so it counts only if nothing else comes.
+  if (m_facts.m_outputHint || Service()->m_tokensPerEvent == 0) {
+    m_shared.m_admission.GrowthOf(m_service).OnRequest(
+      m_facts.m_outputHint, m_facts.m_outputTokens, m_shared.m_loop.Now());
+  }
   if (Service()->m_reservationLifetime.count() == 0) {
     StartPrefill();
   } else if (m_shared.m_admission.HasTimely(QueueName(), Urgency())) {
@@ -19,6 +24,28 @@
   }
 }
 
+void
+RoutedRequest::NoteOutput()
+{
+  const RoutedService* service = Service();
+  if (service == nullptr || service->m_tokensPerEvent == 0) {
+    return;
+  }
+  const std::string& text = m_events.LastId();
+  std::uint32_t events = 0;
+  const char* end = text.data() + text.size();
+  auto [stopped, error] = std::from_chars(text.data(), end, events);
+  std::uint64_t tokens =
+    std::uint64_t{ events } * std::uint64_t{ service->m_tokensPerEvent };
+  bool isPlausible = error == std::errc() && stopped == end &&
+                     tokens <= m_facts.m_outputTokens +
+                                 std::uint64_t{ service->m_tokensPerEvent };
+  if (isPlausible) {
+    m_shared.m_admission.GrowthOf(m_service).OnRequest(
+      static_cast<std::uint32_t>(tokens), 0, m_shared.m_loop.Now());
+  }
+}
+
 void
 RoutedRequest::OnMayReserve(bool aIsOwed)
 {
