--- a/scripts/soak.py
+++ b/scripts/soak.py
@@ -1,7 +1,7 @@
 """Randomised fault soak: real daemons as processes, stand-ins around them.
 
 Usage: soak.py BUILD [--seed N] [--seeds N] [--seconds S] [--daemons N]
-                     [--planned] [--keep]
+                     [--planned] [--keys] [--keep]
 
 Clients send requests through proxies to daemons while faults begin and end at
 random: proxies that delay, reset, hold back one way or both; daemons that are
@@ -11,7 +11,8 @@
 rest on open connections while the idle limit changes, or send two requests at
 once. From what clients and servers see it checks the promises of
 docs/PLATFORM.md. --planned plays planned work only, under which nothing may be
-lost. A seed repeats the choice of faults, not the processes' timing.
+lost. --keys adds organisations: clients use keys, configurations withdraw
+them, the store is away for longer. A seed repeats the choice of faults, not the processes' timing.
 Exits 1 if a promise was broken; --keep leaves the daemons' logs.
 """
 
@@ -27,6 +28,7 @@
 import time
 
 from fleet import free_port
+from soak_keys import REVOKE_S, Keys
 from soak_world import (Proxy, SIGNATURE, World, read_message, sign,
                         stream_event, stream_length)
 
@@ -52,7 +54,8 @@
 }
 
 
-def config(version, idle_ms=15000, header_ms=3000, timeout_ms=4000, many=0):
+def config(version, idle_ms=15000, header_ms=3000, timeout_ms=4000, many=0,
+           keys=None):
     routes = [{"name": prefix, "host": "h", "prefix": prefix, "kind": kind,
                "timeout-ms": timeout_ms, "target-latency-ms": 500,
                "max-attempts": n,
@@ -63,7 +66,8 @@
     routes += [{"name": name, "host": host, "prefix": prefix, "kind": "safe",
                 "service": "plain", "max-attempts": 2,
                 "timeout-ms": timeout_ms} for name, host, prefix in added]
-    return {"version": version, "routes": routes,
+    tenants = {"tenants": keys.tenants()} if keys else {}
+    return {"version": version, "routes": routes, **tenants,
             "services": [{"name": "plain", "max-connections": 100},
                          {"name": "model", "max-connections": 100,
                           "engine": {"hold-ms": 2000, "slots": 8,
@@ -91,6 +95,8 @@
     def write_settings(self, seeds, limits=None):
         routing = {"seeds": seeds, "failure_domains": {"z1": "r1"},
                    "retry_slack": 50, "drain_s": DRAIN_S}
+        if self.soak.world.keys:
+            routing["revoke_ms"] = 1000 * REVOKE_S
         settings = {
             "platform": self.store_proxy.address, "region": "r1",
             "failure_domain": "z1", "routing": routing,
@@ -154,8 +160,11 @@
         self.folder = tempfile.mkdtemp(prefix="soak-")
         self.world = World(seed)
         self.random = self.world.random
+        if options.keys:
+            self.world.keys = Keys(self.world)
         self.daemons = [Daemon(self, n) for n in range(options.daemons)]
         self.version = 1
+        self.newest = None  # configuration
         self.idle_ms = IDLE_MS[-1]  # the newest that was published
         self.unplanned_until = 0.0
         self.ended = False
@@ -282,6 +291,8 @@
                   "X-Shallotford-Deadline-Ms: 5000",
                   "X-Shallotford-Token-Count: 500,30",
                   f"Content-Length: {len(body)}"]
+        if self.world.keys:
+            fields.append(self.world.keys.use(request_id))
         return "\r\n".join(fields).encode() + b"\r\n\r\n" + body
 
     async def receive(self, connection, patience):
@@ -357,7 +368,9 @@
             asyncio.get_running_loop().call_later(
                 2, self.check_never_runs, request_id, len(runs))
         if 300 <= answer.status < 500 and answer.status not in (
-                408, 421, 429):
+                408, 421, 429) and not (
+                    answer.status == 401 and self.world.keys and
+                    self.world.keys.may_refuse(request_id)):
             self.world.problem("DENIED", f"{request_id}: {answer.status}")
         calm = self.unplanned_until < began
         if outcome == "closed" and calm and runs:
@@ -379,6 +392,9 @@
                      self.reset_link, self.store_mood, self.restore_store,
                      self.spoil_server,
                      self.crash_server, self.crashing_request]
+        if self.world.keys:
+            planned += [self.reconfigure] * 3
+            unplanned += [self.lose_store] * 2
         choices = planned if self.planned_only else planned + unplanned
         running = set()
         while time.monotonic() < end:
@@ -431,11 +447,16 @@
     async def reconfigure(self):
         self.version += self.random.randrange(1, 4)
         self.idle_ms = self.random.choice(IDLE_MS)
-        self.world.store.put("op/config", config(
+        keys = self.world.keys
+        withdrawn = keys and keys.change()
+        self.newest = config(
             self.version, self.idle_ms,
             header_ms=self.random.choice((1500, 3000, 6000)),
             timeout_ms=self.random.choice((4000, 5000, 8000)),
-            many=self.random.choice((0, 0, 0, MANY_ROUTES))))
+            many=self.random.choice((0, 0, 0, MANY_ROUTES)), keys=keys)
+        self.world.store.put("op/config", self.newest)
+        if withdrawn:
+            keys.on_acknowledged(withdrawn)
 
     def links(self):
         return [p for d in self.daemons for p in (d.proxy, d.store_proxy)] + \
@@ -460,6 +481,23 @@
         self.world.store.mood = "well"
         self.world.store.reset_all()
 
+    async def lose_store(self):
+        """All daemons, or some, lose the store; keys are withdrawn then."""
+        proxies = [d.store_proxy for d in self.daemons]
+        lost = self.random.choice((proxies, self.random.sample(
+            proxies, self.random.randrange(1, len(proxies) + 1))))
+        refusing = self.random.random() < 0.5
+        for proxy in lost:
+            proxy.refusing = refusing
+            proxy.silent = set() if refusing else {"to", "from"}
+            if refusing:
+                proxy.reset_all()
+        await asyncio.sleep(self.random.uniform(0.5, 1.5))
+        await self.reconfigure()
+        await asyncio.sleep(self.random.uniform(6, 9))
+        for proxy in lost:
+            proxy.heal()
+
     async def restore_store(self):
         """The store comes back from a copy; what it lost is written again."""
         copy = self.world.store.revision
@@ -469,7 +507,9 @@
         lost = self.world.store.go_back(copy)
         await asyncio.sleep(self.random.uniform(0, 1))
         for key, item in lost.items():
-            if self.world.store.items.get(key, {}) != item:
+            if key == "op/config" and self.world.keys:
+                self.world.store.put(key, self.newest)
+            elif self.world.store.items.get(key, {}) != item:
                 self.world.store.write_again(key, item)
 
     async def spoil_server(self):
@@ -561,7 +601,8 @@
 
     async def run(self):
         await self.world.store.open()
-        self.world.store.put("op/config", config(self.version))
+        self.newest = config(self.version, keys=self.world.keys)
+        self.world.store.put("op/config", self.newest)
         for _ in range(3):
             await self.world.start_server("plain")
             await self.world.start_server("model", "decode")
@@ -600,6 +641,8 @@
         counts = " ".join(f"{k}={v}" for k, v in sorted(self.counts.items()))
         print(f"seed={self.seed} faults={len(self.faults)} {counts} "
               f"problems={len(self.world.problems)}", flush=True)
+        if self.world.keys:
+            print(f"  runs by key: {self.world.keys.checked}")
         for problem in self.world.problems[:20]:
             print(f"  {problem}")
         return not self.world.problems
@@ -613,6 +656,7 @@
     parser.add_argument("--seconds", type=float, default=15)
     parser.add_argument("--daemons", type=int, default=3)
     parser.add_argument("--planned", action="store_true")
+    parser.add_argument("--keys", action="store_true")
     parser.add_argument("--keep", action="store_true")
     options = parser.parse_args()
     good = True
--- a/scripts/soak_checks.py
+++ b/scripts/soak_checks.py
@@ -10,9 +10,9 @@
                         stream_length)
 
 
-def make_soak():
+def make_soak(keys=False):
     options = types.SimpleNamespace(
-        seconds=0, planned=False, build="", daemons=1)
+        seconds=0, planned=False, build="", daemons=1, keys=keys)
     return Soak(options, 1)
 
 
@@ -44,6 +44,43 @@
     def rules(self):
         return {p.split(":")[0] for p in self.world.problems}
 
+    def use_key(self, request_id, withdrawn_ago):
+        """Sends a request with a key that was withdrawn some time before."""
+        keys = self.world.keys
+        keys.use(request_id)
+        key, sent_at = keys.uses[request_id]
+        if withdrawn_ago is not None:
+            keys.withdrawn[key] = sent_at - withdrawn_ago
+        self.send(request_id)
+        return {"x-shallotford-tenant": keys.holders[key]}
+
+    def test_keys_are_checked(self):
+        self.soak = make_soak(keys=True)
+        self.world = self.soak.world
+        self.run_at("valid", fields=self.use_key("valid", None))
+        self.run_at("recent", fields=self.use_key("recent", 4.9))
+        self.use_key("refused", 9.0)
+        self.judge("refused", status=401)
+        self.assertEqual(self.world.problems, [])
+        self.run_at("late", fields=self.use_key("late", 5.1))
+        self.assertEqual(self.rules(), {"CONFIG"})
+        self.world.problems.clear()
+        for fields in ({}, {"x-shallotford-tenant": "another"},
+                       {**self.use_key("passed", None),
+                        "authorization": "Bearer k"}):
+            self.run_at("passed", fields=fields)
+            self.assertIn("UNASKED", self.rules())
+            self.world.problems.clear()
+
+    def test_a_valid_key_may_not_be_refused(self):
+        self.soak = make_soak(keys=True)
+        self.world = self.soak.world
+        for key in self.world.keys.held:
+            self.world.keys.held[key] -= 10
+        self.use_key("r", None)
+        self.judge("r", status=401)
+        self.assertEqual(self.rules(), {"DENIED"})
+
     def test_sound_answers_break_nothing(self):
         self.send("r")
         self.run_at("r")
--- a/scripts/soak_world.py
+++ b/scripts/soak_world.py
@@ -374,6 +374,7 @@
         self.random = random.Random(seed)
         self.store = Store()
         self.servers = []
+        self.keys = None  # of organisations, if there are any
         self.sent = {}  # request id: (method, target, body)
         self.runs = {}  # request id: servers that began to run it
         self.handles = {}  # handle: request id
@@ -402,6 +403,8 @@
         handle = source.rpartition("/")[2]
         if source and self.handles.get(handle) != request_id:
             self.problem("MIXED", f"{request_id} ran with handle {handle}")
+        if self.keys:
+            self.keys.check_run(request_id, fields)
         sent = self.sent.get(request_id)
         if sent and not sent[3] and len(self.runs[request_id]) > 1:
             self.problem("TWICE", f"{request_id} ran at "
