Leave out an unused member of the boot clock

Cause: the linter wants the library's name is_steady in the project's case; nothing needs it. Change: it is gone.

--- a/include/shallotford/organisation.h
+++ b/include/shallotford/organisation.h
@@ -77,7 +77,6 @@
   using period = Duration::period;
   using duration = Duration;
   using time_point = std::chrono::time_point<BootClock>;
-  static constexpr bool is_steady = true;
 };
 /// Time since the machine's boot.
 using BootTime = BootClock::time_point;
