Count prompts that engines read in vain, by cause

Cause: only the total was known, so that no change could be judged by what it saves.

Change: wasted_prefills_total{cause} counts them, and a request's last log line has their number, tokens and last cause. Engines' own preemptions aren't seen.

Measured: router_engines_test passes; prompts_read_in_vain_are_counted_by_cause fails without the count.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -451,6 +451,10 @@
     OnRunLeaves();
   }
   m_runSent = IsRun();
+  if (!m_silent.empty()) {
+    WastePrompt("engine_silent"); // it is read a second time
+  }
+  m_isPromptRead = m_phase != Phase::Relay && ServedByEngines();
   if (m_phase == Phase::Run && IsStream()) {
     DropSilent(AttemptEnd::TimedOut, "another upstream continues the stream");
   }
@@ -715,6 +719,7 @@
     }
     return;
   }
+  WasteRunsPrompt(aEnd);
   if (aEnd == AttemptEnd::Failed) {
     m_failure = std::move(m_heldAnswer);
   }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -356,6 +356,11 @@
   /// Logs the request's end and calls m_onEnd, which may destroy this object.
   /// @param aStatus  of the answer, 0 without one
   void End(std::string_view aOutcome, int aStatus);
+  /// Counts the prompt that an engine has read, or was reading, as read in
+  /// vain, if there is one.
+  void WastePrompt(std::string_view aCause);
+  /// A run has ended without its answer.
+  void WasteRunsPrompt(AttemptEnd aEnd);
   void LogAttempt(AttemptEnd aEnd, const std::string& aReason) const;
   std::string JoinedParts() const;
   /// Adds the answer's framing and the size of its incomplete event in bytes.
@@ -456,6 +461,11 @@
   UpstreamPtr m_prefillUpstream;
   std::string m_prefillHandle;
 
+  // Prompts read in vain.
+  bool m_isPromptRead{ false }; ///< for an answer that is still to come
+  std::uint32_t m_wastedPrompts{ 0 };
+  std::string m_wasteCause; ///< of the last one
+
   // The answer to the caller.
   EventSplitter m_events;
   bool m_answerBegun{ false };
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -165,12 +165,47 @@
   End("cancelled", 0);
 }
 
+void
+RoutedRequest::WastePrompt(std::string_view aCause)
+{
+  if (!std::exchange(m_isPromptRead, false)) {
+    return;
+  }
+  ++m_wastedPrompts;
+  m_wasteCause = aCause;
+  m_shared.m_metrics.Count("wasted_prefills_total",
+                           "cause=\"" + m_wasteCause + "\"");
+}
+
+void
+RoutedRequest::WasteRunsPrompt(AttemptEnd aEnd)
+{
+  bool notRun = aEnd == AttemptEnd::NotConnected ||
+                aEnd == AttemptEnd::Refused || aEnd == AttemptEnd::Replaced;
+  if (notRun && m_prefillHandle.empty()) {
+    m_isPromptRead = false; // no engine has read it
+    return;
+  }
+  if (aEnd == AttemptEnd::Refused) {
+    WastePrompt("handle_refused");
+  } else if (aEnd == AttemptEnd::Failed) {
+    WastePrompt("run_failed");
+  } else if (aEnd == AttemptEnd::TimedOut) {
+    WastePrompt("engine_silent");
+  } else {
+    WastePrompt("engine_lost");
+  }
+}
+
 void
 RoutedRequest::End(std::string_view aOutcome, int aStatus)
 {
   if (std::exchange(m_ended, true)) {
     return;
   }
+  if (aOutcome != "answered") {
+    WastePrompt(aOutcome);
+  }
   DropSilent(AttemptEnd::Abandoned, "the request has ended");
   m_shared.m_loop.CancelTimer(m_deadlineTimer);
   m_shared.m_loop.CancelTimer(m_silenceTimer);
@@ -235,6 +270,12 @@
   if (m_answerBegun) {
     AddBodyState(event);
   }
+  if (m_wastedPrompts > 0) {
+    event.Add("wasted_prefills", static_cast<std::int64_t>(m_wastedPrompts))
+      .Add("wasted_tokens",
+           std::int64_t{ m_wastedPrompts } * m_facts.m_promptTokens)
+      .Add("wasted_by", m_wasteCause);
+  }
   if (m_reservedEngine != nullptr) {
     event.Add("reserved", m_reservedSince - m_received)
       .Add("prompt", static_cast<std::int64_t>(m_facts.m_promptTokens))
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -246,6 +246,11 @@
       m_facts.m_promptTokens, now - m_sentAt, now);
   }
   m_prefills += arrived ? 1 : 0;
+  m_isPromptRead = m_isPromptRead && arrived && aEnd != AttemptEnd::Refused &&
+                   aEnd != AttemptEnd::Replaced;
+  if (aEnd != AttemptEnd::Answered) {
+    WastePrompt("prefill_failed");
+  }
   // A prefill that succeeded doesn't count against the retry budget. After a
   // failed one the decode engine processes the prompt, which takes one send
   // instead of two.
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -403,6 +403,35 @@
   BOOST_TEST(prefills == 1U);
 }
 
+BOOST_FIXTURE_TEST_CASE(prompts_read_in_vain_are_counted_by_cause, Engines)
+{
+  // The first run is refused after its prompt was read.
+  auto refused = std::make_shared<bool>(false);
+  m_loop.Do([&] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([engine, refused](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        if (!std::exchange(*refused, true)) {
+          PublishedServer::AnswerNotRun(aCall);
+          return true;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(1));
+        aCall.m_exchange->End();
+        return true;
+      });
+    }
+  });
+  BOOST_TEST(Has(Ask("/stream/x", "r1"), Event(1)));
+  BOOST_TEST(Has(Ask("/stream/x", "r2"), Event(1)));
+  BOOST_TEST(
+    Has(Metrics(), "wasted_prefills_total{cause=\"handle_refused\"} 1\n"));
+  BOOST_TEST(CountLogLines("wasted_by=handle_refused") == 1U);
+  BOOST_TEST(CountLogLines("wasted_by=") == 1U);
+}
+
 BOOST_FIXTURE_TEST_CASE(an_engines_failure_is_passed_on_if_no_memory_comes_free,
                         Engines)
 {
