--- a/tests/router_pace_test.cpp
+++ b/tests/router_pace_test.cpp
@@ -51,16 +51,29 @@
 {
   Publish(ConfigText(1));
   AddServer("i-p", "model", "prefill");
-  AddServer("i-d", "model", "decode");
+  PublishedServer& decode = AddServer("i-d", "model", "decode");
+  m_loop.Do([&] {
+    decode.SetScript([&](const PublishedCall& aCall) {
+      if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+        return false;
+      }
+      decode.BeginStream(aCall);
+      aCall.m_exchange->Write(Event(1));
+      m_loop->RunAfter(10ms, [exchange = aCall.m_exchange] {
+        exchange->Write(Event(2));
+        exchange->End();
+      });
+      return true;
+    });
+  });
   Start();
   int asked = 0;
   BOOST_TEST(WaitFor([&] {
     Ask("/stream/",
         "r" + std::to_string(asked++),
-        "X-Shallotford-Token-Count: 100,20\r\n");
-    return Has(Metrics(), Gauge("i-p"));
+        "X-Shallotford-Token-Count: 100,2\r\n");
+    return Has(Metrics(), Gauge("i-p")) && Has(Metrics(), Gauge("i-d"));
   }));
-  BOOST_TEST_MESSAGE(Metrics());
 }
 
 BOOST_FIXTURE_TEST_CASE(a_removed_upstream_leaves_the_metrics, Plain)
