Draw the model's owners without a generator of its own

Cause: the linter refuses names that std::shuffle needs. Change: the order of owners is drawn with the model's generator; other draws than before.

--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -73,7 +73,9 @@
       m_vms[i].m_nextGossip = m_now + Draw(1'000ms);
       m_vms[i].m_view = { .m_live = m_vms.size(), .m_known = m_vms.size() };
     }
-    std::shuffle(m_ranks.begin(), m_ranks.end(), Engine{ *m_random });
+    for (std::size_t i = m_ranks.size(); i > 1; --i) {
+      std::swap(m_ranks[i - 1], m_ranks[m_random->Below(i)]);
+    }
     MoveCallers();
   }
 
@@ -174,14 +176,6 @@
 private:
   static constexpr auto kStep = 5ms;
 
-  struct Engine
-  {
-    using result_type = std::uint64_t;
-    static constexpr result_type min() { return 0; }
-    static constexpr result_type max() { return UINT64_MAX; }
-    result_type operator()() { return m_random.Next(); }
-    RandomI& m_random;
-  };
   struct Message
   {
     TimePoint m_at;
@@ -207,7 +201,8 @@
     if (!Reaches(aFrom, aTo) || m_random->Unit() < m_options.m_lostShare) {
       return;
     }
-    m_messages.push_back({ m_now + 1ms + Draw(19ms), aTo, aDeliver });
+    m_messages.push_back(
+      { m_now + 1ms + Draw(19ms), aTo, std::move(aDeliver) });
   }
 
   void Deliver()
