--- a/src/config.h
+++ b/src/config.h
@@ -621,6 +621,8 @@
 constexpr std::size_t kMaxGrantRequests = 64;
 /// Time for which VMs that were known count towards equal shares.
 constexpr std::chrono::minutes kGrantKnownTime{ 10 };
+/// Least time between log lines that an organisation is refused, or no more.
+constexpr std::chrono::milliseconds kGrantLogPeriod = 1'000ms;
 /// Organisations with metrics of their own.
 constexpr std::size_t kMaxGrantMetrics = 512;
 constexpr const char* kGrantMethod = "grants";
