Refuse requests beyond their organisation's limit

Cause: no request was counted. Change: before anything else is spent on it, a request takes its cost from its organisation's limit, at the VM that has its caller. Beyond the limit it ends with 429 and a time to come back, spread; one that ends without a run, or whose caller left, gives its cost back. Without limits in the configuration nothing is asked.

--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -320,6 +320,7 @@
 void
 RouterTask::SetGauges()
 {
+  m_grants.SetGauges();
   auto set = [this](const std::string& aName, double aValue) {
     m_metrics.Set(aName, "", aValue);
   };
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -150,6 +150,7 @@
   }
   m_routes = RouteTable(aRouting);
   m_keys.OnConfig(aRouting);
+  m_grants.SetLimits(aRouting->m_organisations);
   m_log.Write(
     LogEvent("configuration")
       .Add("version", static_cast<std::int64_t>(aRouting->m_version))
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -74,6 +74,16 @@
   if (EndIfObsolete()) {
     return;
   }
+  if (CountsTowardsLimit()) {
+    AcquireUnits();
+  } else {
+    Proceed();
+  }
+}
+
+void
+RoutedRequest::Proceed()
+{
   if (IsStream()) {
     m_requestKey = KeyOf(m_request, m_facts);
   }
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -10,6 +10,7 @@
 #include "router_crashes.h"
 #include "router_engine_calls.h"
 #include "router_events.h"
+#include "router_grants.h"
 #include "router_origins.h"
 #include "router_permits.h"
 #include "router_upstream.h"
@@ -44,6 +45,7 @@
   StreamVersions& m_versions;
   CrashReports& m_crashes;
   UpstreamPermits& m_permits;
+  OrganisationGrants& m_grants;
   RelayTable& m_relays;
   StreamTimes m_streamTimes;
   RouteMoves m_routeMoves;
@@ -194,6 +196,16 @@
   std::string QueueName() const;
   bool IsStream() const;
 
+  /// Returns whether the request counts towards its organisation's limit here.
+  bool CountsTowardsLimit() const;
+  /// Takes the request's cost from its organisation's limit, then proceeds.
+  void AcquireUnits();
+  void OnUnits(double aCost, const OrganisationGrants::Result& aResult);
+  void RefuseBeyondLimit(std::chrono::milliseconds aRetryAfter);
+  /// Gives the cost back if the request ends without a run.
+  void ReturnUnits(std::string_view aOutcome);
+  /// Finds where the request goes, and begins.
+  void Proceed();
   /// Sends the request to its first upstream.
   void Begin();
   /// Chooses the software version of a new stream.
@@ -393,6 +405,8 @@
   bool m_quarantined{ false }; ///< refused, as requests like it crash upstreams
   bool m_ended{ false };
 
+  double m_units{ 0 }; ///< taken from the organisation's limit
+
   // Attempts so far.
   std::set<UpstreamKey> m_excluded;
   std::uint32_t m_prefills{ 0 }; ///< prefills that reached an engine
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -215,6 +215,7 @@
     m_shared.m_admission.Leave(m_queueNumber);
   }
   ReleaseReservation();
+  ReturnUnits(aOutcome);
   if (m_answerBegun && ServedByEngines()) {
     m_shared.m_admission.OnFreed(QueueName());
   }
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -64,6 +64,7 @@
               .m_versions = m_versions,
               .m_crashes = m_crashes,
               .m_permits = m_permits,
+              .m_grants = m_grants,
               .m_relays = m_relays,
               .m_streamTimes = {},
               .m_routeMoves = {},
@@ -89,6 +90,13 @@
                  m_options.m_heartbeat })
   , m_crashes({ m_loop, m_peerCalls, m_peers, m_log, m_metrics, m_random })
   , m_permits({ m_loop, m_peerCalls, m_peers, m_log, m_metrics })
+  , m_grants({ m_loop,
+               m_peerCalls,
+               m_peers,
+               m_log,
+               m_metrics,
+               MinAssumedVms(m_options.m_location),
+               [this] { return PauseSinceTick() >= kMinDetectedPause; } })
   , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
     aExchange.Respond(200,
                       { { "content-type", "application/json" } },
@@ -117,6 +125,9 @@
   m_rpc.AddMethod(kPermitMethod, [this](const Json::Value& aParams) {
     return m_permits.OnAsk(aParams);
   });
+  m_rpc.AddMethod(kGrantMethod, [this](const Json::Value& aParams) {
+    return m_grants.OnAsk(aParams);
+  });
   m_crashes.OnConviction([this] {
     for (const auto& [key, request] : m_requests) {
       request->OnConviction();
@@ -384,6 +395,7 @@
   m_versions.Expire();
   m_crashes.Expire();
   m_permits.Expire();
+  m_grants.Expire();
   m_relays.Expire(now);
   SetRoles();
   LogReadiness();
@@ -423,6 +435,7 @@
   }
   m_log.Write(LogEvent("paused", LogLevel::Warning).Add("pause", pause));
   m_permits.OnPause();
+  m_grants.OnPause();
   m_origins.OnPause();
   for (auto& [service, links] : m_shared.m_serviceLinks) {
     links.Forget();
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -202,6 +202,7 @@
   StreamVersions m_versions;
   CrashReports m_crashes;
   UpstreamPermits m_permits;
+  OrganisationGrants m_grants;
   RpcServer m_rpc;
   RelayHandler m_relayHandler{ *this };
   std::unique_ptr<CallerListener> m_relayListener;
