Test early answers, odd statuses and a lack of descriptors

The router passes on no answer that a reset cuts under an upload of 8 MB (10 rounds), and none with a status of 000, 099, 600 or 999.

--- a/tests/net_stream_test.cpp
+++ b/tests/net_stream_test.cpp
@@ -5,6 +5,8 @@
 
 #include "net_fixture.h"
 
+#include <sys/resource.h>
+
 using namespace shallotford;
 using namespace shallotford::test;
 
@@ -56,8 +58,63 @@
   std::unique_ptr<RawSocket> m_peer;
 };
 
+/// Keeps this process from opening descriptors.
+class NoDescriptors
+{
+public:
+  NoDescriptors()
+  {
+    ::getrlimit(RLIMIT_NOFILE, &m_before);
+    int lowestFree = ::dup(0);
+    ::close(lowestFree);
+    rlimit none = m_before;
+    none.rlim_cur = static_cast<rlim_t>(lowestFree);
+    ::setrlimit(RLIMIT_NOFILE, &none);
+  }
+  ~NoDescriptors() { ::setrlimit(RLIMIT_NOFILE, &m_before); }
+  NoDescriptors(const NoDescriptors&) = delete;
+  NoDescriptors& operator=(const NoDescriptors&) = delete;
+
+private:
+  rlimit m_before{};
+};
+
 } // namespace
 
+BOOST_AUTO_TEST_CASE(accepting_goes_on_when_there_are_descriptors_again)
+{
+  LoopThread loop;
+  Inbox<std::string> events;
+  std::unique_ptr<StreamI> accepted;
+  std::unique_ptr<StreamListenerI> listener = loop.Do([&] {
+    return loop->Streams().Listen(
+      { .m_address = "127.0.0.1:0",
+        .m_onExhausted = [&] { events.Put("exhausted"); } },
+      [&](std::unique_ptr<StreamI> aStream) {
+        accepted = std::move(aStream);
+        events.Put("accepted");
+      });
+  });
+  sockaddr_in address = RawSocket::LoopbackAddress(listener->Port());
+  RawSocket peer(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0), false);
+  {
+    NoDescriptors none;
+    int connected = ::connect(
+      peer.Descriptor(), reinterpret_cast<sockaddr*>(&address), sizeof address);
+    BOOST_TEST(connected == 0);
+    BOOST_TEST(events.Take().value_or("nothing") == "exhausted");
+  }
+  std::string event = events.Take().value_or("nothing");
+  while (event == "exhausted") {
+    event = events.Take().value_or("nothing");
+  }
+  BOOST_TEST(event == "accepted");
+  loop.Do([&] {
+    accepted.reset();
+    listener.reset();
+  });
+}
+
 BOOST_FIXTURE_TEST_CASE(bytes_held_back_by_a_full_socket_go_on, Sender)
 {
   m_loop.Do([this] { m_stream->Write(std::string(kMuch, 'b')); });
--- a/tests/router_stream_end_test.cpp
+++ b/tests/router_stream_end_test.cpp
@@ -331,3 +331,49 @@
   Answer(*NextAttempt(), framing, "{}", Close::Finish, "application/json");
   BOOST_TEST(caller->ReadToEnd().ends_with("\r\n\r\n{}"));
 }
+
+/// The same upstreams with room for long uploads.
+struct LongUploads : RawUpstreams
+{
+  LongUploads()
+  {
+    std::string text = ConfigText(2);
+    const std::string limit = R"("max-body-bytes":4096)";
+    text.replace(text.find(limit), limit.size(), R"("max-body-bytes":9000000)");
+    Publish(text);
+    WaitFor([this] { return CountLogLines("event=configuration") == 2; });
+  }
+};
+
+BOOST_DATA_TEST_CASE_F(LongUploads,
+                       an_early_answer_that_a_reset_cuts_reaches_no_caller,
+                       data::xrange(10),
+                       round)
+{
+  RawSocket caller(Port());
+  std::thread sender([&] {
+    caller.Send(Request("/once/x", "r1", "body" + std::string(8u << 20, 'b')));
+  });
+  auto attempt = NextAttempt();
+  if (round % 2 == 0) {
+    attempt->ReadUntil("bbb");
+  }
+  Answer(*attempt, "until_close", "part", Close::Reset);
+  std::string answer = caller.ReadUntil("\r\n\r\n");
+  BOOST_TEST(answer.starts_with("HTTP/1.1 502 "));
+  BOOST_TEST(!Has(answer, "part"));
+  sender.join();
+}
+
+BOOST_DATA_TEST_CASE_F(RawUpstreams,
+                       a_status_outside_http_reaches_no_caller,
+                       data::make({ "000", "099", "600", "999" }),
+                       status)
+{
+  auto caller = Call("/once/x");
+  NextAttempt()->Send("HTTP/1.1 " + std::string(status) +
+                      " X\r\nX-Shallotford-Request-Id: r1\r\n"
+                      "X-Shallotford-Response-Signature: mark-r1\r\n"
+                      "Content-Length: 0\r\n\r\n");
+  BOOST_TEST(caller->ReadToEnd().starts_with("HTTP/1.1 502 "));
+}
