Bound what a caller's connection and all of them hold

Cause: each answered request let one more read in though most of what was sent ahead was still kept, the next request was begun while earlier answers were unread, and nothing bounded the sum over connections. Each small request copied all that was sent ahead of it.

Change: a connection isn't read while 64 KB that were sent ahead wait, and its next request waits while more than 64 KB of its answers are unread. Requests are read where they lie. The listeners of callers and of other VMs' requests share one account of memory, 40 % of limits.memory_mb: near it heavy connections aren't read, new ones are closed, then the heaviest without progress. Connections leave room below limits.max_descriptors. Metrics and a bounded log line for each act.

Not measured: a real VM's limits.

--- a/include/shallotford/fleet.h
+++ b/include/shallotford/fleet.h
@@ -71,6 +71,8 @@
   std::size_t m_maxBody{ 4u << 20 };     ///< bytes
   std::size_t m_maxHeaders{ 16u << 10 }; ///< bytes
   std::size_t m_maxConnections{ 4096 };
+  double m_memory{ 0 };              ///< of this VM, megabytes; 0 if not stated
+  std::size_t m_maxDescriptors{ 0 }; ///< of this VM; 0 if not stated
   std::size_t m_sendBuffer{ 256u << 10 }; ///< bytes
   std::size_t m_auditEntries{ 10'000 };
   TlsSettings m_callerTls;
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -8,6 +8,7 @@
 /// fields that carry a request's metadata.
 
 #include "shallotford/http1.h"
+#include "shallotford/intake.h"
 #include "shallotford/route.h"
 
 namespace shallotford {
@@ -188,7 +189,10 @@
   std::vector<std::string> m_seeds; ///< addresses of the first known peers
   Location m_location;
   RetryBudgetOptions m_retryBudget;
+  /// Connections of callers and of other VMs' requests together.
   std::size_t m_maxConnections{ 2048 };
+  /// Bytes that their requests and answers may hold together.
+  std::size_t m_maxIntake{ kDefaultIntakeBytes };
   /// Longest time from the stop signal to the end of the process.
   std::chrono::milliseconds m_drainTime{ 8'000 };
   /// Time without an answer of the directory's source after which this VM asks
--- a/src/fleet_settings.cpp
+++ b/src/fleet_settings.cpp
@@ -13,6 +13,8 @@
 constexpr Range<std::uint64_t> kBodyBytes{ 1u << 10, 256u << 20 };
 constexpr Range<std::uint64_t> kHeaderBytes{ 1u << 10, 1u << 20 };
 constexpr Range<std::uint64_t> kConnections{ 1, 1u << 20 };
+constexpr Range<std::uint64_t> kDescriptors{ 0, 1u << 20 };
+constexpr Range<double> kMemoryMegabytes{ 0, 1u << 20 };
 constexpr Range<std::uint64_t> kSendBufferBytes{ 4u << 10, 64u << 20 };
 constexpr Range<std::uint64_t> kAuditEntries{ 1, 1'000'000 };
 
@@ -55,6 +57,9 @@
   ReadSize(aReader, "max_headers", aSettings.m_maxHeaders, kHeaderBytes);
   ReadSize(
     aReader, "max_connections", aSettings.m_maxConnections, kConnections);
+  aReader.Read("memory_mb", aSettings.m_memory, kMemoryMegabytes);
+  ReadSize(
+    aReader, "max_descriptors", aSettings.m_maxDescriptors, kDescriptors);
   ReadSize(aReader, "send_buffer", aSettings.m_sendBuffer, kSendBufferBytes);
   ReadSize(aReader, "audit_entries", aSettings.m_auditEntries, kAuditEntries);
 }
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -18,8 +18,6 @@
 /// Maximum of log lines of one event name and level; further ones are only
 /// counted.
 constexpr std::uint32_t kMaxLinesPerSecond = 40;
-/// Maximum of the loop's sockets beyond the callers' connections.
-constexpr std::size_t kMaxOtherSockets = 1'024;
 
 /// Delay between two reads of the platform, as a share of the time within which
 /// a change must be in force. The rest is for calls that fail or take long.
@@ -56,7 +54,9 @@
                               .m_slack = routing.m_retrySlack,
                               .m_window =
                                 SecondsToMilliseconds(routing.m_retryWindow) },
-           .m_maxConnections = aSettings.m_maxConnections,
+           .m_maxConnections = IntakeConnections(aSettings.m_maxConnections,
+                                                 aSettings.m_maxDescriptors),
+           .m_maxIntake = IntakeBytes(aSettings.m_memory),
            .m_drainTime = SecondsToMilliseconds(routing.m_drainTime),
            .m_sourceTimeout = ReadDelay(routing) + kMaxReadLateness,
            .m_revoke = SecondsToMilliseconds(routing.m_revoke),
@@ -146,9 +146,10 @@
   auto clock = MakeSystemClock();
   auto log = MakeLimitedLog(*output, *clock, kMaxLinesPerSecond);
   auto random = MakeSystemRandom();
+  RouterOptions options = ToRouterOptions(aSettings);
   auto loop =
     MakeLoop({ .m_name = "router",
-               .m_maxSockets = aSettings.m_maxConnections + kMaxOtherSockets });
+               .m_maxSockets = options.m_maxConnections + kOtherDescriptors });
   auto source = platform::MakeStoreSource(
     *loop,
     *log,
@@ -159,8 +160,7 @@
   auto decoder = platform::MakeDecoder();
   auto dialect = platform::MakeDialect();
   auto router =
-    MakeRouter(ToRouterOptions(aSettings),
-               { *loop, *source, *decoder, *dialect, *log, *random });
+    MakeRouter(options, { *loop, *source, *decoder, *dialect, *log, *random });
   router->Start();
   log->Write(LogEvent("started")
                .Add("vm", aSettings.m_peerAddress)
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -40,6 +40,24 @@
   return "unknown";
 }
 
+const char*
+ToString(IntakeAct aAct)
+{
+  switch (aAct) {
+    case IntakeAct::Pause:
+      return "pause";
+    case IntakeAct::Refuse:
+      return "refuse";
+    case IntakeAct::Close:
+      return "close";
+    case IntakeAct::Connections:
+      return "connections";
+    case IntakeAct::Descriptors:
+      return "descriptors";
+  }
+  return "unknown";
+}
+
 /// The answer that one connection is sending.
 class CallerExchange : public CallerExchangeI
 {
@@ -59,6 +77,7 @@
   void End() override;
   void Abort() override;
   bool HasCallerLeft() const override;
+  void SetHeld(std::size_t aBytes) override;
   std::size_t Buffered() const override;
   void OnDrained(std::function<void()> aCallback) override
   {
@@ -108,6 +127,8 @@
     , m_reader(MakeRequestReader(m_maxHead))
   {
     m_stream->SetHandler(this);
+    m_listener.m_intake->Open();
+    m_progressAt = m_loop.Now();
     Arm(m_handler.Limits().m_idleTimeout);
   }
 
@@ -117,10 +138,41 @@
     if (m_untilClose && (m_exchange != nullptr || m_stream->Buffered() > 0)) {
       m_stream->ResetOnDestroy(); // its end would complete the answer
     }
-    ReleaseBody();
+    Leave();
     DetachExchange(true);
   }
 
+  /// Leaves the listener and its account, which may be gone afterwards.
+  void Leave()
+  {
+    ReleaseBody();
+    if (!std::exchange(m_hasLeft, true)) {
+      m_listener.m_intake->Close(m_held);
+    }
+  }
+
+  /// Notes progress since the last call, and reads on if there is room again.
+  void Sweep()
+  {
+    std::uint64_t moved = m_received + m_stream->BytesSent();
+    // While an upstream works, the caller has nothing to do.
+    bool waitsForAnswer = m_exchange != nullptr && m_stream->Buffered() == 0;
+    if (std::exchange(m_moved, moved) != moved || waitsForAnswer) {
+      m_progressAt = m_loop.Now();
+    }
+    Account();
+  }
+  IntakeHolder Holder() const
+  {
+    return { .m_bytes = m_held, .m_stalled = m_loop.Now() - m_progressAt };
+  }
+  /// Closes the connection at once, as there is no room for what it holds.
+  void CloseForRoom()
+  {
+    m_stream->ResetOnDestroy();
+    OnCallerLeft();
+  }
+
   /// Gives up the part of a request that was received. The listener may be gone
   /// once there is none.
   void ReleaseBody()
@@ -159,8 +211,8 @@
     m_closing = true;
     m_closeCause = aCause;
     m_handler.OnClose(aCause);
-    Drop(m_pipelined);
-    m_pipelined.clear();
+    Drop(Pipelined());
+    TakePipelined(Pipelined().size());
     m_stream->FinishWriting();
     m_stream->ResumeReading();
     Arm(kLingerTime);
@@ -168,30 +220,33 @@
 
   void OnBytes(std::string_view aBytes) override
   {
+    m_received += aBytes.size();
     if (m_closing) {
       Drop(aBytes);
       return;
     }
-    if (m_exchange != nullptr || !m_pipelined.empty()) {
+    if (m_exchange != nullptr || !m_pipelined.empty() || WaitsForDrain()) {
       if (m_pipelined.empty()) {
         m_pipelinedAt = ArrivalTime();
       }
       m_pipelined.append(aBytes);
-      if (m_pipelined.size() > kMaxPipelinedBytes) {
-        m_stream->PauseReading();
-      }
+      Account();
       return;
     }
     ReadRequests(aBytes, m_reader->IsInside() ? m_arrivedAt : ArrivalTime());
+    Account();
   }
 
   void OnPeerFinished() override { OnCallerLeft(); }
   void OnBroken(const std::string& /*aReason*/) override { OnCallerLeft(); }
   void OnDrained() override
   {
+    Account();
     if (m_exchange != nullptr) {
       m_exchange->NotifyDrained();
+      return;
     }
+    GoOn();
   }
 
   // Calls of the exchange.
@@ -231,6 +286,7 @@
     } else {
       m_stream->Write(WriteChunk(aBytes));
     }
+    Account();
   }
 
   void End()
@@ -256,6 +312,12 @@
 
   bool HasCallerLeft() const { return m_stream->HasPeerLeft(); }
 
+  void SetHeld(std::size_t aBytes)
+  {
+    m_heldAnswer = aBytes;
+    Account();
+  }
+
   std::size_t Buffered() const { return m_stream->Buffered(); }
 
 private:
@@ -276,6 +338,8 @@
                   .m_body = nullptr,
                   .m_arrivedAt = m_arrivedAt };
     m_maxBody = limits.m_maxBody;
+    m_headBytes = 0;
+    m_hasHead = true;
     Arm(limits.m_headTimeout);
   }
 
@@ -318,6 +382,18 @@
   /// Reads bytes until one request is complete.
   /// @param aArrivedAt  time at which the request's first bytes arrived
   void ReadRequests(std::string_view aBytes, TimePoint aArrivedAt)
+  {
+    std::optional<std::size_t> taken = Feed(aBytes, aArrivedAt);
+    if (taken && m_complete) {
+      m_pipelined.assign(aBytes.substr(*taken));
+      m_pipelinedAt = aArrivedAt;
+      Deliver();
+    }
+  }
+
+  /// Gives bytes to the reader, up to the end of one request at most. Returns
+  /// how many it took, or nothing if the request was refused.
+  std::optional<std::size_t> Feed(std::string_view aBytes, TimePoint aArrivedAt)
   {
     bool wasInside = m_reader->IsInside();
     if (!wasInside) {
@@ -329,18 +405,19 @@
       taken = m_reader->Feed(aBytes, *this);
     } catch (const Error& error) {
       RefuseRequest(error);
-      return;
+      return {};
     }
     if (m_complete) {
-      m_pipelined.assign(aBytes.substr(taken));
-      m_pipelinedAt = aArrivedAt;
-      Deliver();
-      return;
+      return taken;
+    }
+    if (!m_hasHead && m_reader->IsInside()) {
+      m_headBytes += aBytes.size();
     }
     bool begins = !wasInside && m_reader->IsInside();
     if (begins || !m_body.empty()) {
       Arm(m_handler.Limits().m_headTimeout);
     }
+    return taken;
   }
 
   /// Must not be called inside a request.
@@ -355,10 +432,12 @@
   void Deliver()
   {
     m_complete = false;
+    m_hasHead = false;
     m_loop.CancelTimer(m_timer);
     m_request.m_body = std::make_shared<const std::string>(std::move(m_body));
     m_listener.m_bufferedBodyBytes -= m_request.m_body->size();
     m_body.clear();
+    m_runBytes = m_request.m_body->size();
     m_exchange = std::make_shared<CallerExchange>(this);
     // The handler may answer at once, which ends this exchange.
     CallerExchangePtr exchange = m_exchange;
@@ -389,6 +468,8 @@
   /// @param aCallerLeft  the caller disconnected before the answer's end
   void DetachExchange(bool aCallerLeft)
   {
+    m_runBytes = 0;
+    m_heldAnswer = 0;
     if (m_exchange != nullptr) {
       std::exchange(m_exchange, nullptr)->Detach(aCallerLeft);
     }
@@ -402,14 +483,21 @@
       return;
     }
     Arm(m_handler.Limits().m_idleTimeout);
-    if (m_pipelined.empty()) {
-      m_stream->ResumeReading();
+    GoOn();
+  }
+
+  /// Reads the next request once the answers before it are mostly sent.
+  void GoOn()
+  {
+    Account();
+    if (m_pipelined.empty() || std::exchange(m_goesOn, true)) {
       return;
     }
     // The pipelined request is read later, as this may run inside the handler
     // of the request before it.
     m_loop.Post([this, alive = std::weak_ptr<bool>(m_alive)] {
       if (!alive.expired()) {
+        m_goesOn = false;
         ReadPipelined();
       }
     });
@@ -417,13 +505,84 @@
 
   void ReadPipelined()
   {
-    if (m_exchange != nullptr || m_closing || m_pipelined.empty()) {
+    if (m_exchange != nullptr || m_closing || m_pipelined.empty() ||
+        WaitsForDrain()) {
       return;
     }
-    std::string pipelined = std::move(m_pipelined);
-    m_pipelined.clear();
-    m_stream->ResumeReading();
-    ReadRequests(pipelined, m_pipelinedAt);
+    // A refusal closes the connection; what is left counts as read then.
+    std::string pipelined = std::exchange(m_pipelined, {});
+    std::size_t at = std::exchange(m_pipelinedTaken, 0);
+    std::optional<std::size_t> taken =
+      Feed(std::string_view(pipelined).substr(at), m_pipelinedAt);
+    if (!taken) {
+      return;
+    }
+    m_pipelined = std::move(pipelined);
+    m_pipelinedTaken = at;
+    TakePipelined(*taken);
+    Account();
+    if (m_complete) {
+      Deliver();
+    }
+  }
+
+  /// Returns whether too much of the earlier answers is unread for another one.
+  bool WaitsForDrain() const
+  {
+    return m_stream->Buffered() > kMaxUnreadAnswerBytes;
+  }
+
+  /// Returns what the connection holds beyond kConnectionBytes. A body is held
+  /// twice, as it is copied for the upstream.
+  std::size_t Held() const
+  {
+    return m_pipelined.capacity() + m_headBytes +
+           2 * (m_body.size() + m_runBytes) + m_heldAnswer +
+           m_stream->Buffered();
+  }
+
+  /// Updates the account of memory. Reads on only while there is room there and
+  /// for what arrives ahead.
+  void Account()
+  {
+    if (m_hasLeft) {
+      return;
+    }
+    Intake& intake = *m_listener.m_intake;
+    std::size_t held = Held();
+    intake.Change(std::exchange(m_held, held), held);
+    if (m_closing) {
+      return;
+    }
+    bool mayRead = intake.MayRead(held);
+    if (!mayRead && !m_isHeldBack) {
+      m_handler.OnIntake(IntakeAct::Pause);
+    }
+    m_isHeldBack = !mayRead;
+    if (m_isHeldBack || Pipelined().size() >= kMaxPipelinedBytes) {
+      m_stream->PauseReading();
+    } else {
+      m_stream->ResumeReading();
+    }
+  }
+
+  std::string_view Pipelined() const
+  {
+    return std::string_view(m_pipelined).substr(m_pipelinedTaken);
+  }
+
+  /// Gives up the first bytes, and memory as soon as half of it is unused.
+  void TakePipelined(std::size_t aCount)
+  {
+    m_pipelinedTaken += aCount;
+    if (m_pipelinedTaken == m_pipelined.size()) {
+      m_pipelined.clear();
+      m_pipelined.shrink_to_fit(); // an idle connection holds little
+      m_pipelinedTaken = 0;
+    } else if (m_pipelinedTaken > m_pipelined.size() / 2) {
+      m_pipelined = m_pipelined.substr(m_pipelinedTaken);
+      m_pipelinedTaken = 0;
+    }
   }
 
   [[noreturn]] static void ThrowBodyTooLarge(std::size_t aLimit)
@@ -465,6 +624,14 @@
       ArmAt(due);
       return;
     }
+    if (WaitsForDrain()) {
+      Arm(limits.m_idleTimeout); // so do requests that have arrived
+      return;
+    }
+    if (m_isHeldBack) {
+      OnHeldBackTimer(isIdle, limits);
+      return;
+    }
     if (HasUnread()) {
       ArmAt(m_loop.Now()); // the loop reads before it runs timers
       return;
@@ -482,6 +649,19 @@
                         "Send the whole request without pauses."));
   }
 
+  /// The time for a request is over whose rest isn't read for lack of room.
+  void OnHeldBackTimer(bool aIsIdle, const CallerLimits& aLimits)
+  {
+    if (aIsIdle) {
+      Arm(aLimits.m_idleTimeout);
+      return;
+    }
+    RefuseRequest(Error(ErrorKind::Overloaded,
+                        "too much is being received",
+                        "Send the request again after the time given.")
+                    .WithRetryAfter(kBodyBufferFullRetryAfter));
+  }
+
   /// Handles the end of the connection; destroys this object after the current
   /// event.
   void OnCallerLeft()
@@ -501,6 +681,7 @@
   CallerRequest m_request; ///< being received
   std::string m_body;      ///< being received
   std::size_t m_maxBody{ 0 };
+  bool m_hasHead{ false }; ///< of the request that is being received
   bool m_complete{ false };
   bool m_keepAlive{ true };
   bool m_toHead{ false };
@@ -510,9 +691,20 @@
   bool m_closing{ false };
   CloseCause m_closeCause{}; ///< once m_closing is set
   bool m_hasDropped{ false };
-  TimePoint m_waitsSince{};  ///< for a request or its rest
-  TimePoint m_arrivedAt{};   ///< of the request that is being received
-  std::string m_pipelined;   ///< bytes after the request that is being answered
+  bool m_hasLeft{ false };       ///< the listener and its account
+  bool m_isHeldBack{ false };    ///< not read, as the account is near its bound
+  std::size_t m_held{ 0 };       ///< in the account
+  std::size_t m_headBytes{ 0 };  ///< of a head that isn't complete
+  std::size_t m_runBytes{ 0 };   ///< of the body of the request that runs
+  std::size_t m_heldAnswer{ 0 }; ///< bytes held until the answer is complete
+  std::uint64_t m_received{ 0 }; ///< bytes
+  std::uint64_t m_moved{ 0 };    ///< bytes in both directions by last Sweep()
+  TimePoint m_progressAt{};
+  bool m_goesOn{ false };   ///< the next request is about to be read
+  TimePoint m_waitsSince{}; ///< for a request or its rest
+  TimePoint m_arrivedAt{};  ///< of the request that is being received
+  std::string m_pipelined;  ///< bytes after the request that is being answered
+  std::size_t m_pipelinedTaken{ 0 }; ///< bytes of m_pipelined that were read
   TimePoint m_pipelinedAt{}; ///< time at which the first of them arrived
   std::shared_ptr<CallerExchange> m_exchange;
   TimersI::TimerId m_timer{ 0 };
@@ -570,6 +762,14 @@
   return m_connection == nullptr || m_connection->HasCallerLeft();
 }
 
+void
+CallerExchange::SetHeld(std::size_t aBytes)
+{
+  if (m_connection != nullptr) {
+    m_connection->SetHeld(aBytes);
+  }
+}
+
 std::size_t
 CallerExchange::Buffered() const
 {
@@ -578,10 +778,13 @@
 
 CallerListener::CallerListener(LoopI& aLoop,
                                const StreamListenerOptions& aOptions,
-                               CallerHandlerI& aHandler)
+                               CallerHandlerI& aHandler,
+                               std::shared_ptr<Intake> aIntake)
   : m_loop(aLoop)
   , m_options(aOptions)
   , m_handler(aHandler)
+  , m_intake(aIntake != nullptr ? std::move(aIntake)
+                                : std::make_shared<Intake>(kDefaultIntakeBytes))
   , m_listener(aLoop.Streams().Listen(aOptions,
                                       [this](std::unique_ptr<StreamI> aStream) {
                                         OnAccept(std::move(aStream));
@@ -594,8 +797,14 @@
 void
 CallerListener::OnAccept(std::unique_ptr<StreamI> aStream)
 {
-  if (m_connections.size() >= m_options.m_maxConnections) {
-    return; // destroying the stream closes it
+  // Destroying the stream closes it.
+  if (m_intake->Connections() >= m_options.m_maxConnections) {
+    m_handler.OnIntake(IntakeAct::Connections);
+    return;
+  }
+  if (m_intake->Step() == IntakeStep::Refuse) {
+    m_handler.OnIntake(IntakeAct::Refuse);
+    return;
   }
   auto connection =
     std::make_unique<CallerConnection>(*this, std::move(aStream));
@@ -609,11 +818,27 @@
   if (found == m_connections.end()) {
     return;
   }
-  found->second->ReleaseBody();
+  found->second->Leave();
   m_loop.DestroyLater(std::move(found->second));
   m_connections.erase(found);
 }
 
+void
+CallerListener::Sweep()
+{
+  std::vector<CallerConnection*> connections;
+  std::vector<IntakeHolder> holders;
+  for (auto& [key, connection] : m_connections) {
+    connection->Sweep();
+    connections.push_back(key);
+    holders.push_back(connection->Holder());
+  }
+  for (std::size_t index : m_intake->ToClose(holders)) {
+    m_handler.OnIntake(IntakeAct::Close);
+    connections[index]->CloseForRoom();
+  }
+}
+
 void
 CallerListener::CloseIdle()
 {
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -5,6 +5,7 @@
 /// and sends the answers in the same order.
 
 #include "shallotford/http1.h"
+#include "shallotford/intake.h"
 #include "shallotford/route.h"
 
 namespace shallotford {
@@ -42,6 +43,8 @@
   /// Returns whether the caller has disconnected, also if the loop hasn't met
   /// the event yet.
   virtual bool HasCallerLeft() const = 0;
+  /// Tells how many bytes of the answer are held until it is complete.
+  virtual void SetHeld(std::size_t /*aBytes*/) {}
   /// Returns the bytes that wait to be sent to the caller.
   virtual std::size_t Buffered() const = 0;
   /// Calls aCallback each time all buffered bytes have been sent.
@@ -62,6 +65,18 @@
 const char*
 ToString(CloseCause aCause);
 
+/// What a listener does when memory or descriptors run short.
+enum class IntakeAct
+{
+  Pause,       ///< stops reading from a connection
+  Refuse,      ///< closes a new connection
+  Close,       ///< closes a connection that makes no progress
+  Connections, ///< closes a new connection, as there are too many
+  Descriptors, ///< stops accepting for a moment, as none is left
+};
+const char*
+ToString(IntakeAct aAct);
+
 /// Receives callers' requests.
 class CallerHandlerI
 {
@@ -79,6 +94,8 @@
                          CallerRequest aRequest) = 0;
   /// A request was refused before it was complete.
   virtual void OnBadRequest(const Error& aError) = 0;
+  /// The account of memory or the descriptors called for aAct.
+  virtual void OnIntake(IntakeAct /*aAct*/) {}
   /// The limits in force.
   virtual CallerLimits Limits() const = 0;
   /// Returns whether this VM is stopping. Each answer then closes its
@@ -92,15 +109,20 @@
 class CallerListener
 {
 public:
+  /// @param aIntake  shared with other listeners; its own if not given
   CallerListener(LoopI& aLoop,
                  const StreamListenerOptions& aOptions,
-                 CallerHandlerI& aHandler);
+                 CallerHandlerI& aHandler,
+                 std::shared_ptr<Intake> aIntake = {});
   ~CallerListener();
 
   std::uint16_t Port() const { return m_listener->Port(); }
   /// Closes the connections that wait for a request.
   void CloseIdle();
   std::size_t Count() const { return m_connections.size(); }
+  /// Goes on reading where there is room again, and closes the heaviest
+  /// connections without progress where there is none.
+  void Sweep();
 
 private:
   friend class CallerConnection;
@@ -111,6 +133,7 @@
   LoopI& m_loop;
   StreamListenerOptions m_options;
   CallerHandlerI& m_handler;
+  std::shared_ptr<Intake> m_intake; ///< shared with other listeners
   std::map<CallerConnection*, std::unique_ptr<CallerConnection>> m_connections;
   std::size_t m_bufferedBodyBytes{ 0 }; ///< of incomplete requests
   std::unique_ptr<StreamListenerI> m_listener;
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -328,6 +328,7 @@
   set("upstreams", static_cast<double>(m_upstreams.Size()));
   set("requests_in_flight", static_cast<double>(m_requests.size()));
   set("caller_connections", static_cast<double>(m_callers->Count()));
+  set("intake_bytes", static_cast<double>(m_intake->Bytes()));
   set("limited_upstreams", static_cast<double>(m_permits.LimitedUpstreams()));
   set("waiting_for_memory", static_cast<double>(m_admission.Size()));
   set("live_vms", static_cast<double>(m_shared.m_liveVms));
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -148,6 +148,7 @@
     return;
   }
   m_heldAnswer.m_body.append(aBytes);
+  m_exchange->SetHeld(m_heldAnswer.m_body.size());
   if (m_heldAnswer.m_body.size() <= kMaxHeldAnswerBytes) {
     return;
   }
@@ -156,6 +157,7 @@
     return;
   }
   BeginAnswer(m_heldAnswer.m_head);
+  m_exchange->SetHeld(0);
   WriteToCaller(std::exchange(m_heldAnswer.m_body, {}));
 }
 
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -3,7 +3,6 @@
 #include "router_task.h"
 
 #include "config.h"
-#include "daemon_listen.h"
 
 #include <ctime>
 
@@ -97,6 +96,7 @@
                m_metrics,
                MinAssumedVms(m_options.m_location),
                [this] { return PauseSinceTick() >= kMinDetectedPause; } })
+  , m_intake(std::make_shared<Intake>(aOptions.m_maxIntake))
   , m_peerHandler([this](HttpExchangeI& aExchange, const HttpRequest& aCall) {
     aExchange.Respond(200,
                       { { "content-type", "application/json" } },
@@ -147,34 +147,7 @@
 void
 RouterTask::Start()
 {
-  m_operatorServer = m_loop.Listen(ListenOptions(m_options.m_operatorAddress),
-                                   m_operatorHandler);
-  if (!m_options.m_metricsAddress.empty()) {
-    m_metricsServer = m_loop.Listen(ListenOptions(m_options.m_metricsAddress),
-                                    m_operatorHandler);
-  }
-  m_peerServer =
-    m_loop.Listen(ListenOptions(m_options.m_peerAddress), m_peerHandler);
-  // The kernel may have chosen the port.
-  std::string address = m_options.m_peerAddress;
-  address.replace(address.rfind(':') + 1,
-                  std::string::npos,
-                  std::to_string(m_peerServer->Port()));
-  m_peers.SetSelf(address);
-  m_callers = std::make_unique<CallerListener>(
-    m_loop,
-    StreamListenerOptions{ .m_address = m_options.m_callerAddress,
-                           .m_maxConnections = m_options.m_maxConnections,
-                           .m_silenceTimeout = kCallerAckTimeout },
-    static_cast<CallerHandlerI&>(*this));
-  if (!m_options.m_relayAddress.empty()) {
-    m_relayListener = std::make_unique<CallerListener>(
-      m_loop,
-      StreamListenerOptions{ .m_address = m_options.m_relayAddress,
-                             .m_maxConnections = m_options.m_maxConnections,
-                             .m_silenceTimeout = kCallerAckTimeout },
-      m_relayHandler);
-  }
+  Listen();
   m_origins.Start(m_options.m_firstStart);
   m_suspended = SuspendedTime();
   m_lastTick = m_loop.Now();
@@ -397,6 +370,10 @@
   m_permits.Expire();
   m_grants.Expire();
   m_relays.Expire(now);
+  m_callers->Sweep();
+  if (m_relayListener != nullptr) {
+    m_relayListener->Sweep();
+  }
   SetRoles();
   LogReadiness();
   if (m_leaving) {
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -57,6 +57,7 @@
     {
       m_task.OnDropped(aCause, aBytes);
     }
+    void OnIntake(IntakeAct aAct) override { m_task.OnIntake(aAct); }
     CallerLimits Limits() const override;
     bool IsLeaving() const override { return m_task.m_leaving; }
     RouterTask& m_task;
@@ -78,12 +79,17 @@
     std::function<void(HttpExchangeI&, const HttpRequest&)> m_function;
   };
 
+  /// Opens all listeners.
+  /// @throws Error (InvalidConfig) if it cannot listen
+  void Listen();
+
   // Callers.
   void OnHead(const RequestHead& aHead) override;
   void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override;
   void OnBadRequest(const Error& aError) override;
   void OnClose(CloseCause aCause) override;
   void OnDropped(CloseCause aCause, std::size_t aBytes) override;
+  void OnIntake(IntakeAct aAct) override;
   CallerLimits Limits() const override;
   bool IsLeaving() const override { return m_leaving; }
   /// @param aRelayed  another VM has passed the request on
@@ -204,6 +210,8 @@
   UpstreamPermits m_permits;
   OrganisationGrants m_grants;
   RpcServer m_rpc;
+  std::shared_ptr<Intake> m_intake; ///< of callers and other VMs' requests
+  std::map<IntakeAct, TimePoint> m_intakeLoggedAt;
   RelayHandler m_relayHandler{ *this };
   std::unique_ptr<CallerListener> m_relayListener;
   Handler m_peerHandler;
--- /dev/null
+++ b/tests/router_intake_test.cpp
@@ -0,0 +1,254 @@
+/// Tests of what callers' connections hold, on a fake loop: random orders of
+/// reads, answers, drains and sweeps, with fixed seeds, against the order in
+/// which the requests were sent.
+
+#define BOOST_TEST_MODULE router_intake
+#include <boost/test/unit_test.hpp>
+
+#include "config.h"
+#include "fake_loop.h"
+#include "router_caller.h"
+
+#include <deque>
+#include <random>
+
+using namespace shallotford;
+using namespace std::chrono_literals;
+
+namespace {
+
+/// A connection whose peer sends and reads when the test says so.
+struct PeerStream : StreamI
+{
+  void SetHandler(StreamHandlerI* aHandler) override { m_handler = aHandler; }
+  void Write(std::string_view aBytes) override { m_queued += aBytes; }
+  std::size_t Buffered() const override { return m_queued.size(); }
+  std::uint64_t BytesSent() const override { return m_sent; }
+  Duration SinceArrival() const override { return Duration::zero(); }
+  bool HasPeerLeft() const override { return false; }
+  bool HasUnread() const override { return false; }
+  void FinishWriting() override {}
+  void ResetOnDestroy() override {}
+  void PauseReading() override { m_paused = true; }
+  void ResumeReading() override { m_paused = false; }
+
+  void Drain(std::size_t aMax, std::string& aRead)
+  {
+    std::size_t count = std::min(aMax, m_queued.size());
+    aRead += m_queued.substr(0, count);
+    m_queued.erase(0, count);
+    m_sent += count;
+    if (count > 0 && m_queued.empty()) {
+      m_handler->OnDrained();
+    }
+  }
+
+  StreamHandlerI* m_handler{ nullptr };
+  std::string m_queued;
+  std::uint64_t m_sent{ 0 };
+  bool m_paused{ false };
+};
+
+struct FakeListener : StreamListenerI
+{
+  std::uint16_t Port() const override { return 1; }
+};
+
+struct StreamLoop
+  : FakeLoop
+  , StreamsI
+{
+  using FakeLoop::FakeLoop;
+  StreamsI& Streams() override { return *this; }
+  std::unique_ptr<StreamI> Connect(const StreamOptions&,
+                                   StreamHandlerI&) override
+  {
+    return nullptr;
+  }
+  std::unique_ptr<StreamListenerI> Listen(
+    const StreamListenerOptions&,
+    std::function<void(std::unique_ptr<StreamI>)> aOnAccept) override
+  {
+    m_onAccept = std::move(aOnAccept);
+    return std::make_unique<FakeListener>();
+  }
+  std::function<void(std::unique_ptr<StreamI>)> m_onAccept;
+};
+
+/// A listener whose requests the test answers later.
+struct Callers : CallerHandlerI
+{
+  explicit Callers(std::size_t aMaxIntake)
+    : m_intake(std::make_shared<Intake>(aMaxIntake))
+    , m_listener(m_loop, {}, *this, m_intake)
+  {
+  }
+  PeerStream* Connect()
+  {
+    auto stream = std::make_unique<PeerStream>();
+    PeerStream* peer = stream.get();
+    std::size_t before = m_listener.Count();
+    m_loop.m_onAccept(std::move(stream));
+    return m_listener.Count() == before ? nullptr : peer;
+  }
+  void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override
+  {
+    m_running.emplace_back(aExchange, aRequest.m_head.m_target);
+  }
+  void OnBadRequest(const Error&) override { ++m_bad; }
+  void OnIntake(IntakeAct aAct) override { ++m_acts[aAct]; }
+  CallerLimits Limits() const override { return {}; }
+  bool IsLeaving() const override { return false; }
+
+  Transcript m_transcript;
+  StreamLoop m_loop{ m_transcript };
+  std::shared_ptr<Intake> m_intake;
+  std::deque<std::pair<CallerExchangePtr, std::string>> m_running;
+  std::map<IntakeAct, int> m_acts;
+  int m_bad{ 0 };
+  CallerListener m_listener;
+};
+
+constexpr std::size_t kAnswerBytes = 20'000;
+
+std::string
+Request(int aNumber, std::size_t aBody)
+{
+  return "POST /" + std::to_string(aNumber) +
+         " HTTP/1.1\r\nHost: h\r\nContent-Length: " + std::to_string(aBody) +
+         "\r\n\r\n" + std::string(aBody, 'b');
+}
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(every_order_of_events_answers_each_request_once_in_order)
+{
+  constexpr int kRequests = 60;
+  constexpr std::size_t kRead = 16u << 10;
+  for (unsigned seed = 1; seed <= 200; ++seed) {
+    BOOST_TEST_CONTEXT("seed " << seed)
+    {
+      std::mt19937 random(seed); // NOLINT: fixed seeds
+      std::string sent;
+      std::string expected;
+      for (int i = 0; i < kRequests; ++i) {
+        sent += Request(i, random() % 3 == 0 ? random() % 40'000 : 0);
+        expected += "<" + std::to_string(i) + ">";
+      }
+      Callers callers(kDefaultIntakeBytes);
+      PeerStream* peer = callers.Connect();
+      std::string read;
+      std::size_t at = 0;
+      std::size_t most = 0;
+      auto isDone = [&] {
+        return at == sent.size() && callers.m_running.empty() &&
+               peer->m_queued.empty();
+      };
+      for (int turn = 0; turn < 100'000; ++turn) {
+        if (isDone()) {
+          callers.m_loop.RunFor(0s); // may begin another request
+          if (isDone()) {
+            break;
+          }
+        }
+        switch (random() % 4) {
+          case 0:
+            if (!peer->m_paused && at < sent.size()) {
+              std::size_t count =
+                std::min<std::size_t>(1 + random() % kRead, sent.size() - at);
+              at += count;
+              peer->m_handler->OnBytes(
+                std::string_view(sent).substr(at - count, count));
+            }
+            break;
+          case 1:
+            if (!callers.m_running.empty()) {
+              auto [exchange, target] = callers.m_running.front();
+              callers.m_running.pop_front();
+              exchange->Respond(200,
+                                "OK",
+                                {},
+                                "<" + target.substr(1) + ">" +
+                                  std::string(random() % kAnswerBytes, 'a'));
+            }
+            break;
+          case 2:
+            peer->Drain(random() % 100'000, read);
+            break;
+          default:
+            callers.m_loop.RunFor(0s);
+        }
+        most = std::max(most, peer->m_queued.size());
+        BOOST_REQUIRE(callers.m_running.size() <= 1U);
+      }
+      callers.m_loop.RunFor(0s);
+      std::string answered;
+      for (std::size_t from = read.find('<'); from != std::string::npos;
+           from = read.find('<', from + 1)) {
+        answered += read.substr(from, read.find('>', from) - from + 1);
+      }
+      BOOST_TEST(answered == expected);
+      BOOST_TEST(most <= kMaxUnreadAnswerBytes + kAnswerBytes + 1'000);
+      BOOST_TEST(callers.m_intake->Bytes() < kConnectionBytes + 1'000);
+    }
+  }
+}
+
+BOOST_AUTO_TEST_CASE(what_is_sent_ahead_of_an_answer_has_a_bound)
+{
+  Callers callers(kDefaultIntakeBytes);
+  PeerStream* peer = callers.Connect();
+  const std::string many = [] {
+    std::string text;
+    for (int i = 0; i < 20'000; ++i) {
+      text += Request(i, 0);
+    }
+    return text;
+  }();
+  constexpr std::size_t kRead = 16u << 10;
+  std::size_t at = 0;
+  std::size_t answered = 0;
+  std::string read;
+  for (int round = 0; round < 200; ++round) {
+    while (!peer->m_paused) { // as much as is taken
+      peer->m_handler->OnBytes(std::string_view(many).substr(at, kRead));
+      at += kRead;
+    }
+    callers.m_running.front().first->Respond(200, "OK", {}, "");
+    callers.m_running.pop_front();
+    answered += Request(round, 0).size();
+    callers.m_loop.RunFor(0s);
+    peer->Drain(1'000, read);
+    BOOST_REQUIRE(at - answered <= kMaxPipelinedBytes + 2 * kRead);
+  }
+}
+
+BOOST_AUTO_TEST_CASE(near_the_bound_callers_that_send_little_are_still_served)
+{
+  Callers callers(2u << 20);
+  std::vector<PeerStream*> heavy;
+  for (int i = 0; i < 30; ++i) { // bodies without their last byte
+    if (PeerStream* peer = callers.Connect()) {
+      heavy.push_back(peer);
+      std::string body = Request(i, 200'000);
+      for (std::size_t at = 0; at + 1 < body.size() && !peer->m_paused;
+           at += 16'000) {
+        peer->m_handler->OnBytes(std::string_view(body).substr(
+          at, std::min<std::size_t>(16'000, body.size() - at - 1)));
+      }
+    }
+  }
+  BOOST_TEST(callers.m_intake->Bytes() <= 2u << 20);
+  BOOST_TEST(callers.m_acts[IntakeAct::Pause] > 0);
+  // Without progress they are refused or closed, and there is room again.
+  for (int i = 0; i < 8; ++i) {
+    callers.m_loop.RunFor(500ms);
+    callers.m_listener.Sweep();
+  }
+  PeerStream* ordinary = callers.Connect();
+  BOOST_TEST_REQUIRE((ordinary != nullptr));
+  ordinary->m_handler->OnBytes(Request(99, 10));
+  BOOST_TEST_REQUIRE(callers.m_running.size() == 1U);
+  callers.m_running.front().first->Respond(200, "OK", {}, "hello");
+  BOOST_TEST(ordinary->m_queued.find("hello") != std::string::npos);
+}
