--- a/tests/net_client_test.cpp
+++ b/tests/net_client_test.cpp
@@ -276,7 +276,8 @@
   }
 }
 
-/// The loop may meet the reset while it writes, which clears the socket's error.
+/// The loop may meet the reset while it writes, which clears the socket's
+/// error.
 BOOST_AUTO_TEST_CASE(a_reset_under_an_upload_does_not_end_an_answer)
 {
   for (int round = 0; round < 20; ++round) {
