--- a/tests/fleet_test.cpp
+++ b/tests/fleet_test.cpp
@@ -267,3 +267,15 @@
     BOOST_CHECK_THROW(ParseAddress(text), Error);
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_vms_limits_are_read)
+{
+  const std::string text =
+    R"({"callers":{"listen":"127.0.0.1:1"},"peers":{"listen":"127.0.0.1:2"},)"
+    R"("operators":{"listen":"127.0.0.1:3"},"platform":"127.0.0.1:4",)"
+    R"("region":"r","failure_domain":"z",)"
+    R"("limits":{"memory_mb":88,"max_descriptors":3075}})";
+  Settings settings = ParseSettings(text, "limits");
+  BOOST_TEST(settings.m_memory == 88);
+  BOOST_TEST(settings.m_maxDescriptors == 3'075U);
+}
