--- a/include/shallotford/organisation.h
+++ b/include/shallotford/organisation.h
@@ -117,6 +117,8 @@
   std::optional<BootTime> m_proven;
   BootTime m_heldUntil{};   ///< no request with a key is served before
   BootTime m_settledFrom{}; ///< peers are asked before
+};
+
 // ----------------------------------------------------------------- limits
 
 /// Returns what a request takes from its organisation's limit, in its units.
