--- a/tests/limit_fleet.h
+++ b/tests/limit_fleet.h
@@ -8,8 +8,6 @@
 #include "shallotford/organisation.h"
 
 #include <algorithm>
-#include <cmath>
-#include <deque>
 #include <functional>
 #include <memory>
 #include <vector>
--- a/tests/limit_scenarios.h
+++ b/tests/limit_scenarios.h
@@ -5,6 +5,7 @@
 
 #include "limit_fleet.h"
 
+#include <cmath>
 #include <string>
 
 namespace shallotford::test {
