--- a/tests/admission_growth_test.cpp
+++ b/tests/admission_growth_test.cpp
@@ -57,7 +57,8 @@
     constexpr int kOutputs = 400; // mean outputs, one after the other
     std::uint32_t steps = kOutputs * m_site.m_meanOutput;
     // Requests that the memory holds, at half of their output.
-    double places = m_site.m_engineTokens / (kPrompt + m_site.m_meanOutput / 2);
+    std::uint32_t places =
+      m_site.m_engineTokens / (kPrompt + m_site.m_meanOutput / 2);
     double arrival = m_load * places / m_site.m_meanOutput;
     for (std::uint32_t step = 0; step < steps; ++step) {
       if (std::uniform_real_distribution<>()(m_random) < arrival) {
@@ -67,7 +68,7 @@
       Step();
     }
     return { .m_preempted = m_preemptions / std::max(1.0, m_served),
-             .m_used = m_made / (places * steps) };
+             .m_used = m_made / (static_cast<double>(places) * steps) };
   }
 
 private:
