Apply forecasts and learnt growth only where requests differ in urgency

Cause: both acted in every deployment with engines. Change: they apply to services whose routes or organisations differ in priority, as the urgency told to upstreams already did; elsewhere the former figures hold. The test of refusing at once now publishes routes that differ; its checks are the same.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -263,6 +263,13 @@
            : m_route->m_priority;
 }
 
+bool
+RoutedRequest::IsRanked() const
+{
+  return ServedByEngines() &&
+         m_shared.m_admission.TellsUrgency(m_routing, m_service);
+}
+
 std::string
 RoutedRequest::QueueName() const
 {
@@ -594,8 +601,7 @@
     dispatch.m_organisation =
       m_organisation == nullptr ? "" : m_organisation->m_name;
   }
-  if (aPhase != Phase::Relay && ServedByEngines() &&
-      m_shared.m_admission.TellsUrgency(m_routing, m_service)) {
+  if (aPhase != Phase::Relay && IsRanked()) {
     dispatch.m_urgency = static_cast<std::uint32_t>(std::max(Urgency(), 0));
   }
   const RequestHead& head = m_request.m_head;
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -230,6 +230,9 @@
   void WaitForMemory();
   /// Refuses a new request that would wait in vain.
   bool RefuseByForecast(const WaitingRequest& aWaiting);
+  /// Returns whether requests of the service differ in urgency: only then do
+  /// learnt room for growth and forecasts apply.
+  bool IsRanked() const;
   /// A stream has ended in order: its last event tells how long its answer was.
   void NoteOutput();
   std::uint32_t TokensToReserve(const Upstream& aEngine) const;
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -85,7 +85,10 @@
 RoutedRequest::TokensToReserve(const Upstream& aEngine) const
 {
   TimePoint now = m_shared.m_loop.Now();
-  return m_shared.m_admission.GrowthOf(m_service).TokensToReserve(
+  const GrowthEstimate unknown;
+  const GrowthEstimate& growth =
+    IsRanked() ? m_shared.m_admission.GrowthOf(m_service) : unknown;
+  return growth.TokensToReserve(
     { .m_promptTokens = m_facts.m_promptTokens,
       .m_outputTokens = m_facts.m_outputTokens,
       .m_engineRequests = aEngine.m_health.Utilisation(1, now) + 1,
@@ -146,7 +149,8 @@
 bool
 RoutedRequest::RefuseByForecast(const WaitingRequest& aWaiting)
 {
-  if (m_hasWaited || m_answerBegun || m_runs > 0 || !m_silent.empty()) {
+  if (!IsRanked() || m_hasWaited || m_answerBegun || m_runs > 0 ||
+      !m_silent.empty()) {
     return false;
   }
   std::optional<Duration> excess =
--- a/tests/router_admission_test.cpp
+++ b/tests/router_admission_test.cpp
@@ -13,6 +13,12 @@
 {
   PublishedServer& engine = AddServer("i-d", "model", "decode");
   WaitFor([this] { return Knows(3); });
+  // Forecasts apply where requests of a service differ in urgency.
+  Publish(ConfigText(2,
+                     R"(,{"name":"low","host":"h","prefix":"/low/",)"
+                     R"("kind":"streaming","timeout-ms":8000,)"
+                     R"("target-latency-ms":900,"max-attempts":1,)"
+                     R"("priority":3,"service":"model"})"));
   m_loop.Do([&] {
     engine.SetScript([](const PublishedCall& aCall) {
       PublishedServer::AnswerNotRun(aCall);
