Serve requests within a limit that has no burst

Cause: a limit in requests with a burst of 0, or none, never granted anything: a request costs 1, which is more than the burst. Change: one request may overdraw the bucket, so that the rate spaces requests. Result: the new case of organisation_limits_test failed for limits in requests (0 granted of 1) and passes; the other cases pass.

--- a/src/config.h
+++ b/src/config.h
@@ -596,7 +596,8 @@
 /// Time after a start, or a pause of the process, in which nothing is issued:
 /// gossip tells all VMs of this one meanwhile.
 constexpr std::chrono::milliseconds kGrantHoldOff = 1'000ms;
-/// Units of tokens that one request may cost beyond the whole burst.
+/// Units of tokens that one request may cost beyond the whole burst: about what
+/// an engine's memory holds. A larger request can't be served.
 constexpr double kMaxGrantOverdraft = 40'000;
 /// Bounds on the time for which a VM refuses without asking again.
 constexpr std::chrono::milliseconds kMinGrantPause = 20ms;
--- a/src/organisation_limits.cpp
+++ b/src/organisation_limits.cpp
@@ -121,8 +121,9 @@
 bool
 LimitIssuer::TakeCost(Bucket& aBucket, double aCost)
 {
-  double overdraft = aBucket.m_limit.m_countsTokens ? kMaxGrantOverdraft : 0;
-  // A request that costs more than the burst waits for a full bucket.
+  // A request that costs more than the burst waits for a full bucket. Without a
+  // burst, each one does.
+  double overdraft = aBucket.m_limit.m_countsTokens ? kMaxGrantOverdraft : 1;
   double needed = std::min(aCost, aBucket.m_limit.m_burst);
   bool fits =
     aBucket.m_level >= needed && aCost <= aBucket.m_limit.m_burst + overdraft;
--- a/tests/organisation_limits_test.cpp
+++ b/tests/organisation_limits_test.cpp
@@ -44,6 +44,21 @@
              2'000);
 }
 
+BOOST_AUTO_TEST_CASE(a_limit_without_a_burst_spaces_requests)
+{
+  for (bool countsTokens : { false, true }) {
+    RateLimit limit{ .m_perSecond = 10,
+                     .m_countsTokens = countsTokens,
+                     .m_plainTokens = 1 };
+    LimitIssuer issuer;
+    LimitAsk ask{ .m_vm = "a", .m_needed = { 1 }, .m_perSecond = 1 };
+    BOOST_TEST(issuer.Issue("o", limit, ask, {}, kStart)->m_granted == 1);
+    BOOST_TEST(issuer.Issue("o", limit, ask, {}, kStart)->m_granted == 0);
+    BOOST_TEST(issuer.Issue("o", limit, ask, {}, kStart + 100ms)->m_granted ==
+               1);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(unused_units_return_and_no_more_than_were_leased)
 {
   LimitIssuer issuer;
