Ask for keys also if a configuration lists no organisation

Cause: an empty list of organisations was taken as none, so that withdrawing the last one opened every route. Change: the configuration says whether it has the list, and that decides whether keys are asked for.

--- a/include/shallotford/route.h
+++ b/include/shallotford/route.h
@@ -99,8 +99,16 @@
   std::vector<Route> m_routes;
   std::map<std::string, RoutedService> m_services;
   CallerLimits m_limits;
-  /// If there are any, requests on routes that aren't public need a key of one.
   std::vector<Organisation> m_organisations;
+  /// It names the organisations, though there may be none.
+  bool m_hasOrganisations{ false };
+
+  /// Returns whether requests on routes that aren't public need a key of an
+  /// organisation.
+  bool NeedsKeys() const
+  {
+    return m_hasOrganisations || !m_organisations.empty();
+  }
 };
 using RoutingPtr = std::shared_ptr<const RoutingConfig>;
 
--- a/src/router_keys.cpp
+++ b/src/router_keys.cpp
@@ -108,20 +108,20 @@
 bool
 KeyGate::IsClosed() const
 {
-  return !m_table.IsEmpty() && !m_proof.MayServe(BootNow());
+  return JudgesKeys() && !m_proof.MayServe(BootNow());
 }
 
 bool
 KeyGate::WantsPeers() const
 {
-  return !m_table.IsEmpty() && m_proof.WantsPeers(BootNow());
+  return JudgesKeys() && m_proof.WantsPeers(BootNow());
 }
 
 void
 KeyGate::AddProofAge(Json::Value& aMessage) const
 {
   std::optional<Duration> age = m_proof.Age(BootNow());
-  if (!m_table.IsEmpty() && age) {
+  if (JudgesKeys() && age) {
     aMessage["proof_age_ms"] = static_cast<Json::Int64>(
       std::chrono::ceil<std::chrono::milliseconds>(*age).count());
   }
@@ -130,7 +130,7 @@
 void
 KeyGate::Tick()
 {
-  if (m_config == nullptr || (m_table.IsEmpty() && !m_closed)) {
+  if (m_config == nullptr || (!JudgesKeys() && !m_closed)) {
     return;
   }
   std::optional<Duration> age = m_proof.Age(BootNow());
--- a/src/router_keys.h
+++ b/src/router_keys.h
@@ -46,9 +46,14 @@
   void Tick();
 
 private:
+  /// Returns whether the configuration in force asks for keys.
+  bool JudgesKeys() const
+  {
+    return m_config != nullptr && m_config->NeedsKeys();
+  }
   bool IsNeeded(const Route& aRoute) const
   {
-    return !m_table.IsEmpty() && !aRoute.m_public;
+    return JudgesKeys() && !aRoute.m_public;
   }
   [[noreturn]] void Refuse(ErrorKind aKind,
                            const std::string& aCause,
--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -597,7 +597,7 @@
   if (aPhase == Phase::Run && m_reservedEngine.get() == &aUpstream) {
     dispatch.m_reservation = m_reservation;
   }
-  if (!m_routing->m_organisations.empty()) {
+  if (m_routing->NeedsKeys()) {
     dispatch.m_organisation =
       m_organisation == nullptr ? "" : m_organisation->m_name;
   }
