Name the request in refusals for its key, limit or forecast

Cause: a request refused at its head had no id in the log, a request's last line named neither its organisation nor that a forecast refused it, so that nobody could get from a 401, 429 or 503 to its cause. Change: request_rejected has the id and the target, request_end has organisation and forecast, and the error says that engines will have no memory in time.

--- a/src/router_request.h
+++ b/src/router_request.h
@@ -404,6 +404,7 @@
   TimersI::TimerId m_attemptTimer{ 0 };
   std::chrono::milliseconds m_retryAfter; ///< sent if the request is refused
   bool m_limited{ false };                ///< refused for upstreams' limits
+  bool m_forecast{ false };               ///< refused, as it would wait in vain
   bool m_stopped{ false };                ///< ended by this VM's stop
   bool m_quarantined{ false }; ///< refused, as requests like it crash upstreams
   bool m_ended{ false };
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -85,6 +85,9 @@
   if (m_quarantined) {
     reason = "requests like this one crash the upstreams of service \"" +
              m_service + "\"";
+  } else if (m_forecast) {
+    reason = "the engines of service \"" + m_service +
+             "\" will have no memory for it in time";
   } else if (m_limited) {
     reason = "the upstreams of service \"" + m_service +
              "\" take no more requests a second";
@@ -246,6 +249,12 @@
     event.Add("upstream", m_upstream->m_entry.m_key.m_id)
       .Add("software", m_upstream->m_entry.m_softwareVersion);
   }
+  if (m_organisation != nullptr) {
+    event.Add("organisation", m_organisation->m_name);
+  }
+  if (m_forecast) {
+    event.Add("forecast", "yes");
+  }
   if (m_quarantined) {
     event.Add("quarantined", "yes");
   }
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -165,6 +165,7 @@
   m_retryAfter = std::max(
     Milliseconds(std::chrono::duration_cast<Duration>(*excess * (1 + spread))),
     kNoUpstreamRetryAfter);
+  m_forecast = true;
   m_shared.m_metrics.Count("refused_by_forecast_total", "");
   Finish(DecideEnd(Progress()));
   return true;
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -178,8 +178,14 @@
   const Route* route =
     host == nullptr ? nullptr : m_routes.Find(*host, aHead.m_target);
   // Without a route or a configuration the complete request is refused.
-  if (route != nullptr) {
+  if (route == nullptr) {
+    return;
+  }
+  try {
     m_keys.Judge(aHead, *route);
+  } catch (const Error& error) {
+    LogRejected(aHead, error);
+    throw;
   }
 }
 
@@ -297,11 +303,23 @@
                    const Error& aError)
 {
   RespondError(aExchange, aError);
+  LogRejected(aRequest.m_head, aError);
+  CountRejected(aError);
+}
+
+void
+RouterTask::LogRejected(const RequestHead& aHead, const Error& aError)
+{
   m_log.Write(LogEvent("request_rejected")
-                .Add("request", IdOf(aRequest.m_head))
-                .Add("target", aRequest.m_head.m_target)
+                .Add("request", IdOf(aHead))
+                .Add("target", aHead.m_target)
                 .Add("code", ToString(aError.Kind()))
                 .Add("reason", aError.what()));
+}
+
+void
+RouterTask::CountRejected(const Error& aError)
+{
   m_metrics.Count("rejected_total",
                   "code=\"" + std::string(ToString(aError.Kind())) + "\"");
 }
@@ -309,14 +327,15 @@
 void
 RouterTask::OnBadRequest(const Error& aError)
 {
-  // Keys are judged before the body is read.
-  bool isRefused = aError.Kind() == ErrorKind::Unauthenticated ||
-                   aError.Kind() == ErrorKind::NotReady;
-  m_log.Write(LogEvent(isRefused ? "request_rejected" : "request_malformed")
-                .Add("code", ToString(aError.Kind()))
-                .Add("reason", aError.what()));
-  m_metrics.Count("rejected_total",
-                  "code=\"" + std::string(ToString(aError.Kind())) + "\"");
+  // OnHead() has logged what it refused.
+  bool isLogged = aError.Kind() == ErrorKind::Unauthenticated ||
+                  aError.Kind() == ErrorKind::NotReady;
+  if (!isLogged) {
+    m_log.Write(LogEvent("request_malformed")
+                  .Add("code", ToString(aError.Kind()))
+                  .Add("reason", aError.what()));
+  }
+  CountRejected(aError);
 }
 
 void
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -107,6 +107,8 @@
   /// @throws Error (ShuttingDown) if the request would not end in time
   void RefuseWhileLeaving(const Route& aRoute,
                           const RequestFacts& aFacts) const;
+  void LogRejected(const RequestHead& aHead, const Error& aError);
+  void CountRejected(const Error& aError);
   /// Returns a request's id, or "" if its fields are malformed.
   std::string IdOf(const RequestHead& aHead) const;
   void Reject(CallerExchangeI& aExchange,
--- a/tests/router_keys_test.cpp
+++ b/tests/router_keys_test.cpp
@@ -185,6 +185,31 @@
                  "shallotford_key_refusals_total{cause=\"unknown_key\"} 12\n"));
 }
 
+BOOST_FIXTURE_TEST_CASE(an_empty_list_of_organisations_allows_no_key, Keys)
+{
+  std::string text = KeysConfig(3);
+  text.replace(
+    text.find(R"("tenants":)"), std::string::npos, R"("tenants":[]})");
+  Publish(text);
+  BOOST_TEST(WaitFor([this] { return Answers("401", KeyField()); }));
+  BOOST_TEST(Answers("401", ""));
+  BOOST_TEST(Ask("/open/x", "o1").starts_with("HTTP/1.1 200 "));
+}
+
+BOOST_FIXTURE_TEST_CASE(a_refused_key_is_found_by_the_id_of_its_request, Keys)
+{
+  BOOST_TEST(
+    Ask("/safe/", "r401", KeyField("other")).starts_with("HTTP/1.1 4"));
+  BOOST_TEST(WaitFor([this] {
+    return CountLogLines("event=request_rejected request=r401") == 1;
+  }));
+  BOOST_TEST(Ask("/safe/", "r200", KeyField()).starts_with("HTTP/1.1 200 "));
+  BOOST_TEST(WaitFor([this] {
+    return CountLogLines("request=r200") == 1 &&
+           CountLogLines("organisation=a") == 1;
+  }));
+}
+
 BOOST_FIXTURE_TEST_CASE(servers_get_the_organisation_and_no_key, Keys)
 {
   const std::string kForged = "x-shallotford-tenant: b\r\n";
