Part the published directory and other VMs from the routes

Change: the directory with the versions over time, and the list of VMs with relays and permits, are libraries with headers of their own; code is moved, not changed, and two tests are renamed with it.

--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -7,9 +7,10 @@
 /// published configuration and upstreams, DialectI reads and writes the header
 /// fields that carry a request's metadata.
 
+#include "shallotford/directory.h"
 #include "shallotford/http1.h"
 #include "shallotford/intake.h"
-#include "shallotford/route.h"
+#include "shallotford/vms.h"
 
 namespace shallotford {
 
--- a/src/route_history.cpp
+++ b/src/directory_history.cpp
@@ -2,7 +2,7 @@
 /// upstreams report of themselves.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/directory.h"
 
 #include <algorithm>
 #include <functional>
--- a/src/route_directory.cpp
+++ b/src/directory_items.cpp
@@ -1,7 +1,7 @@
 /// Merges the published items that the platform and other VMs report.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/directory.h"
 
 namespace shallotford {
 
--- a/src/route_versions.cpp
+++ b/src/directory_versions.cpp
@@ -2,7 +2,7 @@
 /// capacities of the versions over the recent past.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/directory.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/route_peers.cpp
+++ b/src/vms_peers.cpp
@@ -1,7 +1,7 @@
 /// Keeps the list of other VMs to exchange gossip with.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/vms.h"
 
 #include <algorithm>
 
--- a/src/route_limits.cpp
+++ b/src/vms_permits.cpp
@@ -1,7 +1,7 @@
 /// Keeps the limits that upstreams named, and issues permits within them.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/vms.h"
 
 #include <algorithm>
 #include <cmath>
--- a/src/route_relays.cpp
+++ b/src/vms_relays.cpp
@@ -2,7 +2,7 @@
 /// passes its requests on.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/vms.h"
 
 #include <algorithm>
 #include <limits>
--- a/tests/route_history_test.cpp
+++ b/tests/directory_history_test.cpp
@@ -1,11 +1,11 @@
 /// Tests of how far back a history reaches for certain, and of what the
 /// published items add to it.
 
-#define BOOST_TEST_MODULE route_history
+#define BOOST_TEST_MODULE directory_history
 #include <boost/test/unit_test.hpp>
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/directory.h"
 
 #include <rapidcheck.h>
 
--- a/tests/route_versions_test.cpp
+++ b/tests/directory_versions_test.cpp
@@ -1,11 +1,11 @@
 /// Tests of the choice of a stream's software version from its id, and of
 /// finding that version again.
 
-#define BOOST_TEST_MODULE route_versions
+#define BOOST_TEST_MODULE directory_versions
 #include <boost/test/unit_test.hpp>
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/directory.h"
 
 #include <rapidcheck.h>
 
--- a/tests/permit_fleet.h
+++ b/tests/permit_fleet.h
@@ -4,7 +4,7 @@
 /// A simulated fleet in front of one upstream that names a limit.
 
 #include "config.h"
-#include "shallotford/route.h"
+#include "shallotford/vms.h"
 
 #include <algorithm>
 #include <cmath>
--- a/tests/route_test.cpp
+++ b/tests/route_test.cpp
@@ -6,7 +6,8 @@
 
 #include "config.h"
 #include "shallotford/admission.h"
-#include "shallotford/route.h"
+#include "shallotford/directory.h"
+#include "shallotford/vms.h"
 
 #include <rapidcheck.h>
 
