Show the pace of upstreams from a module of its own

Cause: the log line and the gauges of upstreams' pace were members of the request and of the task, in one file. Change: two functions in router_pace.h that take what they need; code is moved, not changed.

--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -1,6 +1,7 @@
 /// RouterTask: gossip with other VMs, readiness, and metrics.
 
 #include "config.h"
+#include "router_pace.h"
 #include "router_task.h"
 
 namespace shallotford {
@@ -324,7 +325,7 @@
   auto set = [this](const std::string& aName, double aValue) {
     m_metrics.Set(aName, "", aValue);
   };
-  SetPaceGauges();
+  SetPaceGauges(m_metrics, m_upstreams, m_loop.Now());
   set("upstreams", static_cast<double>(m_upstreams.Size()));
   set("requests_in_flight", static_cast<double>(m_requests.size()));
   set("caller_connections", static_cast<double>(m_callers->Count()));
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -345,8 +345,6 @@
   void ReportRun(AttemptEnd aEnd);
   /// Learns from the attempt's time how slow its upstream is.
   void NotePace(AttemptEnd aEnd);
-  /// Logs a large change of the upstream's slowness.
-  void LogPace(Upstream& aUpstream, TimePoint aNow) const;
   void ReportSilentRun(const SilentAttempt& aSilent,
                        AttemptEnd aEnd,
                        bool aClosedByUpstream);
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -163,8 +163,6 @@
   void OnOperator(HttpExchangeI& aExchange, const HttpRequest& aRequest);
   bool IsReady() const;
   void SetGauges();
-  /// Sets the gauges of what was learnt of upstreams.
-  void SetPaceGauges();
 
   // Engines' roles at the first start of all VMs.
   void SetRoles();
