Find once whether requests of a service differ in urgency

Cause: each head and each reservation asked for it by its own configuration, and the answer was kept for one configuration only. While requests of an older one run, each question looked at all routes again. Change: a request finds it when it is created. Result: router_engines_test and router_admission_test pass; the time saved wasn't measured alone.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -50,6 +50,7 @@
                         m_route->m_timeout))
   , m_retryAfter(kNoUpstreamRetryAfter)
 {
+  FindRank();
 }
 
 RoutedRequest::~RoutedRequest()
@@ -202,6 +203,7 @@
     m_service = aPlace->m_service;
     m_serviceFound = true;
     m_traits = TraitsOf(m_service, m_request, m_facts);
+    FindRank();
   }
   Begin();
 }
@@ -263,11 +265,11 @@
            : m_route->m_priority;
 }
 
-bool
-RoutedRequest::IsRanked() const
+void
+RoutedRequest::FindRank()
 {
-  return ServedByEngines() &&
-         m_shared.m_admission.TellsUrgency(m_routing, m_service);
+  m_isRanked = ServedByEngines() &&
+               m_shared.m_admission.TellsUrgency(m_routing, m_service);
 }
 
 std::string
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -230,9 +230,10 @@
   void WaitForMemory();
   /// Refuses a new request that would wait in vain.
   bool RefuseByForecast(const WaitingRequest& aWaiting);
-  /// Returns whether requests of the service differ in urgency: only then do
-  /// learnt room for growth and forecasts apply.
-  bool IsRanked() const;
+  /// Finds whether requests of the service differ in urgency: only then do
+  /// learnt room for growth and forecasts apply. It is found once, as it costs
+  /// a look at all routes for each other configuration.
+  void FindRank();
   /// A stream has ended in order: its last event tells how long its answer was.
   void NoteOutput();
   std::uint32_t TokensToReserve(const Upstream& aEngine) const;
@@ -387,6 +388,7 @@
   const Route* m_route;
   const Organisation* m_organisation;
   std::string m_service;
+  bool m_isRanked{ false };          ///< see FindRank()
   bool m_serviceFound{ false };      ///< it isn't the one that the id chooses
   std::string m_requestKey;          ///< of a stream
   std::vector<std::string> m_traits; ///< what may crash upstreams
--- a/src/router_request_engines.cpp
+++ b/src/router_request_engines.cpp
@@ -87,7 +87,7 @@
   TimePoint now = m_shared.m_loop.Now();
   const GrowthEstimate unknown;
   const GrowthEstimate& growth =
-    IsRanked() ? m_shared.m_admission.GrowthOf(m_service) : unknown;
+    m_isRanked ? m_shared.m_admission.GrowthOf(m_service) : unknown;
   return growth.TokensToReserve(
     { .m_promptTokens = m_facts.m_promptTokens,
       .m_outputTokens = m_facts.m_outputTokens,
@@ -149,7 +149,7 @@
 bool
 RoutedRequest::RefuseByForecast(const WaitingRequest& aWaiting)
 {
-  if (!IsRanked() || m_hasWaited || m_answerBegun || m_runs > 0 ||
+  if (!m_isRanked || m_hasWaited || m_answerBegun || m_runs > 0 ||
       !m_silent.empty()) {
     return false;
   }
--- a/src/router_request_send.cpp
+++ b/src/router_request_send.cpp
@@ -226,7 +226,7 @@
     dispatch.m_organisation =
       m_organisation == nullptr ? "" : m_organisation->m_name;
   }
-  if (aPhase != Phase::Relay && IsRanked()) {
+  if (aPhase != Phase::Relay && m_isRanked) {
     dispatch.m_urgency = static_cast<std::uint32_t>(std::max(Urgency(), 0));
   }
   const RequestHead& head = m_request.m_head;
