Let the store's stand-in answer late, and with items that can't be read

Cause: tests of keys need both. Change: two further faults, Late (600 ms) and Garbled. The stand-in answers as before without them.

--- a/tools/standin_published.cpp
+++ b/tools/standin_published.cpp
@@ -19,22 +19,8 @@
            : std::stoull(aTarget.substr(at + aName.size() + 1));
 }
 
-Json::Value
-ToJson(const DirectoryItem& aItem)
-{
-  Json::Value value(Json::objectValue);
-  value["key"] = aItem.m_key;
-  value["revision"] = static_cast<Json::UInt64>(aItem.m_revision);
-  if (aItem.m_removed) {
-    value["removed"] = true;
-  } else {
-    value["value"] = EncodeBase64(aItem.m_value);
-    if (aItem.m_created) {
-      value["create-rev"] = value["revision"];
-    }
-  }
-  return value;
-}
+/// Beyond what a refresh waits for an answer, below the timeout of a watch.
+constexpr std::chrono::milliseconds kLateness{ 600 };
 
 } // namespace
 
@@ -110,6 +96,24 @@
   }
 }
 
+Json::Value
+PublishedStore::ToJson(const DirectoryItem& aItem) const
+{
+  Json::Value value(Json::objectValue);
+  value["key"] = aItem.m_key;
+  value["revision"] = static_cast<Json::UInt64>(aItem.m_revision);
+  if (aItem.m_removed) {
+    value["removed"] = true;
+  } else {
+    bool isGarbled = m_fault == StoreFault::Garbled;
+    value["value"] = isGarbled ? "%" : EncodeBase64(aItem.m_value);
+    if (aItem.m_created) {
+      value["create-rev"] = value["revision"];
+    }
+  }
+  return value;
+}
+
 HttpHeaders
 PublishedStore::EraField() const
 {
@@ -143,15 +147,33 @@
     aExchange->Respond(503, "Service Unavailable", EraField(), "");
     return;
   }
-  if (target.starts_with("/api/kv-range")) {
+  if (m_fault == StoreFault::Late) {
+    m_loop.RunAfter(
+      kLateness,
+      [this, aExchange, target, alive = std::weak_ptr<bool>(m_alive)] {
+        if (!alive.expired()) {
+          Answer(aExchange, target);
+        }
+      });
+    return;
+  }
+  Answer(aExchange, target);
+}
+
+void
+PublishedStore::Answer(const CallerExchangePtr& aExchange,
+                       const std::string& aTarget)
+{
+  if (aTarget.starts_with("/api/kv-range")) {
     OnRange(aExchange);
     return;
   }
-  if (std::exchange(m_fault, StoreFault::None) == StoreFault::Compacted) {
+  if (m_fault == StoreFault::Compacted) {
+    m_fault = StoreFault::None;
     RespondGone(*aExchange);
     return;
   }
-  OnWatch(aExchange, target);
+  OnWatch(aExchange, aTarget);
 }
 
 void
--- a/tools/standin_published.h
+++ b/tools/standin_published.h
@@ -37,6 +37,8 @@
   Unavailable, ///< answers each call with 503
   NoAnswer,    ///< leaves each call without an answer
   Compacted,   ///< answers the next watch with 410, then works again
+  Garbled,     ///< answers with values that can't be read
+  Late,        ///< answers each call 600 ms later than it should
 };
 
 /// The metadata store: items with revisions, read by /api/kv-range and watched
@@ -71,6 +73,7 @@
     TimersI::TimerId m_timer; ///< ends the wait
   };
 
+  void Answer(const CallerExchangePtr& aExchange, const std::string& aTarget);
   void OnRange(const CallerExchangePtr& aExchange);
   void OnWatch(const CallerExchangePtr& aExchange, const std::string& aTarget);
   void AnswerWatches();
@@ -79,6 +82,7 @@
   void Respond(CallerExchangeI& aExchange, const Json::Value& aBody) const;
   void RespondGone(CallerExchangeI& aExchange) const;
   HttpHeaders EraField() const;
+  Json::Value ToJson(const DirectoryItem& aItem) const;
 
   LoopI& m_loop;
   StoreFault m_fault{ StoreFault::None };
@@ -88,6 +92,7 @@
   std::uint64_t m_calls{ 0 };
   std::vector<DirectoryItem> m_history;
   std::vector<Watch> m_watches;
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
 };
 
 /// A request that a server received, and the exchange that answers it.
