Close keys while the newest configuration can't be read

Cause: a configuration that couldn't be decoded was left out, yet the source's answer proved the one in force, here and at peers, so that a key which it withdrew worked on. Change: while the newest published configuration can't be read here, neither the source nor a peer proves the one in force, and peers are told no proof; a readable one that comes into force ends that. Result: the new case of router_keys_test got 200 after 5 s before (revoke_ms 5 s) and gets 503 now; a later readable configuration opens the VM.

--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -130,7 +130,8 @@
 public:
   virtual ~DirectoryListenerI() = default;
   virtual void OnDelta(const DirectoryDelta& aDelta) = 0;
-  /// All changes that were acknowledged before aCallBegan have been reported.
+  /// All changes that were acknowledged before aCallBegan have been reported,
+  /// none of which was left out.
   virtual void OnProven(BootTime /*aCallBegan*/) {}
   /// The source answers, for the first time or again.
   virtual void OnSourceUp() = 0;
@@ -173,6 +174,8 @@
 {
 public:
   virtual ~DirectoryDecoderI() = default;
+  /// Returns whether items of aKey hold the configuration.
+  virtual bool IsRouting(const std::string& aKey) const = 0;
   /// @throws Error (InvalidConfig) naming the field that is wrong
   virtual DecodedItem Decode(const DirectoryItem& aItem) const = 0;
 };
--- a/src/router_keys.cpp
+++ b/src/router_keys.cpp
@@ -42,6 +42,22 @@
   m_config = aConfig;
 }
 
+void
+KeyGate::OnSource(BootTime aCallBegan)
+{
+  if (!m_unreadable) {
+    m_proof.OnSource(aCallBegan);
+  }
+}
+
+void
+KeyGate::OnPeer(BootTime aCallBegan, Duration aPeerAge)
+{
+  if (!m_unreadable) {
+    m_proof.OnPeer(aCallBegan, aPeerAge);
+  }
+}
+
 const Organisation*
 KeyGate::Judge(const RequestHead& aHead, const Route& aRoute) const
 {
@@ -121,7 +137,7 @@
 KeyGate::AddProofAge(Json::Value& aMessage) const
 {
   std::optional<Duration> age = m_proof.Age(BootNow());
-  if (JudgesKeys() && age) {
+  if (JudgesKeys() && age && !m_unreadable) {
     aMessage["proof_age_ms"] = static_cast<Json::Int64>(
       std::chrono::ceil<std::chrono::milliseconds>(*age).count());
   }
--- a/src/router_keys.h
+++ b/src/router_keys.h
@@ -34,12 +34,21 @@
   const Organisation* FindRelayed(const RelayFacts& aFacts,
                                   const Route& aRoute) const;
 
-  ConfigProof& Proof() { return m_proof; }
+  /// The newest published configuration can't be read here: it may withdraw
+  /// keys, so nothing proves the one in force until OnReadable().
+  void OnUnreadable() { m_unreadable = true; }
+  /// The newest published configuration is in force.
+  void OnReadable() { m_unreadable = false; }
+  /// See ConfigProof.
+  void OnSource(BootTime aCallBegan);
+  void OnPeer(BootTime aCallBegan, Duration aPeerAge);
+  void OnNewEra() { m_proof.OnNewEra(BootNow()); }
   /// Returns whether keys are judged here and none is served for now.
   bool IsClosed() const;
   /// Returns whether keys are judged here and peers should be asked.
   bool WantsPeers() const;
-  /// Adds the age of the proof to a message, if keys are judged here.
+  /// Adds the age of the proof to a message, if keys are judged here and the
+  /// newest configuration is known.
   void AddProofAge(Json::Value& aMessage) const;
   /// Logs when requests with keys are refused for want of a proof, and when
   /// they are served again; sets the gauges.
@@ -63,6 +72,7 @@
   RoutingPtr m_config; ///< keeps the organisations of m_table alive
   OrganisationTable m_table;
   ConfigProof m_proof;
+  bool m_unreadable{ false };
   bool m_closed{ false }; ///< as last logged
 };
 
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -282,7 +282,7 @@
                  m_routes.Config() != nullptr &&
                  aReply["version"].asUInt64() <= m_routes.Config()->m_version;
   if (age.isInt64() && isAsNew) {
-    m_keys.Proof().OnPeer(aCallBegan, std::chrono::milliseconds(age.asInt64()));
+    m_keys.OnPeer(aCallBegan, std::chrono::milliseconds(age.asInt64()));
   }
 }
 
--- a/src/router_published.cpp
+++ b/src/router_published.cpp
@@ -16,7 +16,7 @@
 void
 RouterTask::OnProven(BootTime aCallBegan)
 {
-  m_keys.Proof().OnSource(aCallBegan);
+  m_keys.OnSource(aCallBegan);
 }
 
 void
@@ -61,7 +61,7 @@
 {
   DirectoryPosition before = m_directory.Position();
   m_upstreams.OnSourceDisturbed(m_loop.Now());
-  m_keys.Proof().OnNewEra(BootNow());
+  m_keys.OnNewEra();
   m_log.Write(
     LogEvent("directory_era", LogLevel::Warning)
       .Add("era", static_cast<std::int64_t>(aDelta.m_era))
@@ -105,6 +105,9 @@
                   .Add("revision", static_cast<std::int64_t>(aItem.m_revision))
                   .Add("reason", error.what()));
     m_metrics.Count("items_ignored_total", "");
+    if (m_decoder.IsRouting(aItem.m_key)) {
+      m_keys.OnUnreadable();
+    }
     return;
   }
   if (item.m_routing != nullptr) {
@@ -114,6 +117,10 @@
     if (isInForce) {
       m_routingItem = aItem;
       m_routingEra = aEra;
+      // One that the source has lost says nothing of what it has published.
+      if (aEra == m_directory.Position().m_era) {
+        m_keys.OnReadable();
+      }
     }
   }
   if (!item.m_upstreamId.empty()) {
--- a/tests/router_keys_test.cpp
+++ b/tests/router_keys_test.cpp
@@ -275,6 +275,26 @@
     WaitFor([this] { return CountLogLines("event=keys_opened") == 2U; }));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_key_ends_in_time_if_its_withdrawal_is_malformed, Keys)
+{
+  BOOST_TEST(Gossip()["proof_age_ms"].isInt64());
+  std::string malformed = KeysConfig(3, false);
+  malformed.replace(malformed.find(R"("priority":1)"), 12, R"("priority":"")");
+  Publish(malformed);
+  BOOST_TEST(
+    WaitFor([this] { return CountLogLines("event=item_ignored") == 1; }));
+  BOOST_TEST(!Gossip().isMember("proof_age_ms"));
+  std::this_thread::sleep_for(5'000ms);
+  std::string answer = Ask("/safe/", "after", KeyField());
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "), answer);
+  BOOST_TEST(AllRuns("after") == 0);
+  BOOST_TEST(Ask("/open/", "o").starts_with("HTTP/1.1 200 "));
+  Publish(KeysConfig(4, false));
+  BOOST_TEST(WaitFor([&] { return Answers("200", KeyField(kOtherKey)); }));
+  BOOST_TEST(Answers("401", KeyField()));
+  BOOST_TEST(Gossip()["proof_age_ms"].isInt64());
+}
+
 BOOST_FIXTURE_TEST_CASE(without_a_bound_a_vm_serves_the_keys_it_knows,
                         WithoutRevocation)
 {
