--- a/tests/router_keys_test.cpp
+++ b/tests/router_keys_test.cpp
@@ -295,6 +295,23 @@
   BOOST_TEST(Gossip()["proof_age_ms"].isInt64());
 }
 
+BOOST_FIXTURE_TEST_CASE(a_key_ends_in_time_if_its_withdrawal_is_unreadable,
+                        Keys)
+{
+  m_loop.Do([&] {
+    m_store->SetFault(StoreFault::Garbled);
+    m_store->Put("op/config", KeysConfig(3, false));
+  });
+  std::this_thread::sleep_for(5'000ms);
+  BOOST_TEST(CountLogLines("event=store_item_unreadable") >= 1U);
+  std::string answer = Ask("/safe/", "after", KeyField());
+  BOOST_TEST(answer.starts_with("HTTP/1.1 503 "), answer);
+  BOOST_TEST(AllRuns("after") == 0);
+  m_loop.Do([&] { m_store->SetFault(StoreFault::None); });
+  BOOST_TEST(WaitFor([&] { return Answers("200", KeyField(kOtherKey)); }));
+  BOOST_TEST(Answers("401", KeyField()));
+}
+
 BOOST_FIXTURE_TEST_CASE(without_a_bound_a_vm_serves_the_keys_it_knows,
                         WithoutRevocation)
 {
