Grant requests though most VMs are lost

Cause: while VMs are lost a bucket holds a part of its burst only, but a request was granted only from the least of its cost and the whole burst. With 10 of 76 VMs live, a limit of 100 requests/s with a burst of 4 granted nothing in 60 s, nor did one of 16,000 tokens/s for requests of 3,272. Change: a bucket saves up what a refused request needs, for as long as its caller may come back. Tried before: to let a full bucket of a part be overdrawn.

--- a/include/shallotford/organisation.h
+++ b/include/shallotford/organisation.h
@@ -216,6 +216,8 @@
     TimePoint m_askedAt{};
     TimePoint m_filledAt{};
     double m_level{ 0 };
+    double m_saved{ 0 }; ///< level that a refused request waits for
+    TimePoint m_savesUntil{};
     double m_backlog{ 0 }; ///< units refused whose callers come back
     std::map<std::string, Vm> m_vms;
   };
@@ -233,6 +235,8 @@
   void Grant(Bucket& aBucket, const LimitAsk& aAsk, LimitReply& aReply) const;
   /// @return whether the request of this cost gets its units
   static bool TakeCost(Bucket& aBucket, double aCost);
+  /// Lets the bucket fill until a refused request of aCost fits.
+  static void SaveFor(Bucket& aBucket, double aCost);
 
   TimePoint m_issuesFrom;
   std::map<std::string, Bucket> m_buckets;
--- a/src/organisation_limits.cpp
+++ b/src/organisation_limits.cpp
@@ -95,9 +95,13 @@
   double part = PartShare(aFleet);
   double rate = std::min(aBucket.m_limit.m_perSecond, aLimit.m_perSecond) *
                 std::min(part, 1 - LostShare(aBucket, aNow));
-  // Other parts may have owners of their own, with buckets that are full.
-  aBucket.m_level =
-    std::min(aBucket.m_level + rate * passed, aLimit.m_burst * part);
+  // Other parts may have owners of their own, with buckets that are full. What
+  // a request costs is saved up, as many small parts that each overdraw at once
+  // would exceed the limit.
+  double saved = aNow < aBucket.m_savesUntil ? aBucket.m_saved : 0;
+  aBucket.m_saved = std::min(saved, aLimit.m_burst);
+  aBucket.m_level = std::min(aBucket.m_level + rate * passed,
+                             std::max(aLimit.m_burst * part, aBucket.m_saved));
   aBucket.m_backlog = std::max(0.0, aBucket.m_backlog - rate * passed);
   aBucket.m_filledAt = aNow;
   aBucket.m_limit = aLimit;
@@ -133,6 +137,13 @@
   return fits;
 }
 
+void
+LimitIssuer::SaveFor(Bucket& aBucket, double aCost)
+{
+  aBucket.m_saved = std::max(aBucket.m_saved, aCost);
+  aBucket.m_savesUntil = aBucket.m_filledAt + kMaxGrantBacklog;
+}
+
 void
 LimitIssuer::Grant(Bucket& aBucket,
                    const LimitAsk& aAsk,
@@ -159,6 +170,7 @@
     }
     return;
   }
+  SaveFor(aBucket, smallest);
   double rate = std::max(aBucket.m_limit.m_perSecond, 1e-9);
   double missing =
     std::min(smallest, aBucket.m_limit.m_burst) - aBucket.m_level;
--- /dev/null
+++ b/tests/organisation_limits_costs_test.cpp
@@ -0,0 +1,38 @@
+/// Tests of what requests cost organisations: which ones fit, and which units
+/// come back.
+
+#define BOOST_TEST_MODULE organisation_limits_costs
+#include <boost/test/unit_test.hpp>
+
+#include "config.h"
+#include "shallotford/organisation.h"
+
+using namespace shallotford;
+using namespace std::chrono_literals;
+
+namespace {
+
+const TimePoint kStart{ 100s };
+
+} // namespace
+
+BOOST_AUTO_TEST_CASE(requests_fit_while_most_vms_are_lost)
+{
+  const FleetView kView{ .m_live = 10, .m_known = 76 };
+  const std::vector<std::pair<RateLimit, double>> kCases{
+    { { .m_perSecond = 100, .m_burst = 4 }, 1 },
+    { { .m_perSecond = 16'000, .m_burst = 16'000, .m_countsTokens = true },
+      3'272 },
+  };
+  for (const auto& [limit, cost] : kCases) {
+    LimitIssuer issuer;
+    double granted = 0;
+    for (auto at = 0ms; at < 60s; at += 20ms) {
+      LimitAsk ask{ .m_vm = "a", .m_needed = { cost }, .m_perSecond = 1 };
+      granted += issuer.Issue("o", limit, ask, kView, kStart + at)->m_granted;
+    }
+    double part = kMaxGrantPartsSum * 10 / 76;
+    BOOST_TEST(granted >= 0.75 * limit.m_perSecond * part * 60);
+    BOOST_TEST(granted <= limit.m_perSecond * part * 60 + limit.m_burst);
+  }
+}
