Grant requests that cost nothing at once

Cause: where plain_tokens is left out, a request that names no tokens costs 0. It waited for a lease, was refused as no units were granted for it, and others were then refused for a while, as each costs more than one that was refused. Change: a lease grants what costs nothing without units.

--- a/src/organisation_limits.cpp
+++ b/src/organisation_limits.cpp
@@ -276,6 +276,10 @@
                  const FleetView& aFleet,
                  TimePoint aNow)
 {
+  // A request without units must neither wait for a lease nor be refused.
+  if (aCost <= 0) {
+    return Verdict::Granted;
+  }
   if (HasLease(aNow) && m_units >= aCost) {
     m_units -= aCost;
     return Verdict::Granted;
--- a/tests/organisation_limits_costs_test.cpp
+++ b/tests/organisation_limits_costs_test.cpp
@@ -36,3 +36,17 @@
     BOOST_TEST(granted <= limit.m_perSecond * part * 60 + limit.m_burst);
   }
 }
+
+BOOST_AUTO_TEST_CASE(a_request_that_costs_nothing_runs_and_hinders_none)
+{
+  const RateLimit kLimit{ .m_perSecond = 1'000,
+                          .m_burst = 4'000,
+                          .m_countsTokens = true };
+  double cost = CostOf(kLimit, 0, 0);
+  BOOST_TEST(cost == 0);
+  LimitLease lease(1);
+  lease.OnDemand(cost, kStart);
+  BOOST_TEST(
+    (lease.Take(cost, kLimit, {}, kStart) == LimitLease::Verdict::Granted));
+  BOOST_TEST((lease.Take(5, kLimit, {}, kStart) == LimitLease::Verdict::Ask));
+}
--- a/tests/router_grants_test.cpp
+++ b/tests/router_grants_test.cpp
@@ -202,6 +202,17 @@
   BOOST_TEST((*answer)->m_granted);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_request_that_costs_nothing_is_granted_at_once, TwoVms)
+{
+  auto free = Ask(Other(), 0);
+  BOOST_REQUIRE(free->has_value());
+  BOOST_TEST((*free)->m_granted);
+  auto answer = Ask(Other(), 500);
+  m_loop.RunFor(50ms);
+  BOOST_REQUIRE(answer->has_value());
+  BOOST_TEST((*answer)->m_granted);
+}
+
 BOOST_FIXTURE_TEST_CASE(without_the_owner_a_vm_uses_its_share, TwoVms)
 {
   Ask(Other(), 500);
