Report returned and refused units of organisations only once

Cause: the second try of a call sent what the first one had sent; if only the reply to that was lost, the owner added the returned units and the refused ones twice. Change: the second try reports none of either. Units are lost to the bucket if the first try was.

--- a/src/router_grants_calls.cpp
+++ b/src/router_grants_calls.cpp
@@ -267,6 +267,11 @@
   }
   m_parts.m_loop.CancelTimer(aCall->m_timer);
   if (aCall->m_tries < kMaxGrantTries) {
+    // The owner may have got the first try, of which only the reply was lost.
+    for (Json::Value& ask : aCall->m_params["asks"]) {
+      ask["returned"] = 0.0;
+      ask["refused"] = 0.0;
+    }
     Send(aCall);
     return;
   }
--- a/tests/router_grants_test.cpp
+++ b/tests/router_grants_test.cpp
@@ -55,9 +55,12 @@
     {
       BOOST_TEST(aMethod == kGrantMethod);
       ++m_calls;
+      m_asks.push_back(aParams["asks"]["shop"]);
       Vm& other = m_fleet.At(aPeer);
       m_fleet.m_loop.RunAfter(m_fleet.m_delay, [&other, aParams, aDone, this] {
-        if (m_fleet.m_cut) {
+        if (m_fleet.m_losesReplies) {
+          other.m_grants.OnAsk(aParams);
+        } else if (m_fleet.m_cut) {
           aDone(PeerFailure{ .m_reason = "cut" });
         } else {
           aDone(other.m_grants.OnAsk(aParams));
@@ -72,6 +75,7 @@
     OrganisationGrants m_grants;
     bool m_paused{ false };
     int m_calls{ 0 };
+    std::vector<Json::Value> m_asks; ///< for "shop"
   };
 
   TwoVms()
@@ -117,6 +121,7 @@
   FakeLoop m_loop{ m_transcript };
   Duration m_delay{ 5ms };
   bool m_cut{ false };
+  bool m_losesReplies{ false };
   Vm m_a{ *this, "a:1" };
   Vm m_b{ *this, "b:1" };
 };
@@ -202,6 +207,28 @@
   BOOST_TEST((*answer)->m_granted);
 }
 
+BOOST_FIXTURE_TEST_CASE(a_second_try_reports_no_units_again, TwoVms)
+{
+  Other().m_grants.Acquire(
+    "shop", 500, [](const OrganisationGrants::Result&) { return false; });
+  m_loop.RunFor(50ms);
+  auto refused = Ask(Other(), 4'500);
+  m_loop.RunFor(kGrantLease + 100ms);
+  BOOST_REQUIRE(refused->has_value());
+  BOOST_TEST(!(*refused)->m_granted);
+  m_losesReplies = true;
+  Ask(Other(), 4'500);
+  m_loop.RunFor(kGrantTimeout * 3);
+  std::vector<Json::Value>& asks = Other().m_asks;
+  BOOST_REQUIRE(asks.size() >= 2U);
+  const Json::Value& first = asks[asks.size() - 2];
+  BOOST_TEST(first["returned"].asDouble() == 500);
+  BOOST_TEST(first["refused"].asDouble() == 4'500);
+  BOOST_TEST(asks.back()["needed"] == first["needed"]);
+  BOOST_TEST(asks.back()["returned"].asDouble() == 0);
+  BOOST_TEST(asks.back()["refused"].asDouble() == 0);
+}
+
 BOOST_FIXTURE_TEST_CASE(a_request_that_costs_nothing_is_granted_at_once, TwoVms)
 {
   auto free = Ask(Other(), 0);
