Take back only units that were granted lately

Cause: what a VM may return was bounded by all that it had ever been granted, as the bound never shrank by what was used. Change: the bound is what was granted in the present period of two leases and the one before.

--- a/include/shallotford/organisation.h
+++ b/include/shallotford/organisation.h
@@ -207,8 +207,12 @@
     TimePoint m_heardAt{};
     Duration m_interval{}; ///< mean time between asks
     double m_perSecond{ 0 };
-    double m_share{ 0 };  ///< as told
-    double m_leased{ 0 }; ///< units that it may still return
+    double m_share{ 0 }; ///< as told
+    // Units that it may still return: granted in the present period of
+    // kGrantReturnTime, and in the one before.
+    double m_leased{ 0 };
+    double m_leasedBefore{ 0 };
+    TimePoint m_periodBegan{};
   };
   struct Bucket
   {
@@ -231,6 +235,9 @@
   static double LostShare(const Bucket& aBucket, TimePoint aNow);
   /// Returns the part of the limit that this part of a partition may use.
   static double PartShare(const FleetView& aFleet);
+  /// Takes what a VM returns from what it was granted lately.
+  /// @return the units that were really this bucket's
+  static double TakeReturned(Vm& aVm, double aUnits, TimePoint aNow);
   static double ShareOf(const Bucket& aBucket, const Vm& aVm, TimePoint aNow);
   void Grant(Bucket& aBucket, const LimitAsk& aAsk, LimitReply& aReply) const;
   /// @return whether the request of this cost gets its units
--- a/src/config.h
+++ b/src/config.h
@@ -555,6 +555,9 @@
 /// Time in which leased units may be used: more than a VM's time between asks,
 /// and short, as leases add to what may run in a window.
 constexpr std::chrono::milliseconds kGrantLease = 1'500ms;
+/// Units that were granted longer ago than two of these have been used: a lease
+/// is reported a tick or two after its end.
+constexpr std::chrono::milliseconds kGrantReturnTime = 2 * kGrantLease;
 /// A VM leases what it expects to need in this time.
 constexpr std::chrono::milliseconds kGrantAheadTime = 800ms;
 /// It leases ahead if at least so many requests are expected in that time.
--- a/src/organisation_limits.cpp
+++ b/src/organisation_limits.cpp
@@ -107,6 +107,22 @@
   aBucket.m_limit = aLimit;
 }
 
+double
+LimitIssuer::TakeReturned(Vm& aVm, double aUnits, TimePoint aNow)
+{
+  Duration passed = aNow - aVm.m_periodBegan;
+  if (passed >= kGrantReturnTime) {
+    double last = std::exchange(aVm.m_leased, 0);
+    aVm.m_leasedBefore = passed < kGrantReturnTime * 2 ? last : 0;
+    aVm.m_periodBegan = aNow;
+  }
+  double before = std::clamp(aUnits, 0.0, aVm.m_leasedBefore);
+  double present = std::clamp(aUnits - before, 0.0, aVm.m_leased);
+  aVm.m_leasedBefore -= before;
+  aVm.m_leased -= present;
+  return before + present;
+}
+
 double
 LimitIssuer::ShareOf(const Bucket& aBucket, const Vm& aVm, TimePoint aNow)
 {
@@ -212,14 +228,14 @@
   vm.m_heardAt = aNow;
   vm.m_perSecond = aAsk.m_perSecond;
   // Units of another owner's lease aren't this bucket's.
-  double returned = std::clamp(aAsk.m_returned, 0.0, vm.m_leased);
+  double returned = TakeReturned(vm, aAsk.m_returned, aNow);
   bucket.m_level = std::min(bucket.m_level + returned, aLimit.m_burst);
   bucket.m_backlog = std::min(bucket.m_backlog + std::max(0.0, aAsk.m_refused),
                               aLimit.m_perSecond * SecondsOf(kMaxGrantBacklog));
 
   LimitReply reply{ .m_lease = kGrantLease };
   Grant(bucket, aAsk, reply);
-  vm.m_leased = vm.m_leased - returned + reply.m_granted;
+  vm.m_leased += reply.m_granted;
   vm.m_share = ShareOf(bucket, vm, aNow);
   reply.m_share = vm.m_share;
   if (aAsk.m_perSecond == 0) {
--- a/tests/organisation_limits_costs_test.cpp
+++ b/tests/organisation_limits_costs_test.cpp
@@ -50,3 +50,22 @@
     (lease.Take(cost, kLimit, {}, kStart) == LimitLease::Verdict::Granted));
   BOOST_TEST((lease.Take(5, kLimit, {}, kStart) == LimitLease::Verdict::Ask));
 }
+
+BOOST_AUTO_TEST_CASE(units_return_only_while_they_may_be_unused)
+{
+  const RateLimit kLimit{ .m_perSecond = 1,
+                          .m_burst = 4'000,
+                          .m_countsTokens = true };
+  for (auto [after, returns] :
+       { std::pair(kGrantLease, true), std::pair(kGrantLease * 5, false) }) {
+    LimitIssuer issuer;
+    LimitAsk ask{ .m_vm = "a", .m_needed = { 800 }, .m_perSecond = 1 };
+    BOOST_TEST(issuer.Issue("o", kLimit, ask, {}, kStart)->m_granted == 800);
+    LimitAsk back{
+      .m_vm = "a", .m_needed = { 700 }, .m_returned = 800, .m_perSecond = 1
+    };
+    double granted =
+      issuer.Issue("o", kLimit, back, {}, kStart + after)->m_granted;
+    BOOST_TEST(granted == (returns ? 700 : 0));
+  }
+}
