Open closed VMs by a store that answers slowly

Cause: a closed VM refreshed each half second, with a timeout of 400 ms, and each refresh ended the regular watch; so with a store that answers after 0.4 to 1 s it stayed closed without peers that are open. Change: after a refresh that failed, the next ones are left out for 3.5 s, in which a regular watch ends. The price: after an outage a VM may open up to 3 s later than before.

--- a/src/config.h
+++ b/src/config.h
@@ -81,6 +81,9 @@
 /// After a VM learns of a new era it asks peers for a configuration that the
 /// source has lost: some ten calls, which one of two VMs would answer.
 constexpr std::chrono::milliseconds kEraSettleTime = 2'000ms;
+/// After a failed refresh the source's regular read gets its turn: up to 0.8 s
+/// until its next watch, which waits up to 2.5 s for the answer's head.
+constexpr std::chrono::milliseconds kFailedRefreshPause = 3'500ms;
 /// Peers asked for a proof at once, and calls to them under way.
 constexpr std::size_t kProofCallsPerTick = 2;
 constexpr std::size_t kMaxProofCalls = 6;
--- a/src/router_peers.cpp
+++ b/src/router_peers.cpp
@@ -104,13 +104,20 @@
 void
 RouterTask::SeekProof()
 {
-  if (m_keys.IsClosed() && !m_refreshing) {
+  bool isDue = !m_refreshing && m_loop.Now() >= m_nextRefresh;
+  if (m_keys.IsClosed() && isDue) {
     m_refreshing = true;
-    m_source.Refresh([this, alive = std::weak_ptr<bool>(m_alive)](bool) {
-      if (!alive.expired()) {
+    m_source.Refresh(
+      [this, alive = std::weak_ptr<bool>(m_alive)](bool aIsCurrent) {
+        if (alive.expired()) {
+          return;
+        }
         m_refreshing = false;
-      }
-    });
+        if (!aIsCurrent) {
+          // Another one would end the regular watch, which waits longer.
+          m_nextRefresh = m_loop.Now() + kFailedRefreshPause;
+        }
+      });
   }
   for (std::size_t i = 0; i < kProofCallsPerTick; ++i) {
     if (!m_keys.WantsPeers() || m_proofCalls >= kMaxProofCalls) {
--- a/src/router_task.h
+++ b/src/router_task.h
@@ -226,6 +226,7 @@
   bool m_gossiping{ false };
   std::size_t m_proofCalls{ 0 }; ///< to peers, under way
   bool m_refreshing{ false };    ///< a SeekProof() at the source is under way
+  TimePoint m_nextRefresh{};     ///< the earliest time for another one
   bool m_ready{ false };
   TimersI::TimerId m_tickTimer{ 0 };
   TimePoint m_lastTick{};
--- a/tests/router_keys_test.cpp
+++ b/tests/router_keys_test.cpp
@@ -312,6 +312,15 @@
   BOOST_TEST(Answers("401", KeyField()));
 }
 
+BOOST_FIXTURE_TEST_CASE(a_closed_vm_opens_by_a_store_that_answers_late, Keys)
+{
+  m_loop.Do([&] { m_store->SetFault(StoreFault::NoAnswer); });
+  BOOST_TEST(
+    WaitFor([this] { return CountLogLines("event=keys_closed") == 1; }));
+  m_loop.Do([&] { m_store->SetFault(StoreFault::Late); });
+  BOOST_TEST(WaitFor([&] { return Answers("200", KeyField()); }));
+}
+
 BOOST_FIXTURE_TEST_CASE(without_a_bound_a_vm_serves_the_keys_it_knows,
                         WithoutRevocation)
 {
