Clear gauges of organisations that have gone

Cause: their gauges stayed on /metrics for ever. Change: they are cleared before they are set, as those of paces are. Result: the new case of router_grants_test failed before and passes.

--- a/src/router_grants.cpp
+++ b/src/router_grants.cpp
@@ -4,6 +4,8 @@
 
 #include "config.h"
 
+#include <array>
+
 namespace shallotford {
 
 namespace {
@@ -234,6 +236,14 @@
 void
 OrganisationGrants::SetGauges()
 {
+  constexpr std::array<const char*, 5> kNames = {
+    "organisation_asked_units",       "organisation_granted_units",
+    "organisation_refused_units",     "organisation_share",
+    "organisation_owner_age_seconds",
+  };
+  for (const char* name : kNames) {
+    m_parts.m_metrics.Clear(name);
+  }
   TimePoint now = m_parts.m_loop.Now();
   std::size_t shown = 0;
   for (const auto& [name, state] : m_states) {
--- a/tests/router_grants_test.cpp
+++ b/tests/router_grants_test.cpp
@@ -306,3 +306,14 @@
                        "500") != std::string::npos);
   BOOST_TEST(text.find("free") == std::string::npos);
 }
+
+BOOST_FIXTURE_TEST_CASE(gauges_of_organisations_without_a_limit_end, TwoVms)
+{
+  Ask(Owner(), 500);
+  Owner().m_grants.SetGauges();
+  Limit(0);
+  Owner().m_grants.SetGauges();
+  std::string text = Owner().m_metrics.Text();
+  BOOST_TEST(text.find("organisation_granted_units") == std::string::npos);
+  BOOST_TEST(text.find("shop") == std::string::npos);
+}
