--- a/src/router_grants.h
+++ b/src/router_grants.h
@@ -45,7 +45,11 @@
   /// A configuration is in force.
   void SetLimits(const std::vector<Organisation>& aOrganisations);
   /// Asks for the units of one request.
-  /// @param aDone  called once, at once or within kMaxGrantTries timeouts
+  /// @param aDone  called once: at once, or after the calls before it to the
+  ///               same owner, which is called at most once in a time. Each
+  ///               call takes up to kMaxGrantTries timeouts, and what an owner
+  ///               names another one for takes a second call. Then this VM
+  ///               decides alone.
   void Acquire(const std::string& aOrganisation, double aCost, Done aDone);
   /// A request that had its units has not run.
   void GiveBack(const std::string& aOrganisation, double aCost);
