--- a/include/shallotford/organisation.h
+++ b/include/shallotford/organisation.h
@@ -303,8 +303,6 @@
   double Share(TimePoint aNow) const;
   /// Returns when the owner's last reply came.
   std::optional<TimePoint> RepliedAt() const { return m_repliedAt; }
-  /// Returns whether nothing is left to remember.
-  bool IsIdle(TimePoint aNow) const;
 
 private:
   bool TakeAlone(double aCost,
--- a/src/organisation_limits.cpp
+++ b/src/organisation_limits.cpp
@@ -452,10 +452,4 @@
     wait, kMinGrantPause, kMaxGrantRetryAfter);
 }
 
-bool
-LimitLease::IsIdle(TimePoint aNow) const
-{
-  return aNow - m_demandAt >= kGrantBucketLifetime && m_units == 0;
-}
-
 } // namespace shallotford
