Derive the age of a key list from changes_within_ms

Cause: the age up to which an unknown key gets 401 instead of 503 was 3 s, which stood for deployments that have changes in force within 4 s. Change: it is three quarters of changes_within_ms: 3 s with 4,000 as before, 1.9 s with the default of 2,500. Result: organisation_keys_test checks the bound for two values instead of one and passes; router_keys_test passes with 4,000.

--- a/include/shallotford/organisation.h
+++ b/include/shallotford/organisation.h
@@ -88,7 +88,9 @@
 public:
   /// @param aRevoke  time after its acknowledgement at which a withdrawn key
   ///                 must not work at any VM; nothing if that isn't asked for
-  explicit ConfigProof(std::optional<Duration> aRevoke);
+  /// @param aChangesWithin  time after its acknowledgement at which a change
+  ///                        must be in force
+  ConfigProof(std::optional<Duration> aRevoke, Duration aChangesWithin);
 
   /// The source has told all changes before a call to it.
   void OnSource(BootTime aCallBegan);
@@ -114,6 +116,7 @@
   void Advance(BootTime aProven);
 
   std::optional<Duration> m_revoke;
+  Duration m_changesWithin;
   std::optional<BootTime> m_proven;
   BootTime m_heldUntil{};   ///< no request with a key is served before
   BootTime m_settledFrom{}; ///< peers are asked before
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -206,6 +206,9 @@
   /// any VM. VMs that can't know of a withdrawal refuse requests with keys; 0:
   /// they serve them.
   std::chrono::milliseconds m_revoke{ 0 };
+  /// Time after its acknowledgement at which a change that is published must be
+  /// in force.
+  std::chrono::milliseconds m_changesWithin{ 2'500 };
   /// Period of the heartbeats that keep upstreams' entries.
   std::chrono::milliseconds m_heartbeat{ 1'200 };
   /// All VMs start for the first time.
--- a/src/config.h
+++ b/src/config.h
@@ -74,8 +74,9 @@
 /// work: for requests that were judged but not yet sent to an upstream.
 constexpr std::chrono::milliseconds kRevokeMargin = 500ms;
 /// A key that isn't in a configuration whose proof is older may be a new one.
-/// Below the time in which VMs that are in touch have a new configuration.
-constexpr std::chrono::milliseconds kMaxKeyListAge = 3'000ms;
+/// Share of the time in which changes must be in force; the rest is for
+/// requests that are under way.
+constexpr double kKeyListAgeShare = 0.75;
 /// Peers are asked for a newer proof after this share of the revocation time.
 constexpr int kPeerProofShare = 3;
 /// After a VM learns of a new era it asks peers for a configuration that the
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -60,6 +60,7 @@
            .m_drainTime = SecondsToMilliseconds(routing.m_drainTime),
            .m_sourceTimeout = ReadDelay(routing) + kMaxReadLateness,
            .m_revoke = SecondsToMilliseconds(routing.m_revoke),
+           .m_changesWithin = SecondsToMilliseconds(routing.m_changesWithin),
            .m_heartbeat = SecondsToMilliseconds(routing.m_heartbeat),
            .m_firstStart = routing.m_firstStart,
            .m_typicalRequest = { .m_promptTokens = routing.m_typicalPrompt,
--- a/src/organisation_keys.cpp
+++ b/src/organisation_keys.cpp
@@ -66,8 +66,10 @@
 
 // ----------------------------------------------------------------- proof
 
-ConfigProof::ConfigProof(std::optional<Duration> aRevoke)
+ConfigProof::ConfigProof(std::optional<Duration> aRevoke,
+                         Duration aChangesWithin)
   : m_revoke(aRevoke)
+  , m_changesWithin(aChangesWithin)
 {
 }
 
@@ -123,7 +125,7 @@
 ConfigProof::KnowsAllKeys(BootTime aNow) const
 {
   std::optional<Duration> age = Age(aNow);
-  return age && *age <= kMaxKeyListAge;
+  return age && *age <= kKeyListAgeShare * m_changesWithin;
 }
 
 bool
--- a/src/router_keys.cpp
+++ b/src/router_keys.cpp
@@ -17,10 +17,13 @@
                   std::chrono::nanoseconds(time.tv_nsec));
 }
 
-KeyGate::KeyGate(const Parts& aParts, std::chrono::milliseconds aRevoke)
+KeyGate::KeyGate(const Parts& aParts,
+                 std::chrono::milliseconds aRevoke,
+                 std::chrono::milliseconds aChangesWithin)
   : m_parts(aParts)
   , m_proof(aRevoke.count() > 0 ? std::optional<Duration>(aRevoke)
-                                : std::nullopt)
+                                : std::nullopt,
+            aChangesWithin)
 {
 }
 
--- a/src/router_keys.h
+++ b/src/router_keys.h
@@ -19,7 +19,10 @@
   };
 
   /// @param aRevoke  see RouterOptions::m_revoke
-  KeyGate(const Parts& aParts, std::chrono::milliseconds aRevoke);
+  /// @param aChangesWithin  see RouterOptions::m_changesWithin
+  KeyGate(const Parts& aParts,
+          std::chrono::milliseconds aRevoke,
+          std::chrono::milliseconds aChangesWithin);
 
   /// A configuration comes into force.
   void OnConfig(const RoutingPtr& aConfig);
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -70,7 +70,8 @@
               .m_serviceLinks = {},
               .m_reachedAt = {} }
   , m_keys({ .m_dialect = m_dialect, .m_log = m_log, .m_metrics = m_metrics },
-           aOptions.m_revoke)
+           aOptions.m_revoke,
+           aOptions.m_changesWithin)
   , m_peers(aOptions.m_peerAddress, aOptions.m_seeds)
   , m_peerCalls(m_loop, {})
   , m_origins({ m_loop,
--- a/tests/organisation_keys_test.cpp
+++ b/tests/organisation_keys_test.cpp
@@ -15,6 +15,7 @@
 namespace {
 
 constexpr std::chrono::milliseconds kRevoke = 5'000ms;
+constexpr std::chrono::milliseconds kChangesWithin = 4'000ms;
 
 BootTime
 At(std::chrono::milliseconds aTime)
@@ -53,7 +54,7 @@
     m_peer.reset();
   }
 
-  ConfigProof m_proof{ kRevoke };
+  ConfigProof m_proof{ kRevoke, kChangesWithin };
   std::uint64_t m_version{ 0 };
   std::optional<Call> m_source;
   std::optional<Call> m_peer;
@@ -179,7 +180,7 @@
 
 BOOST_AUTO_TEST_CASE(a_vm_in_touch_serves_and_one_out_of_touch_closes)
 {
-  ConfigProof proof(kRevoke);
+  ConfigProof proof(kRevoke, kChangesWithin);
   BOOST_TEST(!proof.MayServe(At(0ms)));
   BOOST_TEST(proof.WantsPeers(At(0ms)));
   // Watches that nothing ends, as in an idle fleet.
@@ -187,7 +188,7 @@
     proof.OnSource(At(began));
     BOOST_TEST(proof.MayServe(At(began + 2'300ms + 1'500ms)));
   }
-  ConfigProof silent(kRevoke);
+  ConfigProof silent(kRevoke, kChangesWithin);
   silent.OnSource(At(0ms));
   BOOST_TEST(silent.MayServe(At(kRevoke - kRevokeMargin)));
   BOOST_TEST(!silent.MayServe(At(kRevoke - kRevokeMargin + 1ms)));
@@ -203,20 +204,23 @@
 {
   for (auto revoke :
        { std::optional<Duration>(), std::optional<Duration>(5s) }) {
-    ConfigProof proof(revoke);
-    BOOST_TEST(!proof.KnowsAllKeys(At(0ms)));
-    proof.OnSource(At(0ms));
-    BOOST_TEST(proof.KnowsAllKeys(At(kMaxKeyListAge)));
-    BOOST_TEST(!proof.KnowsAllKeys(At(kMaxKeyListAge + 1ms)));
+    for (auto [within, most] :
+         { std::pair(4'000ms, 3'000ms), std::pair(2'000ms, 1'500ms) }) {
+      ConfigProof proof(revoke, within);
+      BOOST_TEST(!proof.KnowsAllKeys(At(0ms)));
+      proof.OnSource(At(0ms));
+      BOOST_TEST(proof.KnowsAllKeys(At(most)));
+      BOOST_TEST(!proof.KnowsAllKeys(At(most + 1ms)));
+    }
   }
-  ConfigProof open{ std::nullopt };
+  ConfigProof open{ std::nullopt, kChangesWithin };
   BOOST_TEST(open.MayServe(At(0ms)));
   BOOST_TEST(!open.WantsPeers(At(0ms)));
 }
 
 BOOST_AUTO_TEST_CASE(a_vm_that_was_closed_waits_for_peers_in_a_new_era)
 {
-  ConfigProof proof(kRevoke);
+  ConfigProof proof(kRevoke, kChangesWithin);
   proof.OnSource(At(0ms));
   proof.OnSource(At(3'000ms));
   BOOST_TEST(!proof.WantsPeers(At(3'000ms)));
--- a/tests/router_keys_test.cpp
+++ b/tests/router_keys_test.cpp
@@ -40,6 +40,7 @@
 {
   RouterOptions options = RouterFixture::Options();
   options.m_revoke = 5'000ms;
+  options.m_changesWithin = 4'000ms;
   return options;
 }
 
