Count what the heads of requests hold

Cause: a parsed head takes 64 bytes and more for each field, however short, and the account of memory had nothing of it: connections that send a whole head and no body counted 4 KB each. Change: a parsed head counts with its fields, twice while its request is received, once while it runs, and not any more once it is answered, left or refused; a refusal frees it and updates the account at once. A request has at most 256 fields.

--- a/src/http1_reader.cpp
+++ b/src/http1_reader.cpp
@@ -18,6 +18,9 @@
 constexpr int kHttp10 = 10;
 constexpr int kLowestStatus = 100;
 constexpr int kHighestStatus = 599;
+/// Most fields of a request's head. Each takes 64 bytes and more once parsed,
+/// whatever its length; callers send some dozens.
+constexpr std::size_t kMaxRequestFields = 256;
 
 [[noreturn]] void
 Refuse(const std::string& aWhat)
@@ -89,9 +92,16 @@
                      ParserError&) override
   {
     // Beast also reports trailers here. They are not forwarded.
-    if (!this->is_header_done()) {
-      m_head.m_fields.push_back({ Text(aName), Text(aValue) });
+    if (this->is_header_done()) {
+      return;
     }
+    if (isRequest && m_head.m_fields.size() == kMaxRequestFields) {
+      throw Error(ErrorKind::HeadTooLarge,
+                  "the request has more than " +
+                    std::to_string(kMaxRequestFields) + " header fields",
+                  "Send fewer header fields.");
+    }
+    m_head.m_fields.push_back({ Text(aName), Text(aValue) });
   }
 
   void on_header_impl(ParserError&) override {}
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -22,6 +22,19 @@
   return text.data();
 }
 
+/// Returns what a parsed head holds. A field takes the same however short it
+/// is, and the vector grows in steps.
+std::size_t
+BytesOf(const RequestHead& aHead)
+{
+  std::size_t bytes =
+    aHead.m_target.capacity() + aHead.m_fields.capacity() * sizeof(HttpHeader);
+  for (const HttpHeader& field : aHead.m_fields) {
+    bytes += field.m_name.capacity() + field.m_value.capacity();
+  }
+  return bytes;
+}
+
 } // namespace
 
 const char*
@@ -180,6 +193,7 @@
     if (!m_body.empty()) {
       m_listener.m_bufferedBodyBytes -= m_body.size();
       m_body.clear();
+      m_body.shrink_to_fit();
     }
   }
 
@@ -339,6 +353,7 @@
                   .m_arrivedAt = m_arrivedAt };
     m_maxBody = limits.m_maxBody;
     m_headBytes = 0;
+    m_fieldBytes = BytesOf(m_request.m_head);
     m_hasHead = true;
     Arm(limits.m_headTimeout);
   }
@@ -448,10 +463,22 @@
   {
     m_handler.OnBadRequest(aError);
     ReleaseBody();
+    ReleaseHead();
     m_keepAlive = false;
     m_exchange = std::make_shared<CallerExchange>(this);
     std::shared_ptr<CallerExchange> exchange = m_exchange;
     RespondError(*exchange, aError);
+    Account();
+  }
+
+  /// Gives up the head of a request that was refused. Nothing is read after it.
+  void ReleaseHead()
+  {
+    m_request = {};
+    m_reader = MakeRequestReader(m_maxHead);
+    m_hasHead = false;
+    m_headBytes = 0;
+    m_fieldBytes = 0;
   }
 
   void AddConnectionField(HttpHeaders& aFields)
@@ -469,6 +496,7 @@
   void DetachExchange(bool aCallerLeft)
   {
     m_runBytes = 0;
+    m_fieldBytes = 0;
     m_heldAnswer = 0;
     if (m_exchange != nullptr) {
       std::exchange(m_exchange, nullptr)->Detach(aCallerLeft);
@@ -520,10 +548,10 @@
     m_pipelined = std::move(pipelined);
     m_pipelinedTaken = at;
     TakePipelined(*taken);
-    Account();
     if (m_complete) {
       Deliver();
     }
+    Account();
   }
 
   /// Returns whether too much of the earlier answers is unread for another one.
@@ -533,10 +561,12 @@
   }
 
   /// Returns what the connection holds beyond kConnectionBytes. A body is held
-  /// twice, as it is copied for the upstream.
+  /// twice, as it is copied for the upstream. While a request is received the
+  /// reader holds its head too.
   std::size_t Held() const
   {
-    return m_pipelined.capacity() + m_headBytes +
+    std::size_t fields = m_hasHead ? 2 * m_fieldBytes : m_fieldBytes;
+    return m_pipelined.capacity() + m_headBytes + fields +
            2 * (m_body.size() + m_runBytes) + m_heldAnswer +
            m_stream->Buffered();
   }
@@ -695,6 +725,7 @@
   bool m_isHeldBack{ false };    ///< not read, as the account is near its bound
   std::size_t m_held{ 0 };       ///< in the account
   std::size_t m_headBytes{ 0 };  ///< of a head that isn't complete
+  std::size_t m_fieldBytes{ 0 }; ///< of the parsed head
   std::size_t m_runBytes{ 0 };   ///< of the body of the request that runs
   std::size_t m_heldAnswer{ 0 }; ///< bytes held until the answer is complete
   std::uint64_t m_received{ 0 }; ///< bytes
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -136,6 +136,21 @@
     (RefusalOf(head + std::string(kMaxHead, 'a')) == ErrorKind::HeadTooLarge));
 }
 
+BOOST_AUTO_TEST_CASE(a_head_of_very_many_fields_is_refused)
+{
+  auto request = [](int aFields) {
+    std::string text = "GET / HTTP/1.1\r\nHost: h\r\n";
+    for (int i = 1; i < aFields; ++i) {
+      text += "a:b\r\n";
+    }
+    return text + "\r\n";
+  };
+  Recorder recorder;
+  MakeRequestReader(kMaxHead)->Feed(request(256), recorder);
+  BOOST_TEST(recorder.m_request.m_fields.size() == 256U);
+  BOOST_TEST((RefusalOf(request(257)) == ErrorKind::HeadTooLarge));
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_answer_is_not_reported_as_complete)
 {
   auto reader = MakeAnswerReader(kMaxHead);
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -252,3 +252,39 @@
   callers.m_running.front().first->Respond(200, "OK", {}, "hello");
   BOOST_TEST(ordinary->m_queued.find("hello") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(heads_are_counted_until_their_requests_end)
+{
+  // The most fields of a head, near its greatest length.
+  std::string head = "POST / HTTP/1.1\r\nHost: h\r\nContent-Length: 1\r\n";
+  for (int i = 0; i < 250; ++i) {
+    head += "a" + std::to_string(i) + ": " + std::string(50, 'v') + "\r\n";
+  }
+  head += "\r\n";
+  Callers callers(IntakeBytes(88));
+  PeerStream* peer = callers.Connect();
+  peer->m_handler->OnBytes(head);
+  std::size_t received = callers.m_intake->Bytes() - kConnectionBytes;
+  BOOST_TEST(received > 2 * head.size());
+  BOOST_TEST(received < 10 * head.size());
+  peer->m_handler->OnBytes("b");
+  BOOST_TEST_REQUIRE(callers.m_running.size() == 1U);
+  BOOST_TEST(callers.m_intake->Bytes() - kConnectionBytes >= received / 2);
+  BOOST_TEST(callers.m_intake->Bytes() - kConnectionBytes < received / 2 + 99);
+  callers.m_running.front().first->Respond(200, "OK", {}, "");
+  std::string read;
+  peer->Drain(1'000, read);
+  BOOST_TEST(callers.m_intake->Bytes() < kConnectionBytes + 100);
+  // Many of them fill the account, which then refuses others.
+  for (int i = 0; i < 1'000; ++i) {
+    if (PeerStream* one = callers.Connect()) {
+      one->m_handler->OnBytes(head);
+    }
+  }
+  BOOST_TEST((callers.m_intake->Step() == IntakeStep::Refuse));
+  BOOST_TEST(callers.m_listener.Count() < 600U);
+  BOOST_TEST(callers.m_intake->Bytes() <= IntakeBytes(88));
+  callers.m_loop.RunFor(4s);
+  callers.m_listener.Sweep();
+  BOOST_TEST((callers.m_intake->Step() == IntakeStep::Calm));
+}
--- a/tests/untrusted_clients.py
+++ b/tests/untrusted_clients.py
@@ -76,6 +76,12 @@
     return make
 
 
+def fields(client):
+    """A whole head of as many fields as fit, whose body never comes."""
+    first, rest = request(client, length=9).split(b"\r\n", 1)
+    return (first + b"\r\n" + b"a:b\r\n" * ((MAX_HEAD - 300) // 5) + rest)
+
+
 KINDS = {  # name: (connections, what each sends, bytes a second it reads, port)
     "ahead": (CROWD, many(lambda n: request(n, "/safe/slow", pad=400)),
               1 << 20),
@@ -89,6 +95,7 @@
     "heads": (CROWD, lambda n: request(n, pad=MAX_HEAD - 300)[:-2], 0),
     "bodies": (CROWD, lambda n: request(
         n, "/once/x", b"b" * (MAX_BODY - 1), length=MAX_BODY), 0),
+    "heads_without_bodies": (CROWD, fields, 0),
     "connections": (6 * MAX_CONNECTIONS, lambda n: b"", 0),
     "slow_readers": (CROWD, many(
         lambda n: request(n, "/safe/large", pad=1000)), 2 << 10),
