Keep no memory in readers between messages

Cause: the reader took all that it was offered into its own buffer, and kept the buffer's size: each idle connection kept its largest read, which the account of memory doesn't see. Change: it takes at most a head, parses from the bytes given where it can, and gives its memory back when a head or a chunk line is done.

--- a/src/http1_reader.cpp
+++ b/src/http1_reader.cpp
@@ -234,26 +234,31 @@
     }
     m_bytesBeforeHead += skipped;
     std::size_t before = m_pending.size();
-    m_pending.append(aBytes.substr(skipped));
+    // No head that is taken ends later.
+    std::string_view head =
+      aBytes.substr(skipped, m_maxHead + kHeadEnd.size() - before);
+    std::string pending = std::exchange(m_pending, {});
+    if (before > 0) {
+      head = pending.append(head);
+    }
     std::size_t from = before < kHeadEnd.size() ? 0 : before - kHeadEnd.size();
-    std::size_t end = m_pending.find(kHeadEnd, from);
-    if (m_bytesBeforeHead + std::min(end, m_pending.size()) > m_maxHead) {
+    std::size_t end = head.find(kHeadEnd, from);
+    if (m_bytesBeforeHead + std::min(end, head.size()) > m_maxHead) {
       throw Error(ErrorKind::HeadTooLarge,
                   "the message's head exceeds " + std::to_string(m_maxHead) +
                     " bytes",
                   "Send fewer or shorter header fields.");
     }
-    if (end == std::string::npos) {
+    if (end == std::string_view::npos) {
+      m_pending = before > 0 ? std::move(pending) : std::string(head);
       return aBytes.size();
     }
     std::size_t size = end + kHeadEnd.size();
-    std::string head = m_pending.substr(0, size);
-    m_pending.clear();
-    ParseHead(head, aSink);
+    ParseHead(head.substr(0, size), aSink);
     return skipped + size - before;
   }
 
-  void ParseHead(const std::string& aHead, MessageSinkI& aSink)
+  void ParseHead(std::string_view aHead, MessageSinkI& aSink)
   {
     if (HasFoldedLine(aHead)) {
       Refuse("a header field continues on the next line");
@@ -264,7 +269,8 @@
     }
     parser->m_sink = &aSink;
     ParserError error;
-    std::size_t used = parser->put(boost::asio::buffer(aHead), error);
+    std::size_t used =
+      parser->put(boost::asio::buffer(aHead.data(), aHead.size()), error);
     if ((error && error != http::error::need_more) || used != aHead.size() ||
         !parser->is_header_done()) {
       Refuse("the message's head is malformed: " + error.message());
@@ -329,11 +335,9 @@
   {
     m_parser->m_sink = &aSink;
     std::size_t before = m_pending.size();
-    std::string joined;
+    std::string joined = std::exchange(m_pending, {}); // gives up its memory
     if (before > 0) {
-      joined = m_pending + std::string(aBytes);
-      aBytes = joined;
-      m_pending.clear();
+      aBytes = joined.append(aBytes);
     }
     std::size_t used = 0;
     while (used < aBytes.size() && !m_parser->is_done()) {
--- a/tests/http1_test.cpp
+++ b/tests/http1_test.cpp
@@ -8,6 +8,8 @@
 
 #include <rapidcheck.h>
 
+#include <malloc.h>
+
 using namespace shallotford;
 
 namespace {
@@ -151,6 +153,39 @@
   BOOST_TEST((RefusalOf(request(257)) == ErrorKind::HeadTooLarge));
 }
 
+BOOST_AUTO_TEST_CASE(a_reader_between_messages_holds_little)
+{
+  constexpr std::size_t kReaders = 50;
+  constexpr std::size_t kMost = 1'000; // bytes of each, with its object
+  const std::string one =
+    "POST / HTTP/1.1\r\nHost: h\r\nTransfer-Encoding: chunked\r\n\r\n"
+    "5;" +
+    std::string(2'000, 'x') + "\r\nhello\r\n0\r\n\r\n";
+  std::string many;
+  for (int i = 0; i < 40; ++i) {
+    many += one;
+  }
+  Recorder recorder;
+  for (std::size_t piece : { many.size(), std::size_t{ 777 } }) {
+    std::vector<std::unique_ptr<MessageReaderI>> readers;
+    readers.reserve(kReaders);
+    std::size_t before = ::mallinfo2().uordblks;
+    for (std::size_t i = 0; i < kReaders; ++i) {
+      readers.push_back(MakeRequestReader(kMaxHead));
+      recorder.m_ends = 0;
+      std::string_view rest = many;
+      while (!rest.empty()) {
+        rest.remove_prefix(
+          readers.back()->Feed(rest.substr(0, piece), recorder));
+      }
+      BOOST_TEST(recorder.m_ends == 40);
+      recorder = {};
+    }
+    std::size_t held = ::mallinfo2().uordblks - before;
+    BOOST_TEST(held < kReaders * kMost, "pieces of " << piece << ": " << held);
+  }
+}
+
 BOOST_AUTO_TEST_CASE(a_truncated_answer_is_not_reported_as_complete)
 {
   auto reader = MakeAnswerReader(kMaxHead);
--- a/tests/untrusted_clients.py
+++ b/tests/untrusted_clients.py
@@ -96,6 +96,8 @@
     "bodies": (CROWD, lambda n: request(
         n, "/once/x", b"b" * (MAX_BODY - 1), length=MAX_BODY), 0),
     "heads_without_bodies": (CROWD, fields, 0),
+    "idle_after_pipelined": (CROWD, lambda n: b"".join(
+        request(f"{n}-{i}") for i in range(500)), 1 << 20),
     "connections": (6 * MAX_CONNECTIONS, lambda n: b"", 0),
     "slow_readers": (CROWD, many(
         lambda n: request(n, "/safe/large", pad=1000)), 2 << 10),
