Bound what one request says of the mean output

Cause: one caller's hint or bound counted as stated, so that a hint of 4e9 made the mean 1e8 for minutes, and the tokens to reserve could exceed their type. Change: a request counts at most 8 times the mean, or 16,384 tokens while none is known, and the tokens are bounded before the cast.

--- a/src/admission_growth.cpp
+++ b/src/admission_growth.cpp
@@ -5,9 +5,21 @@
 
 #include <algorithm>
 #include <cmath>
+#include <limits>
 
 namespace shallotford {
 
+namespace {
+
+/// Mean outputs that one request counts at most. Answers are up to 2.4 times
+/// the mean, and estimates of them seldom more than 3 times off.
+constexpr double kMaxOutputsOfOne = 8;
+/// Tokens that it counts at most while no mean is known: more than the longest
+/// answers that users state (12,000).
+constexpr double kMaxUnknownOutput = 16'384;
+
+} // namespace
+
 GrowthEstimate::GrowthEstimate(double aTypicalOutput)
   : m_tokens(aTypicalOutput * kTypicalOutputWeight)
   , m_weight(aTypicalOutput > 0 ? kTypicalOutputWeight : 0)
@@ -26,6 +38,9 @@
   if (output == 0) {
     return;
   }
+  std::optional<double> mean = MeanOutput();
+  double counted = std::min<double>(
+    output, mean ? kMaxOutputsOfOne * *mean : kMaxUnknownOutput);
   using Seconds = std::chrono::duration<double>;
   double keep =
     std::exp2(-Seconds(aNow - m_addedAt) / Seconds(kOutputHalfLife));
@@ -36,7 +51,7 @@
     m_tokens *= keep;
     m_weight *= keep;
   }
-  m_tokens += output;
+  m_tokens += counted;
   m_weight += 1;
   m_addedAt = aNow;
 }
@@ -69,7 +84,8 @@
                                    kMaxReservedShare * aNeed.m_engineTokens);
     tokens = std::min(tokens, most);
   }
-  return static_cast<std::uint32_t>(tokens);
+  constexpr double kMost = std::numeric_limits<std::uint32_t>::max();
+  return static_cast<std::uint32_t>(std::min(tokens, kMost));
 }
 
 } // namespace shallotford
--- a/tests/admission_growth_test.cpp
+++ b/tests/admission_growth_test.cpp
@@ -7,6 +7,7 @@
 #include "shallotford/admission.h"
 
 #include <deque>
+#include <limits>
 #include <random>
 
 using namespace shallotford;
@@ -217,3 +218,31 @@
   need.m_promptTokens = 35'000;
   BOOST_TEST(growth.TokensToReserve(need) == 35'000U);
 }
+
+BOOST_AUTO_TEST_CASE(one_request_does_not_decide_for_all)
+{
+  constexpr std::uint32_t kHuge = 4'000'000'000;
+  // Once a mean is known, and before.
+  GrowthEstimate known(780);
+  GrowthEstimate unknown;
+  TimePoint now{};
+  for (GrowthEstimate* growth : { &known, &unknown }) {
+    growth->OnRequest(kHuge, 0, now += 100ms);
+    for (int i = 0; i < 20; ++i) {
+      growth->OnRequest({}, 780, now += 100ms);
+    }
+  }
+  BOOST_TEST(*known.MeanOutput() < 1.3 * 780);
+  BOOST_TEST(*unknown.MeanOutput() < 4 * 780);
+}
+
+BOOST_AUTO_TEST_CASE(a_need_above_any_engine_stays_above)
+{
+  constexpr std::uint32_t kMost = std::numeric_limits<std::uint32_t>::max();
+  MemoryNeed need{ .m_promptTokens = kMost - 10,
+                   .m_outputTokens = kMost,
+                   .m_engineRequests = 9,
+                   .m_isLate = true };
+  BOOST_TEST(GrowthEstimate(780).TokensToReserve(need) == kMost);
+  BOOST_TEST(GrowthEstimate().TokensToReserve(need) == kMost);
+}
