Let the settings' mean output hold until requests come

Cause: its weight faded from the clock's epoch on, so that it was a quarter at the first request of a machine that runs for some minutes. Change: it fades from the first request on.

--- a/src/admission_growth.cpp
+++ b/src/admission_growth.cpp
@@ -41,6 +41,9 @@
   std::optional<double> mean = MeanOutput();
   double counted = std::min<double>(
     output, mean ? kMaxOutputsOfOne * *mean : kMaxUnknownOutput);
+  if (m_addedAt == TimePoint{}) {
+    m_addedAt = aNow; // the start value loses weight from the first request on
+  }
   using Seconds = std::chrono::duration<double>;
   double keep =
     std::exp2(-Seconds(aNow - m_addedAt) / Seconds(kOutputHalfLife));
--- a/tests/admission_growth_test.cpp
+++ b/tests/admission_growth_test.cpp
@@ -246,3 +246,12 @@
   BOOST_TEST(GrowthEstimate(780).TokensToReserve(need) == kMost);
   BOOST_TEST(GrowthEstimate().TokensToReserve(need) == kMost);
 }
+
+BOOST_AUTO_TEST_CASE(the_settings_mean_holds_whenever_the_first_request_comes)
+{
+  for (Duration uptime : { Duration(1s), Duration(24h) }) {
+    GrowthEstimate growth(780);
+    growth.OnRequest({}, 5'000, TimePoint{} + uptime);
+    BOOST_TEST(*growth.MeanOutput() < 1'000);
+  }
+}
