Forget the error of a send that later goes on

Cause: the error of a send, as ENOBUFS, was kept after later sends had succeeded, and the peer's end after a whole answer was taken for a broken connection. Change: a successful send clears it.

--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -384,6 +384,7 @@
       }
       return false;
     }
+    m_sendError = 0; // the connection has outlived it
     m_offset += static_cast<std::size_t>(count);
     m_sent += static_cast<std::uint64_t>(count);
   }
--- a/tests/net_stream_test.cpp
+++ b/tests/net_stream_test.cpp
@@ -6,12 +6,33 @@
 #include "net_fixture.h"
 
 #include <sys/resource.h>
+#include <sys/socket.h>
+
+#include <atomic>
 
 using namespace shallotford;
 using namespace shallotford::test;
 
 namespace {
 
+/// The error with which the next send fails, as when memory is short.
+std::atomic<int> g_sendError{ 0 }; // NOLINT: read by send()
+
+} // namespace
+
+/// Stands in for the C library's.
+extern "C" ssize_t
+send(int aSocket, const void* aBytes, std::size_t aLength, int aFlags)
+{
+  if (int error = g_sendError.exchange(0); error != 0) {
+    errno = error;
+    return -1;
+  }
+  return ::sendto(aSocket, aBytes, aLength, aFlags, nullptr, 0);
+}
+
+namespace {
+
 constexpr std::size_t kMuch = 16u << 20; // more than sockets hold
 constexpr std::size_t kRefill = 4u << 20;
 
@@ -160,3 +181,15 @@
   });
   BOOST_TEST(m_ends.Take().value_or("nothing") == "end");
 }
+
+BOOST_FIXTURE_TEST_CASE(an_end_after_a_send_that_went_on_is_an_end, Sender)
+{
+  m_loop.Do([this] {
+    g_sendError = ENOBUFS;
+    m_stream->Write("first");
+  });
+  m_peer->ReadUntil("first");
+  BOOST_TEST(g_sendError == 0);
+  m_peer->Close();
+  BOOST_TEST(m_ends.Take().value_or("nothing") == "end");
+}
