Notice callers that leave while they aren't read

Cause: nothing reads a paused connection, so that its end isn't met and the request runs on for a caller that has left.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -179,6 +179,21 @@
   {
     return { .m_bytes = m_held, .m_stalled = m_loop.Now() - m_progressAt };
   }
+  /// Returns whether the caller has left while its request runs, which no event
+  /// tells as nothing is read.
+  bool HasLeftUnseen() const
+  {
+    return m_exchange != nullptr && m_isPaused && !m_closing && HasCallerLeft();
+  }
+  /// Handles the end of the connection; destroys this object after the current
+  /// event.
+  void OnCallerLeft()
+  {
+    DetachExchange(true);
+    m_closing = true;
+    m_stream->PauseReading();
+    m_listener.Remove(this);
+  }
   /// Closes the connection at once, as there is no room for what it holds.
   void CloseForRoom()
   {
@@ -589,7 +604,8 @@
       m_handler.OnIntake(IntakeAct::Pause);
     }
     m_isHeldBack = !mayRead;
-    if (m_isHeldBack || Pipelined().size() >= kMaxPipelinedBytes) {
+    m_isPaused = m_isHeldBack || Pipelined().size() >= kMaxPipelinedBytes;
+    if (m_isPaused) {
       m_stream->PauseReading();
     } else {
       m_stream->ResumeReading();
@@ -692,16 +708,6 @@
                     .WithRetryAfter(kBodyBufferFullRetryAfter));
   }
 
-  /// Handles the end of the connection; destroys this object after the current
-  /// event.
-  void OnCallerLeft()
-  {
-    DetachExchange(true);
-    m_closing = true;
-    m_stream->PauseReading();
-    m_listener.Remove(this);
-  }
-
   CallerListener& m_listener;
   LoopI& m_loop;
   CallerHandlerI& m_handler;
@@ -723,6 +729,7 @@
   bool m_hasDropped{ false };
   bool m_hasLeft{ false };       ///< the listener and its account
   bool m_isHeldBack{ false };    ///< not read, as the account is near its bound
+  bool m_isPaused{ false };      ///< not read, for this or what it sent ahead
   std::size_t m_held{ 0 };       ///< in the account
   std::size_t m_headBytes{ 0 };  ///< of a head that isn't complete
   std::size_t m_fieldBytes{ 0 }; ///< of the parsed head
@@ -858,12 +865,20 @@
 CallerListener::Sweep()
 {
   std::vector<CallerConnection*> connections;
+  std::vector<CallerConnection*> left;
   std::vector<IntakeHolder> holders;
   for (auto& [key, connection] : m_connections) {
     connection->Sweep();
+    if (connection->HasLeftUnseen()) {
+      left.push_back(key);
+      continue;
+    }
     connections.push_back(key);
     holders.push_back(connection->Holder());
   }
+  for (CallerConnection* connection : left) {
+    connection->OnCallerLeft();
+  }
   for (std::size_t index : m_intake->ToClose(holders)) {
     m_handler.OnIntake(IntakeAct::Close);
     connections[index]->CloseForRoom();
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -121,7 +121,8 @@
   void CloseIdle();
   std::size_t Count() const { return m_connections.size(); }
   /// Goes on reading where there is room again, and closes the heaviest
-  /// connections without progress where there is none.
+  /// connections without progress where there is none. Ends the requests of
+  /// callers that have left while they weren't read.
   void Sweep();
 
 private:
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -25,7 +25,7 @@
   std::size_t Buffered() const override { return m_queued.size(); }
   std::uint64_t BytesSent() const override { return m_sent; }
   Duration SinceArrival() const override { return Duration::zero(); }
-  bool HasPeerLeft() const override { return false; }
+  bool HasPeerLeft() const override { return m_left; }
   bool HasUnread() const override { return false; }
   void FinishWriting() override {}
   void ResetOnDestroy() override {}
@@ -47,6 +47,7 @@
   std::string m_queued;
   std::uint64_t m_sent{ 0 };
   bool m_paused{ false };
+  bool m_left{ false };
 };
 
 struct FakeListener : StreamListenerI
@@ -288,3 +289,27 @@
   callers.m_listener.Sweep();
   BOOST_TEST((callers.m_intake->Step() == IntakeStep::Calm));
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_leaves_while_it_is_not_read_is_noticed)
+{
+  Callers callers(kDefaultIntakeBytes);
+  PeerStream* paused = callers.Connect();
+  PeerStream* read = callers.Connect();
+  for (PeerStream* peer : { paused, read }) {
+    peer->m_handler->OnBytes(Request(1, 0));
+  }
+  BOOST_TEST_REQUIRE(callers.m_running.size() == 2U);
+  while (!paused->m_paused) {
+    paused->m_handler->OnBytes(Request(2, 16'000));
+  }
+  int closed = 0;
+  callers.m_running.front().first->OnClosed([&] { ++closed; });
+  callers.m_listener.Sweep();
+  BOOST_TEST(callers.m_listener.Count() == 2U);
+  paused->m_left = true;
+  read->m_left = true; // its event tells
+  callers.m_listener.Sweep();
+  BOOST_TEST(callers.m_listener.Count() == 1U);
+  BOOST_TEST(closed == 1);
+  BOOST_TEST(callers.m_running.front().first->HasCallerLeft());
+}
