Refuse callers that are held back before closing them

Cause: a connection that this VM doesn't read for lack of room makes no progress, and near the bound was reset for it. Change: when it is chosen, its request gets 503 first, as not run, and it is closed only if it is chosen again.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -194,6 +194,21 @@
     m_stream->PauseReading();
     m_listener.Remove(this);
   }
+  /// Returns whether the caller can't go on with a request for our lack of
+  /// room.
+  bool IsHeldBackInside() const
+  {
+    return m_isHeldBack && m_exchange == nullptr && !m_closing &&
+           m_reader->IsInside();
+  }
+  /// Refuses the request that is being received, which has not run.
+  void RefuseForRoom()
+  {
+    RefuseRequest(Error(ErrorKind::Overloaded,
+                        "too much is being received",
+                        "Send the request again after the time given.")
+                    .WithRetryAfter(kBodyBufferFullRetryAfter));
+  }
   /// Closes the connection at once, as there is no room for what it holds.
   void CloseForRoom()
   {
@@ -702,10 +717,7 @@
       Arm(aLimits.m_idleTimeout);
       return;
     }
-    RefuseRequest(Error(ErrorKind::Overloaded,
-                        "too much is being received",
-                        "Send the request again after the time given.")
-                    .WithRetryAfter(kBodyBufferFullRetryAfter));
+    RefuseForRoom();
   }
 
   CallerListener& m_listener;
@@ -880,6 +892,10 @@
     connection->OnCallerLeft();
   }
   for (std::size_t index : m_intake->ToClose(holders)) {
+    if (connections[index]->IsHeldBackInside()) {
+      connections[index]->RefuseForRoom();
+      continue;
+    }
     m_handler.OnIntake(IntakeAct::Close);
     connections[index]->CloseForRoom();
   }
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -120,9 +120,9 @@
   /// Closes the connections that wait for a request.
   void CloseIdle();
   std::size_t Count() const { return m_connections.size(); }
-  /// Goes on reading where there is room again, and closes the heaviest
-  /// connections without progress where there is none. Ends the requests of
-  /// callers that have left while they weren't read.
+  /// Goes on reading where there is room again, and refuses or
+  /// closes the heaviest without progress where there is none. Ends the
+  /// requests of callers that have left while they weren't read.
   void Sweep();
 
 private:
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -9,6 +9,7 @@
 #include "fake_loop.h"
 #include "router_caller.h"
 
+#include <algorithm>
 #include <deque>
 #include <random>
 
@@ -313,3 +314,34 @@
   BOOST_TEST(closed == 1);
   BOOST_TEST(callers.m_running.front().first->HasCallerLeft());
 }
+
+BOOST_AUTO_TEST_CASE(a_caller_that_is_held_back_is_refused_before_it_is_closed)
+{
+  Callers callers(2u << 20);
+  std::vector<PeerStream*> heavy;
+  for (int i = 0; i < 30; ++i) { // bodies without their last byte
+    if (PeerStream* peer = callers.Connect()) {
+      heavy.push_back(peer);
+      std::string body = Request(i, 200'000);
+      body.pop_back();
+      for (std::size_t at = 0; at < body.size() && !peer->m_paused;
+           at += 16'000) {
+        peer->m_handler->OnBytes(std::string_view(body).substr(at, 16'000));
+      }
+    }
+  }
+  BOOST_TEST_REQUIRE((callers.m_intake->Step() == IntakeStep::Refuse));
+  for (int i = 0; i < 5; ++i) { // shorter than the time for a request
+    callers.m_loop.RunFor(500ms);
+    callers.m_listener.Sweep();
+  }
+  BOOST_TEST((callers.m_intake->Step() != IntakeStep::Refuse));
+  BOOST_TEST(callers.m_bad > 0);
+  BOOST_TEST(callers.m_acts[IntakeAct::Close] == 0);
+  BOOST_TEST_REQUIRE(callers.m_listener.Count() == heavy.size());
+  auto refused =
+    std::count_if(heavy.begin(), heavy.end(), [](const PeerStream* aPeer) {
+      return aPeer->m_queued.find("HTTP/1.1 503 ") == 0;
+    });
+  BOOST_TEST(refused == callers.m_bad);
+}
