Leave callers half of few descriptors

Cause: with max_descriptors of 1,225 or less one connection of a caller was served, and the peers' port could take all descriptors that are kept for upstreams. The peers' bound has no test and wasn't tried in a large system.

--- a/src/intake_account.cpp
+++ b/src/intake_account.cpp
@@ -42,7 +42,7 @@
     return aConfigured;
   }
   constexpr std::size_t kKept = kFileDescriptors + kOtherDescriptors;
-  std::size_t left = aDescriptors > kKept ? aDescriptors - kKept : 1;
+  std::size_t left = aDescriptors - std::min(kKept, aDescriptors / 2);
   return std::min(aConfigured, left);
 }
 
--- a/src/router_listen.cpp
+++ b/src/router_listen.cpp
@@ -17,8 +17,10 @@
 constexpr std::size_t kOperatorConnections = 64;
 /// Longest body that operators send; their calls have none.
 constexpr std::size_t kMaxOperatorBody = 64u << 10;
-/// Connections of other VMs, several from each of the largest system's.
-constexpr std::size_t kPeerConnections = 1'024;
+/// Connections of other VMs, which call a few at a time. The
+/// rest of what is kept beside callers is for upstreams and the directory's
+/// source.
+constexpr std::size_t kPeerConnections = kOtherDescriptors / 4 * 3;
 /// Longest call of another VM: gossip of all VMs and a digest are a tenth of
 /// it.
 constexpr std::size_t kMaxPeerCall = 1u << 20;
