--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -6,7 +6,7 @@
 #include <boost/test/unit_test.hpp>
 
 #include "config.h"
-#include "fake_loop.h"
+#include "fake_streams.h"
 #include "router_caller.h"
 
 #include <algorithm>
@@ -51,32 +51,6 @@
   bool m_left{ false };
 };
 
-struct FakeListener : StreamListenerI
-{
-  std::uint16_t Port() const override { return 1; }
-};
-
-struct StreamLoop
-  : FakeLoop
-  , StreamsI
-{
-  using FakeLoop::FakeLoop;
-  StreamsI& Streams() override { return *this; }
-  std::unique_ptr<StreamI> Connect(const StreamOptions&,
-                                   StreamHandlerI&) override
-  {
-    return nullptr;
-  }
-  std::unique_ptr<StreamListenerI> Listen(
-    const StreamListenerOptions&,
-    std::function<void(std::unique_ptr<StreamI>)> aOnAccept) override
-  {
-    m_onAccept = std::move(aOnAccept);
-    return std::make_unique<FakeListener>();
-  }
-  std::function<void(std::unique_ptr<StreamI>)> m_onAccept;
-};
-
 /// A listener whose requests the test answers later.
 struct Callers : CallerHandlerI
 {
@@ -90,7 +64,7 @@
     auto stream = std::make_unique<PeerStream>();
     PeerStream* peer = stream.get();
     std::size_t before = m_listener.Count();
-    m_loop.m_onAccept(std::move(stream));
+    m_loop.m_streams.m_onAccept(std::move(stream));
     return m_listener.Count() == before ? nullptr : peer;
   }
   void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override
--- a/tests/router_pipelined_test.cpp
+++ b/tests/router_pipelined_test.cpp
@@ -4,7 +4,7 @@
 #define BOOST_TEST_MODULE router_pipelined
 #include <boost/test/unit_test.hpp>
 
-#include "fake_loop.h"
+#include "fake_streams.h"
 #include "router_caller.h"
 
 using namespace shallotford;
@@ -31,36 +31,6 @@
   std::shared_ptr<std::string> m_written{ std::make_shared<std::string>() };
 };
 
-struct FakeListener : StreamListenerI
-{
-  std::uint16_t Port() const override { return 1; }
-};
-
-/// Hands over connections that the test makes.
-struct FakeStreams : StreamsI
-{
-  std::unique_ptr<StreamI> Connect(const StreamOptions&,
-                                   StreamHandlerI&) override
-  {
-    return nullptr;
-  }
-  std::unique_ptr<StreamListenerI> Listen(
-    const StreamListenerOptions&,
-    std::function<void(std::unique_ptr<StreamI>)> aOnAccept) override
-  {
-    m_onAccept = std::move(aOnAccept);
-    return std::make_unique<FakeListener>();
-  }
-  std::function<void(std::unique_ptr<StreamI>)> m_onAccept;
-};
-
-struct StreamLoop : FakeLoop
-{
-  using FakeLoop::FakeLoop;
-  StreamsI& Streams() override { return m_streams; }
-  FakeStreams m_streams;
-};
-
 /// A caller's connection whose requests are answered at once or later.
 struct Pipelined : CallerHandlerI
 {
