--- a/tests/router_keys_test.cpp
+++ b/tests/router_keys_test.cpp
@@ -404,13 +404,14 @@
   m_loop.Do([&] { store->SetFault(StoreFault::NoAnswer); });
   {
     RouterOptions options = Revoking();
-    options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
-    OtherVm other(*this, options, store->Address());
+    OtherVm other(*this, options, store->Address()); // that knows no peer yet
     RawSocket early(other.Port());
     early.Send(
       Request("/safe/", "early", "body", "Connection: close\r\n" + KeyField()));
     BOOST_TEST(early.ReadToEnd().starts_with("HTTP/1.1 503 "));
     // Then its peer proves it.
+    options.m_seeds = { "127.0.0.1:" + std::to_string(m_router->PeerPort()) };
+    other.Reload(options);
     BOOST_TEST(WaitFor([&] {
       RawSocket socket(other.Port());
       socket.Send(Request(
