--- a/src/router_origins.h
+++ b/src/router_origins.h
@@ -8,8 +8,8 @@
 #include "daemon_metrics.h"
 #include "daemon_peer.h"
 #include "shallotford/directory.h"
-#include "shallotford/vms.h"
 #include "shallotford/rpc.h"
+#include "shallotford/vms.h"
 
 #include <set>
 
