--- a/review/common-2/world.py
+++ b/review/common-2/world.py
@@ -474,12 +474,17 @@
         world = World(folder)
         world.note(f"TROUBLE={int(TROUBLE)}")
         result = COULD_NOT_RUN
+        task = asyncio.current_task()
+        for number in (signal.SIGTERM, signal.SIGINT):
+            asyncio.get_running_loop().add_signal_handler(number, task.cancel)
         try:
             await world.store.start(free_ports(1, ["127.0.0.1"])[0])
             result = await asyncio.wait_for(case(world), limit_s)
         except Exception as error:  # whatever it is, the rule wasn't judged
             world.note(f"could not run: {error!r}")
             world.record.write(traceback.format_exc())
+        except asyncio.CancelledError:
+            world.note("could not run: ended from outside")
         finally:
             world.close()
             await asyncio.sleep(0.3)
