--- a/review/common-2/server.py
+++ b/review/common-2/server.py
@@ -156,12 +156,14 @@
     text = (f"{request['id']} by {SETTINGS['id']}\n".encode() * (size // 8 + 1))[:size]
     writer.write(head_of(200, request, {"Content-Type": "text/plain"}, size,
                          signed=True))
-    step = size // parts
-    for part in range(parts):
-        end = size if part + 1 == parts else (part + 1) * step
-        writer.write(text[part * step:end])
+    ends = [size * (part + 1) // parts for part in range(parts)]
+    ends = [max(end, SETTINGS.get("at_once", 0)) for end in ends]
+    begin = 0
+    for end in ends:
+        writer.write(text[begin:end])
         await writer.drain()
-        if part + 1 < parts:
+        begin = end
+        if end < size:
             await asyncio.sleep(SETTINGS.get("part_ms", 0) / 1000)
 
 
