Let answers take no more memory than their VM has room for

What callers saw: a daemon that grew beyond its VM's memory (94 MB on a VM of 88) with 600 callers of answers of 240 KB, though none of them did anything wrong in one of the crowds; a process that is too large is ended with all its requests.

Cause: answers up to 256 KB are held until they are complete. They were counted, but the count bound only what comes from callers: nothing kept a request from being sent whose answer would find no room, nothing slowed the bytes of upstreams, and a complete answer was copied three times on its way.

Change: a request claims room for its answer's first 16 KB before it is sent, or is refused at once as not run, with a time to come back. Where there is no room to hold an answer on, it is passed on as it comes, with reading from its upstream paused while more than the connection's share waits for the caller; a failure that can't be passed on ends its attempt. Passing on begins only once attempts at silent upstreams are given up: one that went on later would cut the answer that the caller is getting. Long bodies aren't copied beside their heads, what a socket takes at once isn't copied, and a body is given up as soon as its answer is written.

Why it works: bytes from upstreams enter only within a claim that was counted before, or within a share that all connections can have at once.

--- a/include/shallotford/http1.h
+++ b/include/shallotford/http1.h
@@ -112,6 +112,11 @@
                  const std::string& aTarget,
                  const HttpHeaders& aFields);
 
+/// Writes a message. A short body goes with its head in one write; a long one
+/// isn't copied.
+void
+WriteMessage(StreamI& aStream, std::string aHead, std::string_view aBody);
+
 /// Returns the head of an answer. aFields must contain every field, including
 /// those for the framing.
 std::string
--- a/include/shallotford/intake.h
+++ b/include/shallotford/intake.h
@@ -18,6 +18,9 @@
 /// The bound if the VM's memory isn't stated: many of the largest requests (4
 /// MB), on a VM of usual size.
 inline constexpr std::size_t kDefaultIntakeBytes = 64u << 20;
+/// Room that a request claims for its answer before it is sent: what is read
+/// from an upstream before reading can pause.
+inline constexpr std::size_t kAnswerClaim = 16u << 10;
 /// Memory of a connection without a request: its object, its parser and the
 /// loop's state.
 inline constexpr std::size_t kConnectionBytes = 4u << 10;
@@ -86,7 +89,19 @@
   std::size_t Connections() const { return m_connections; }
   IntakeStep Step() const;
   /// Returns whether a connection that holds aBytes may be read on.
-  bool MayRead(std::size_t aBytes) const;
+  bool MayRead(std::size_t aBytes) const
+  {
+    return Step() == IntakeStep::Calm || aBytes <= Share();
+  }
+  /// Returns whether a request may run whose connection then holds aBytes.
+  bool MayRun(std::size_t aBytes) const
+  {
+    return Step() != IntakeStep::Refuse || aBytes <= Share();
+  }
+  /// Returns whether aBytes more would stay below the step Refuse.
+  bool HasRoomFor(std::size_t aBytes) const;
+  /// Returns the bytes that each connection may hold at any step.
+  std::size_t Share() const;
 
   /// Returns the indices of the connections to close, the heaviest first, until
   /// the account would be below the step Refuse.
--- a/src/config.h
+++ b/src/config.h
@@ -320,6 +320,9 @@
 /// Bytes of incomplete request bodies, over all connections.
 constexpr std::size_t kMaxBufferedBodyBytes = 16u << 20;
 constexpr std::chrono::milliseconds kBodyBufferFullRetryAfter = 500ms;
+/// Retry-After of a request whose answer would find no room. What makes no
+/// progress gives its room up after kMaxIntakeStall.
+constexpr std::chrono::milliseconds kNoRoomRetryAfter = 500ms;
 /// A caller's connection is broken off if bytes sent on it stay unacknowledged
 /// for this time.
 constexpr std::chrono::milliseconds kCallerAckTimeout = 15'000ms;
--- a/src/http1_fields.cpp
+++ b/src/http1_fields.cpp
@@ -11,6 +11,9 @@
 
 namespace {
 
+/// Bodies up to this size are copied to save a packet.
+constexpr std::size_t kJoinedBodyBytes = 16u << 10;
+
 /// Fields that concern one connection or the message's framing, whatever the
 /// "connection" field names.
 constexpr std::array<std::string_view, 9> kConnectionFields = {
@@ -95,6 +98,19 @@
   return false;
 }
 
+void
+WriteMessage(StreamI& aStream, std::string aHead, std::string_view aBody)
+{
+  if (aBody.size() <= kJoinedBodyBytes) {
+    aHead.append(aBody);
+    aBody = {};
+  }
+  aStream.Write(aHead);
+  if (!aBody.empty()) {
+    aStream.Write(aBody);
+  }
+}
+
 std::string
 WriteRequestHead(const std::string& aMethod,
                  const std::string& aTarget,
--- a/src/intake_account.cpp
+++ b/src/intake_account.cpp
@@ -71,10 +71,15 @@
 }
 
 bool
-Intake::MayRead(std::size_t aBytes) const
+Intake::HasRoomFor(std::size_t aBytes) const
 {
-  return Step() == IntakeStep::Calm ||
-         aBytes * m_connections <= m_maxBytes / kSharedPart;
+  return !IsAbove(m_bytes + aBytes, kRefuseShare, m_maxBytes);
+}
+
+std::size_t
+Intake::Share() const
+{
+  return m_maxBytes / kSharedPart / std::max<std::size_t>(m_connections, 1);
 }
 
 std::vector<std::size_t>
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -318,17 +318,20 @@
   if (m_broken || m_finish) {
     return;
   }
-  bool wasEmpty = Buffered() == 0;
+  if (Buffered() == 0 && !m_connecting) {
+    // What the socket takes at once needs no copy.
+    aBytes.remove_prefix(Send(aBytes));
+    if (!aBytes.empty()) {
+      // Errors are reported by an event, not from inside this call.
+      m_descriptor->WantWritable();
+    }
+  }
   if (m_offset > m_queued.size() / 2) {
     // A slow reader may never take all that is queued.
     m_queued = m_queued.substr(m_offset);
     m_offset = 0;
   }
   m_queued.append(aBytes);
-  if (wasEmpty && !m_connecting && !SendQueued()) {
-    // Errors are reported by an event, not from inside this call.
-    m_descriptor->WantWritable();
-  }
 }
 
 Duration
@@ -368,13 +371,14 @@
   }
 }
 
-bool
-Stream::SendQueued()
+std::size_t
+Stream::Send(std::string_view aBytes)
 {
-  while (Buffered() > 0) {
+  std::size_t sent = 0;
+  while (sent < aBytes.size()) {
     ssize_t count = ::send(m_descriptor->Descriptor(),
-                           m_queued.data() + m_offset,
-                           Buffered(),
+                           aBytes.data() + sent,
+                           aBytes.size() - sent,
                            MSG_NOSIGNAL);
     if (count < 0) {
       // The socket forgets its error, and a read would find an end. EPIPE
@@ -382,12 +386,22 @@
       if (errno != EAGAIN && errno != EINTR && errno != EPIPE) {
         m_sendError = errno;
       }
-      return false;
+      return sent;
     }
     m_sendError = 0; // the connection has outlived it
-    m_offset += static_cast<std::size_t>(count);
+    sent += static_cast<std::size_t>(count);
     m_sent += static_cast<std::uint64_t>(count);
   }
+  return sent;
+}
+
+bool
+Stream::SendQueued()
+{
+  m_offset += Send(std::string_view(m_queued).substr(m_offset));
+  if (Buffered() > 0) {
+    return false;
+  }
   ReleaseQueue();
   return true;
 }
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -96,6 +96,9 @@
   void OnReadable();
   void OnWritable();
   void FinishConnecting();
+  /// Gives bytes to the socket.
+  /// @return how many it took; errno is set if not all
+  std::size_t Send(std::string_view aBytes);
   /// Gives queued bytes to the socket. Returns false, with errno set, unless it
   /// took all of them.
   bool SendQueued();
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -49,6 +49,8 @@
       return "pause";
     case IntakeAct::Refuse:
       return "refuse";
+    case IntakeAct::Request:
+      return "request";
     case IntakeAct::Close:
       return "close";
     case IntakeAct::Connections:
@@ -110,6 +112,31 @@
   return m_connection == nullptr || m_connection->HasCallerLeft();
 }
 
+std::size_t
+CallerExchangeI::MaxBuffered() const
+{
+  return kMaxCallerQueueBytes;
+}
+
+bool
+CallerExchange::ClaimRoom()
+{
+  return m_connection == nullptr || m_connection->ClaimRoom();
+}
+
+bool
+CallerExchange::MayHold(std::size_t aBytes) const
+{
+  return m_connection == nullptr || m_connection->MayHold(aBytes);
+}
+
+std::size_t
+CallerExchange::MaxBuffered() const
+{
+  return m_connection == nullptr ? kMaxCallerQueueBytes
+                                 : m_connection->MaxBuffered();
+}
+
 void
 CallerExchange::SetHeld(std::size_t aBytes)
 {
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -43,8 +43,16 @@
   /// Returns whether the caller has disconnected, also if the loop hasn't met
   /// the event yet.
   virtual bool HasCallerLeft() const = 0;
-  /// Tells how many bytes of the answer are held until it is complete.
+  /// Claims room for the answer's first bytes until its end.
+  /// @return false if there is none; the request must be refused then
+  virtual bool ClaimRoom() { return true; }
+  /// Tells how many bytes of answers are held until one is complete.
   virtual void SetHeld(std::size_t /*aBytes*/) {}
+  /// Returns whether there is room to hold on an answer of which aBytes are
+  /// held.
+  virtual bool MayHold(std::size_t /*aBytes*/) const { return true; }
+  /// Returns the bytes that may wait for the caller while its upstream is read.
+  virtual std::size_t MaxBuffered() const;
   /// Returns the bytes that wait to be sent to the caller.
   virtual std::size_t Buffered() const = 0;
   /// Calls aCallback each time all buffered bytes have been sent.
@@ -70,6 +78,7 @@
 {
   Pause,       ///< stops reading from a connection
   Refuse,      ///< closes a new connection
+  Request,     ///< refuses a request, as its answer would find no room
   Close,       ///< closes a connection that makes no progress
   Connections, ///< closes a new connection, as there are too many
   Descriptors, ///< stops accepting for a moment, as none is left
--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -166,10 +166,10 @@
     aFields.push_back({ "Content-Length", std::to_string(aBody.size()) });
   }
   std::string answer = WriteAnswerHead(aStatus, aReason, aFields);
-  if (!m_toHead) {
-    answer.append(aBody);
+  if (m_toHead) {
+    aBody = {};
   }
-  m_stream->Write(answer);
+  WriteMessage(*m_stream, std::move(answer), aBody);
   EndAnswer();
 }
 
@@ -366,6 +366,7 @@
   m_runBytes = 0;
   m_fieldBytes = 0;
   m_heldAnswer = 0;
+  m_claim = 0;
   if (m_exchange != nullptr) {
     std::exchange(m_exchange, nullptr)->Detach(aCallerLeft);
   }
@@ -431,11 +432,40 @@
 }
 
 std::size_t
-CallerConnection::Held() const
+CallerConnection::HeldOfRequests() const
 {
   std::size_t fields = m_hasHead ? 2 * m_fieldBytes : m_fieldBytes;
   return m_pipelined.capacity() + m_headBytes + fields +
-         2 * (m_body.size() + m_runBytes) + m_heldAnswer + m_stream->Buffered();
+         2 * (m_body.size() + m_runBytes);
+}
+
+bool
+CallerConnection::ClaimRoom()
+{
+  if (!m_listener.m_intake->MayRun(HeldOfRequests() + kAnswerClaim)) {
+    m_handler.OnIntake(IntakeAct::Request);
+    return false;
+  }
+  m_claim = kAnswerClaim;
+  Account();
+  return true;
+}
+
+bool
+CallerConnection::MayHold(std::size_t aBytes) const
+{
+  return aBytes <= m_claim ||
+         m_listener.m_intake->MayRead(HeldOfRequests() + aBytes);
+}
+
+std::size_t
+CallerConnection::MaxBuffered() const
+{
+  const Intake& intake = *m_listener.m_intake;
+  return intake.Step() == IntakeStep::Calm
+           ? kMaxCallerQueueBytes
+           : std::min(kMaxCallerQueueBytes,
+                      std::max(intake.Share(), m_claim));
 }
 
 void
--- a/src/router_caller_connection.h
+++ b/src/router_caller_connection.h
@@ -28,7 +28,10 @@
   void End() override;
   void Abort() override;
   bool HasCallerLeft() const override;
+  bool ClaimRoom() override;
   void SetHeld(std::size_t aBytes) override;
+  bool MayHold(std::size_t aBytes) const override;
+  std::size_t MaxBuffered() const override;
   std::size_t Buffered() const override;
   void OnDrained(std::function<void()> aCallback) override
   {
@@ -149,12 +152,18 @@
 
   bool HasCallerLeft() const { return m_stream->HasPeerLeft(); }
 
+  bool ClaimRoom();
+
   void SetHeld(std::size_t aBytes)
   {
     m_heldAnswer = aBytes;
     Account();
   }
 
+  bool MayHold(std::size_t aBytes) const;
+
+  std::size_t MaxBuffered() const;
+
   std::size_t Buffered() const { return m_stream->Buffered(); }
 
 private:
@@ -217,10 +226,17 @@
   /// Returns whether too much of the earlier answers is unread for another one.
   bool WaitsForDrain() const;
 
-  /// Returns what the connection holds beyond kConnectionBytes. A body is held
-  /// twice, as it is copied for the upstream. While a request is received the
-  /// reader holds its head too.
-  std::size_t Held() const;
+  /// Returns what the connection holds of a request beyond kConnectionBytes. A
+  /// body is held twice, as it is copied for the upstream. While a request is
+  /// received the reader holds its head too.
+  std::size_t HeldOfRequests() const;
+
+  /// Returns what the connection holds beyond kConnectionBytes.
+  std::size_t Held() const
+  {
+    return HeldOfRequests() +
+           std::max(m_heldAnswer + m_stream->Buffered(), m_claim);
+  }
 
   /// Updates the account of memory. Reads on only while there is room there and
   /// for what arrives ahead.
@@ -280,6 +296,7 @@
   std::size_t m_fieldBytes{ 0 }; ///< of the parsed head
   std::size_t m_runBytes{ 0 };   ///< of the body of the request that runs
   std::size_t m_heldAnswer{ 0 }; ///< bytes held until the answer is complete
+  std::size_t m_claim{ 0 };      ///< room for the answer's first bytes
   std::uint64_t m_received{ 0 }; ///< bytes
   std::uint64_t m_moved{ 0 };    ///< bytes in both directions by last Sweep()
   TimePoint m_progressAt{};
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -330,6 +330,10 @@
   /// to another attempt gets kMaxUnusedBodyTime to complete.
   void SetPendingEnd(AttemptEnd aEnd);
   void ForwardEvents(const std::string& aEvents);
+  /// Passes a held answer on before it is complete. It can't be replaced then.
+  void PassOnHeld();
+  /// Returns the bytes held of answers, until one is complete.
+  std::size_t HeldBytes() const;
   void BeginAnswer(const AnswerHead& aHead);
   /// Writes bytes of the answer's body, and stops reading the upstream while
   /// too many of them wait for the caller.
@@ -359,7 +363,8 @@
   /// @return whether the upstream may have received a byte of the request
   bool ReleaseCall();
 
-  void Deliver(const HeldAnswer& aAnswer);
+  /// Sends a complete answer and gives its body up.
+  void Deliver(HeldAnswer& aAnswer);
   void FinishStream();
   void Finish(NextStep aStep);
   void Refuse();
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -33,6 +33,11 @@
 {
   m_shared.m_loop.CancelTimer(m_attemptTimer);
   m_heldAnswer.m_head = aHead;
+  bool isHeld = aHead.m_framing == BodyFraming::Length &&
+                aHead.m_length <= kMaxHeldAnswerBytes;
+  if (isHeld) {
+    m_heldAnswer.m_body.reserve(aHead.m_length); // instead of growing in steps
+  }
   m_lastBytesAt = m_shared.m_loop.Now();
   if (IsRun()) {
     ArmSilenceTimer(SilencePatience());
@@ -140,6 +145,7 @@
       EndAttempt(AttemptEnd::Broken, error.what());
       return;
     }
+    m_exchange->SetHeld(HeldBytes());
     ForwardEvents(events);
     return;
   }
@@ -148,17 +154,40 @@
     return;
   }
   m_heldAnswer.m_body.append(aBytes);
-  m_exchange->SetHeld(m_heldAnswer.m_body.size());
-  if (m_heldAnswer.m_body.size() <= kMaxHeldAnswerBytes) {
+  bool isTooLong = m_heldAnswer.m_body.size() > kMaxHeldAnswerBytes;
+  std::size_t held = HeldBytes();
+  m_exchange->SetHeld(held);
+  if (!isTooLong && m_exchange->MayHold(held)) {
     return;
   }
   if (!IsRun() || m_pendingEnd != AttemptEnd::Answered || m_answerBegun) {
-    EndUnlessRefused(AttemptEnd::Broken, "the answer is too long to be held");
+    EndUnlessRefused(AttemptEnd::Broken,
+                     isTooLong ? "the answer is too long to be held"
+                               : "there is no room to hold the answer");
     return;
   }
+  PassOnHeld();
+}
+
+void
+RoutedRequest::PassOnHeld()
+{
+  DropSilent(AttemptEnd::TimedOut, "another upstream answers");
+  m_failure.reset();
   BeginAnswer(m_heldAnswer.m_head);
-  m_exchange->SetHeld(0);
-  WriteToCaller(std::exchange(m_heldAnswer.m_body, {}));
+  std::string body = std::exchange(m_heldAnswer.m_body, {});
+  m_exchange->SetHeld(HeldBytes());
+  WriteToCaller(body);
+}
+
+std::size_t
+RoutedRequest::HeldBytes() const
+{
+  std::size_t held = m_heldAnswer.m_body.size() + m_events.Rest().size();
+  for (const SilentAttempt& silent : m_silent) {
+    held += silent.m_heldAnswer.m_body.size();
+  }
+  return held + (m_failure ? m_failure->m_body.size() : 0);
 }
 
 void
@@ -178,7 +207,7 @@
 RoutedRequest::WriteToCaller(std::string_view aBytes)
 {
   m_exchange->Write(aBytes);
-  if (m_exchange->Buffered() > kMaxCallerQueueBytes) {
+  if (m_exchange->Buffered() > m_exchange->MaxBuffered()) {
     m_readingPaused = true;
     m_callerSlow = true;
     m_call->PauseReading();
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -7,7 +7,7 @@
 namespace shallotford {
 
 void
-RoutedRequest::Deliver(const HeldAnswer& aAnswer)
+RoutedRequest::Deliver(HeldAnswer& aAnswer)
 {
   HttpHeaders fields;
   bool toHead = m_request.m_head.m_method == "HEAD";
@@ -22,6 +22,8 @@
   int status = aAnswer.m_head.m_status;
   m_exchange->Respond(
     status, aAnswer.m_head.m_reason, std::move(fields), aAnswer.m_body);
+  // The request lives on until the loop's next turn.
+  std::string().swap(aAnswer.m_body);
   End("answered", status);
 }
 
--- a/src/router_task.cpp
+++ b/src/router_task.cpp
@@ -237,6 +237,12 @@
                                        : m_keys.Judge(aRequest.m_head, *route);
   RequestFacts facts = m_dialect.ReadRequest(aRequest.m_head);
   RefuseWhileLeaving(*route, facts);
+  if (!aExchange->ClaimRoom()) {
+    throw Error(ErrorKind::Overloaded,
+                "this VM has no room for the answer",
+                "Send the request again after the time given.")
+      .WithRetryAfter(kNoRoomRetryAfter);
+  }
   auto key = std::make_shared<RoutedRequest*>(nullptr);
   auto request = std::make_unique<RoutedRequest>(
     m_shared,
--- a/src/router_upstream.cpp
+++ b/src/router_upstream.cpp
@@ -258,11 +258,12 @@
     if (!bytes || IsCancelled()) {
       return;
     }
+    ArmUntil(m_headDeadline);
+    std::string_view body;
     if (m_options.m_body != nullptr) {
-      bytes->append(*m_options.m_body);
+      body = *m_options.m_body;
     }
-    ArmUntil(m_headDeadline);
-    m_connection->Socket().Write(*bytes);
+    WriteMessage(m_connection->Socket(), std::move(*bytes), body);
   }
 
   void Finish()
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -319,3 +319,39 @@
     });
   BOOST_TEST(refused == callers.m_bad);
 }
+
+BOOST_AUTO_TEST_CASE(answers_are_held_and_requests_run_as_far_as_there_is_room)
+{
+  constexpr std::size_t kBound = 2u << 20;
+  Callers callers(kBound);
+  std::vector<PeerStream*> peers;
+  for (int i = 0; i < 40; ++i) {
+    peers.push_back(callers.Connect());
+    peers.back()->m_handler->OnBytes(Request(i, 0));
+  }
+  BOOST_TEST_REQUIRE(callers.m_running.size() == peers.size());
+  CallerExchangeI& first = *callers.m_running[0].first;
+  BOOST_TEST(first.ClaimRoom());
+  BOOST_TEST(first.MayHold(kMaxHeldAnswerBytes));
+  BOOST_TEST(first.MaxBuffered() == kMaxCallerQueueBytes);
+  // Answers fill the account up to the step Refuse.
+  std::size_t held = 0;
+  for (std::size_t i = 8; callers.m_intake->Step() != IntakeStep::Refuse; ++i) {
+    BOOST_TEST_REQUIRE(i < peers.size());
+    callers.m_running[i].first->SetHeld(100'000);
+    held += 100'000;
+  }
+  BOOST_TEST(held < kBound);
+  // What was claimed may be held, and no more.
+  BOOST_TEST(first.MayHold(kAnswerClaim));
+  BOOST_TEST(!first.MayHold(kAnswerClaim + 1'000));
+  BOOST_TEST(first.MaxBuffered() == kAnswerClaim);
+  // A request whose answer is within its connection's share may run.
+  std::size_t share = callers.m_intake->Share();
+  BOOST_TEST(share < kAnswerClaim);
+  BOOST_TEST(!callers.m_running[1].first->ClaimRoom());
+  BOOST_TEST(callers.m_acts[IntakeAct::Request] == 1);
+  callers.m_running[8].first->SetHeld(0);
+  callers.m_running[9].first->SetHeld(0);
+  BOOST_TEST(callers.m_running[1].first->ClaimRoom());
+}
