Serve callers while all connections are taken

What callers saw: beside clients that hold all connections of a VM, a new connection was closed without an answer, for as long as they stayed; near the bound on memory the same, for 8 s at a ready VM.

Cause: a listener without a place, or at the step Refuse, closed what it accepted.

Change: up to 64 connections beyond are taken for one request each, within 1 s. The oldest of them without a complete request gives way to a new one. Their descriptors come from those that peers had. A request on such a connection is served or refused as on any other, and the answer says that the connection closes. One that doesn't arrive in that second is refused as not run, since the time that callers have isn't over.

Two new cases of router_intake_test play it on a fake loop. Why it works: such a connection lasts as long as one request, and none keeps another one out for longer, whatever it sends.

--- a/src/config.h
+++ b/src/config.h
@@ -51,6 +51,10 @@
 /// Connections above ServerOptions::m_maxConnections that are answered with
 /// the refusal before they are closed; further ones are closed at once.
 constexpr std::size_t kRefusedConnections = 64;
+/// Connections of callers that are taken for one request each while there is no
+/// room for lasting ones, and the time that each has for it.
+constexpr std::size_t kBriefConnections = 64;
+constexpr std::chrono::milliseconds kBriefConnectionTime = 1'000ms;
 /// Most bytes of early further requests that are dropped during an answer.
 constexpr std::size_t kMaxEarlyBytes = 256u << 10;
 /// Time that a refused request's remaining body is read and dropped, so that
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -5,6 +5,7 @@
 #include "config.h"
 #include "router_caller_connection.h"
 
+#include <algorithm>
 #include <cstdio>
 
 namespace shallotford {
@@ -47,6 +48,10 @@
   switch (aAct) {
     case IntakeAct::Pause:
       return "pause";
+    case IntakeAct::Brief:
+      return "brief";
+    case IntakeAct::Displace:
+      return "displace";
     case IntakeAct::Refuse:
       return "refuse";
     case IntakeAct::Request:
@@ -172,20 +177,47 @@
 void
 CallerListener::OnAccept(std::unique_ptr<StreamI> aStream)
 {
-  // Destroying the stream closes it.
-  if (m_intake->Connections() >= m_options.m_maxConnections) {
-    m_handler.OnIntake(IntakeAct::Connections);
-    return;
-  }
-  if (m_intake->Step() == IntakeStep::Refuse) {
-    m_handler.OnIntake(IntakeAct::Refuse);
+  bool isTaken = m_intake->Connections() >= m_options.m_maxConnections;
+  bool isBrief = isTaken || m_intake->Step() == IntakeStep::Refuse;
+  if (isBrief && !MakeBriefPlace()) {
+    // Destroying the stream closes it.
+    m_handler.OnIntake(isTaken ? IntakeAct::Connections : IntakeAct::Refuse);
     return;
   }
   auto connection =
-    std::make_unique<CallerConnection>(*this, std::move(aStream));
+    std::make_unique<CallerConnection>(*this, std::move(aStream), isBrief);
+  if (isBrief) {
+    m_handler.OnIntake(IntakeAct::Brief);
+    m_brief.push_back(connection.get());
+  }
   m_connections.emplace(connection.get(), std::move(connection));
 }
 
+bool
+CallerListener::MakeBriefPlace()
+{
+  if (m_brief.size() < kBriefConnections) {
+    return true;
+  }
+  auto oldest = [this](bool (CallerConnection::*aIs)() const) {
+    auto found = std::find_if(
+      m_brief.begin(), m_brief.end(), [aIs](const CallerConnection* aOne) {
+        return (aOne->*aIs)();
+      });
+    return found == m_brief.end() ? nullptr : *found;
+  };
+  CallerConnection* displaced = oldest(&CallerConnection::WaitsForRequest);
+  if (displaced == nullptr) {
+    displaced = oldest(&CallerConnection::IsLingering);
+  }
+  if (displaced == nullptr) {
+    return false;
+  }
+  m_handler.OnIntake(IntakeAct::Displace);
+  displaced->GiveWay();
+  return true;
+}
+
 void
 CallerListener::Remove(CallerConnection* aConnection)
 {
@@ -194,6 +226,7 @@
     return;
   }
   found->second->Leave();
+  m_brief.remove(aConnection);
   m_loop.DestroyLater(std::move(found->second));
   m_connections.erase(found);
 }
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -8,6 +8,8 @@
 #include "shallotford/intake.h"
 #include "shallotford/route.h"
 
+#include <list>
+
 namespace shallotford {
 
 /// A complete request of a caller.
@@ -77,6 +79,8 @@
 enum class IntakeAct
 {
   Pause,       ///< stops reading from a connection
+  Brief,       ///< takes a new connection for one request
+  Displace,    ///< closes a brief connection for a new one
   Refuse,      ///< closes a new connection
   Request,     ///< refuses a request, as its answer would find no room
   Close,       ///< closes a connection that makes no progress
@@ -137,6 +141,10 @@
 private:
   friend class CallerConnection;
   void OnAccept(std::unique_ptr<StreamI> aStream);
+  /// Makes place for another brief connection, at the cost of the oldest one
+  /// without a complete request, or whose answer is in the socket.
+  /// @return false if there is none
+  bool MakeBriefPlace();
   /// Destroys aConnection once its event has ended.
   void Remove(CallerConnection* aConnection);
 
@@ -145,6 +153,7 @@
   CallerHandlerI& m_handler;
   std::shared_ptr<Intake> m_intake; ///< shared with other listeners
   std::map<CallerConnection*, std::unique_ptr<CallerConnection>> m_connections;
+  std::list<CallerConnection*> m_brief; ///< the oldest first
   std::size_t m_bufferedBodyBytes{ 0 }; ///< of incomplete requests
   std::unique_ptr<StreamListenerI> m_listener;
 };
--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -22,21 +22,32 @@
   return bytes;
 }
 
+Error
+NoRoomError()
+{
+  return Error(ErrorKind::Overloaded,
+               "too much is being received",
+               "Send the request again after the time given.")
+    .WithRetryAfter(kBodyBufferFullRetryAfter);
+}
+
 } // namespace
 
 CallerConnection::CallerConnection(CallerListener& aListener,
-                                   std::unique_ptr<StreamI> aStream)
+                                   std::unique_ptr<StreamI> aStream,
+                                   bool aIsBrief)
   : m_listener(aListener)
   , m_loop(aListener.m_loop)
   , m_handler(aListener.m_handler)
   , m_stream(std::move(aStream))
   , m_maxHead(m_handler.Limits().m_maxHead)
   , m_reader(MakeRequestReader(m_maxHead))
+  , m_isBrief(aIsBrief)
 {
   m_stream->SetHandler(this);
   m_listener.m_intake->Open();
   m_progressAt = m_loop.Now();
-  Arm(m_handler.Limits().m_idleTimeout);
+  Arm(IdleTimeout());
 }
 
 CallerConnection::~CallerConnection()
@@ -82,10 +93,7 @@
 void
 CallerConnection::RefuseForRoom()
 {
-  RefuseRequest(Error(ErrorKind::Overloaded,
-                      "too much is being received",
-                      "Send the request again after the time given.")
-                  .WithRetryAfter(kBodyBufferFullRetryAfter));
+  RefuseRequest(NoRoomError());
 }
 
 void
@@ -229,7 +237,7 @@
     ThrowBodyTooLarge(limits.m_maxBody);
   }
   m_handler.OnHead(aHead);
-  m_keepAlive = aHead.m_keepAlive;
+  m_keepAlive = aHead.m_keepAlive && !m_isBrief;
   m_oldVersion = aHead.m_oldVersion;
   m_toHead = aHead.m_method == "HEAD";
   if (aHead.m_expectsContinue && aHead.m_framing != BodyFraming::None) {
@@ -242,7 +250,7 @@
   m_headBytes = 0;
   m_fieldBytes = BytesOf(m_request.m_head);
   m_hasHead = true;
-  Arm(limits.m_headTimeout);
+  Arm(HeadTimeout());
 }
 
 void
@@ -295,7 +303,7 @@
   }
   bool begins = !wasInside && m_reader->IsInside();
   if (begins || !m_body.empty()) {
-    Arm(m_handler.Limits().m_headTimeout);
+    Arm(HeadTimeout());
   }
   return taken;
 }
@@ -380,7 +388,7 @@
     LingeringClose(CloseCause::Answered);
     return;
   }
-  Arm(m_handler.Limits().m_idleTimeout);
+  Arm(IdleTimeout());
   GoOn();
 }
 
@@ -515,6 +523,20 @@
               "Send a smaller body.");
 }
 
+std::chrono::milliseconds
+CallerConnection::IdleTimeout() const
+{
+  std::chrono::milliseconds limit = m_handler.Limits().m_idleTimeout;
+  return m_isBrief ? std::min(limit, kBriefConnectionTime) : limit;
+}
+
+std::chrono::milliseconds
+CallerConnection::HeadTimeout() const
+{
+  std::chrono::milliseconds limit = m_handler.Limits().m_headTimeout;
+  return m_isBrief ? std::min(limit, kBriefConnectionTime) : limit;
+}
+
 void
 CallerConnection::OnTimer()
 {
@@ -527,20 +549,18 @@
     return;
   }
   // Callers go by the newest limits, which may have been raised meanwhile.
-  CallerLimits limits = m_handler.Limits();
   bool isIdle = !m_reader->IsInside();
-  TimePoint due =
-    m_waitsSince + (isIdle ? limits.m_idleTimeout : limits.m_headTimeout);
+  TimePoint due = m_waitsSince + (isIdle ? IdleTimeout() : HeadTimeout());
   if (due > m_loop.Now()) {
     ArmAt(due);
     return;
   }
   if (WaitsForDrain()) {
-    Arm(limits.m_idleTimeout); // so do requests that have arrived
+    Arm(IdleTimeout()); // so do requests that have arrived
     return;
   }
   if (m_isHeldBack) {
-    OnHeldBackTimer(isIdle, limits);
+    OnHeldBackTimer(isIdle);
     return;
   }
   if (HasUnread()) {
@@ -548,23 +568,27 @@
     return;
   }
   if (isIdle && m_stream->Buffered() > 0) {
-    Arm(limits.m_idleTimeout); // the last answer is still being sent
+    Arm(IdleTimeout()); // the last answer is still being sent
     return;
   }
   if (isIdle) {
     CloseUnread(CloseCause::Idle);
     return;
   }
+  if (m_isBrief) {
+    RefuseForRoom(); // the time that callers have isn't over
+    return;
+  }
   RefuseRequest(Error(ErrorKind::RequestTimeout,
                       "the request did not arrive in time",
                       "Send the whole request without pauses."));
 }
 
 void
-CallerConnection::OnHeldBackTimer(bool aIsIdle, const CallerLimits& aLimits)
+CallerConnection::OnHeldBackTimer(bool aIsIdle)
 {
   if (aIsIdle) {
-    Arm(aLimits.m_idleTimeout);
+    Arm(IdleTimeout());
     return;
   }
   RefuseForRoom();
--- a/src/router_caller_connection.h
+++ b/src/router_caller_connection.h
@@ -72,7 +72,11 @@
   , private MessageSinkI
 {
 public:
-  CallerConnection(CallerListener& aListener, std::unique_ptr<StreamI> aStream);
+  /// @param aIsBrief  it is closed after one request, or after
+  ///                  kBriefConnectionTime without one
+  CallerConnection(CallerListener& aListener,
+                   std::unique_ptr<StreamI> aStream,
+                   bool aIsBrief);
 
   ~CallerConnection() override;
 
@@ -101,6 +105,11 @@
     return m_isHeldBack && m_exchange == nullptr && !m_closing &&
            m_reader->IsInside();
   }
+  /// Returns whether no complete request has come since the last answer.
+  bool WaitsForRequest() const { return m_exchange == nullptr && !m_closing; }
+  /// Returns whether the last answer is in the socket, and only its receipt is
+  /// waited for.
+  bool IsLingering() const { return m_closing && m_stream->Buffered() == 0; }
   /// Refuses the request that is being received, which has not run.
   void RefuseForRoom();
   /// Closes the connection at once, as there is no room for what it holds.
@@ -109,6 +118,15 @@
     m_stream->ResetOnDestroy();
     OnCallerLeft();
   }
+  /// Closes the connection at once for another one.
+  void GiveWay()
+  {
+    if (m_closing) {
+      OnCallerLeft();
+    } else {
+      CloseForRoom();
+    }
+  }
 
   /// Gives up the part of a request that was received. The listener may be gone
   /// once there is none.
@@ -264,10 +282,14 @@
     m_timer = m_loop.RunAfter(aDue - m_loop.Now(), [this] { OnTimer(); });
   }
 
+  /// Returns the longest time without a request, and for a whole request.
+  std::chrono::milliseconds IdleTimeout() const;
+  std::chrono::milliseconds HeadTimeout() const;
+
   void OnTimer();
 
   /// The time for a request is over whose rest isn't read for lack of room.
-  void OnHeldBackTimer(bool aIsIdle, const CallerLimits& aLimits);
+  void OnHeldBackTimer(bool aIsIdle);
 
   CallerListener& m_listener;
   LoopI& m_loop;
@@ -278,6 +300,7 @@
   CallerRequest m_request; ///< being received
   std::string m_body;      ///< being received
   std::size_t m_maxBody{ 0 };
+  bool m_isBrief;
   bool m_hasHead{ false }; ///< of the request that is being received
   bool m_complete{ false };
   bool m_keepAlive{ true };
--- a/src/router_listen.cpp
+++ b/src/router_listen.cpp
@@ -20,7 +20,8 @@
 /// Connections of other VMs, which call a few at a time. The
 /// rest of what is kept beside callers is for upstreams and the directory's
 /// source.
-constexpr std::size_t kPeerConnections = kOtherDescriptors / 4 * 3;
+constexpr std::size_t kPeerConnections =
+  kOtherDescriptors / 4 * 3 - kBriefConnections;
 /// Longest call of another VM: gossip of all VMs and a digest are a tenth of
 /// it.
 constexpr std::size_t kMaxPeerCall = 1u << 20;
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -54,9 +54,9 @@
 /// A listener whose requests the test answers later.
 struct Callers : CallerHandlerI
 {
-  explicit Callers(std::size_t aMaxIntake)
+  explicit Callers(std::size_t aMaxIntake, StreamListenerOptions aOptions = {})
     : m_intake(std::make_shared<Intake>(aMaxIntake))
-    , m_listener(m_loop, {}, *this, m_intake)
+    , m_listener(m_loop, aOptions, *this, m_intake)
   {
   }
   PeerStream* Connect()
@@ -67,6 +67,16 @@
     m_loop.m_streams.m_onAccept(std::move(stream));
     return m_listener.Count() == before ? nullptr : peer;
   }
+  /// A connection in place of another one.
+  PeerStream* Displace()
+  {
+    auto stream = std::make_unique<PeerStream>();
+    PeerStream* peer = stream.get();
+    int before = m_acts[IntakeAct::Displace];
+    m_loop.m_streams.m_onAccept(std::move(stream));
+    BOOST_TEST_REQUIRE(m_acts[IntakeAct::Displace] == before + 1);
+    return peer;
+  }
   void OnRequest(CallerExchangePtr aExchange, CallerRequest aRequest) override
   {
     m_running.emplace_back(aExchange, aRequest.m_head.m_target);
@@ -355,3 +365,60 @@
   callers.m_running[9].first->SetHeld(0);
   BOOST_TEST(callers.m_running[1].first->ClaimRoom());
 }
+
+BOOST_AUTO_TEST_CASE(callers_are_served_while_all_connections_are_taken)
+{
+  constexpr std::size_t kMaxConnections = 10;
+  Callers callers(kDefaultIntakeBytes, { .m_maxConnections = kMaxConnections });
+  std::vector<PeerStream*> silent;
+  for (std::size_t i = 0; i < kMaxConnections; ++i) {
+    silent.push_back(callers.Connect());
+  }
+  for (int i = 0; i < 3; ++i) {
+    PeerStream* peer = callers.Connect();
+    BOOST_TEST_REQUIRE((peer != nullptr));
+    peer->m_handler->OnBytes(Request(i, 10));
+    BOOST_TEST_REQUIRE(callers.m_running.size() == 1U);
+    callers.m_running.front().first->Respond(200, "OK", {}, "hello");
+    callers.m_running.pop_front();
+    BOOST_TEST(peer->m_queued.find("hello") != std::string::npos);
+    BOOST_TEST(peer->m_queued.find("Connection: close") != std::string::npos);
+    std::string read;
+    peer->Drain(1'000, read);
+  }
+  // Silent ones don't keep out those that come later.
+  for (std::size_t i = 0; i < 3 * kBriefConnections; ++i) {
+    callers.Connect();
+    BOOST_REQUIRE(callers.m_listener.Count() <=
+                  kMaxConnections + kBriefConnections);
+  }
+  BOOST_TEST(callers.m_acts[IntakeAct::Connections] == 0);
+  PeerStream* ordinary = callers.Displace();
+  ordinary->m_handler->OnBytes(Request(9, 0));
+  BOOST_TEST_REQUIRE(callers.m_running.size() == 1U);
+  // A request that runs isn't given up for another connection.
+  for (std::size_t i = 0; i < 2 * kBriefConnections; ++i) {
+    callers.Connect();
+  }
+  BOOST_TEST(!callers.m_running.front().first->HasCallerLeft());
+  callers.m_running.front().first->Respond(200, "OK", {}, "hello");
+  BOOST_TEST(ordinary->m_queued.find("hello") != std::string::npos);
+  std::string read;
+  ordinary->Drain(1'000, read);
+  // All of them end soon, the lasting ones stay.
+  callers.m_running.clear();
+  callers.m_loop.RunFor(kBriefConnectionTime + kLingerTime);
+  BOOST_TEST(callers.m_listener.Count() == kMaxConnections);
+}
+
+BOOST_AUTO_TEST_CASE(a_brief_connection_refuses_what_it_cannot_take_in_time)
+{
+  Callers callers(kDefaultIntakeBytes, { .m_maxConnections = 1 });
+  callers.Connect();
+  PeerStream* slow = callers.Connect();
+  BOOST_TEST_REQUIRE((slow != nullptr));
+  slow->m_handler->OnBytes("GET / HTTP/1.1\r\nHost: h\r\n");
+  callers.m_loop.RunFor(kBriefConnectionTime);
+  BOOST_TEST(slow->m_queued.find("HTTP/1.1 503 ") == 0U);
+  BOOST_TEST(slow->m_queued.find("Retry-After: ") != std::string::npos);
+}
