--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -250,6 +250,9 @@
   m_headBytes = 0;
   m_fieldBytes = BytesOf(m_request.m_head);
   m_hasHead = true;
+  if (!m_listener.m_intake->MayRun(Held() + 2 * aHead.m_length)) {
+    throw NoRoomError();
+  }
   Arm(HeadTimeout());
 }
 
