Count what peers, operators and callers of the own interface hold

What callers saw: 300 connections with bodies of 1 MB but for a byte brought a daemon to 301 to 304 MB, at the peers' port and at each port of the product's own interface, the callers' one among them.

Cause: these listeners had no part in an account; limits.memory_mb acted only on callers of a daemon with routing.

Change: HttpServer takes an account. A request claims room for its whole body when its head has been read, or is refused as not run, with a time to come back; small ones within the connections' share always find room. Near the bound the heaviest connections without progress are refused or closed, and a stream isn't read from its engine while the caller leaves a quarter of the send buffer unread. Callers of the own interface get the same 40 % of the memory as with routing; peers and operators share an account of 10 %, 16 MB if the memory isn't stated. Calls in calm are far below.

Why it works: no byte of a body is read without a claim.

--- a/include/shallotford/intake.h
+++ b/include/shallotford/intake.h
@@ -18,6 +18,10 @@
 /// The bound if the VM's memory isn't stated: many of the largest requests (4
 /// MB), on a VM of usual size.
 inline constexpr std::size_t kDefaultIntakeBytes = 64u << 20;
+/// The same for calls of other VMs and operators: what VMs call in calm is a
+/// tenth of the share on the smallest of them.
+inline constexpr double kControlIntakeShare = 0.1;
+inline constexpr std::size_t kDefaultControlIntakeBytes = 16u << 20;
 /// Room that a request claims for its answer before it is sent: what is read
 /// from an upstream before reading can pause.
 inline constexpr std::size_t kAnswerClaim = 16u << 10;
@@ -38,6 +42,10 @@
 std::size_t
 IntakeBytes(double aMegabytes);
 
+/// The same for other VMs and operators.
+std::size_t
+ControlIntakeBytes(double aMegabytes);
+
 /// Returns how many connections of callers fit a VM, at least one.
 /// @param aDescriptors  the VM's limit; 0 if not stated
 std::size_t
--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -18,6 +18,8 @@
 
 namespace shallotford {
 
+class Intake;
+
 struct HttpHeader
 {
   std::string m_name; ///< lower case
@@ -29,6 +31,11 @@
 const std::string*
 FindHeader(const HttpHeaders& aHeaders, std::string_view aName);
 
+/// Adds the fields that say when a refused request may be sent again, if
+/// aError has a time for it.
+void
+AddRetryAfter(HttpHeaders& aHeaders, const Error& aError);
+
 /// A whole request that a server received.
 struct HttpRequest
 {
@@ -76,6 +83,9 @@
   virtual void Abort() = 0;
   /// Returns the bytes that are queued and not yet taken by the socket.
   virtual std::size_t Buffered() const = 0;
+  /// Returns whether more than a quarter of ServerOptions::m_sendBuffer may be
+  /// queued.
+  virtual bool MayQueue() const { return true; }
   /// Calls aCallback each time the buffer has drained to a quarter of
   /// ServerOptions::m_sendBuffer or less, after it was above it.
   virtual void OnDrained(std::function<void()> aCallback) = 0;
@@ -118,6 +128,9 @@
   std::chrono::milliseconds m_idleTimeout{ 60'000 };
   /// Time a caller has to send its whole request.
   std::chrono::milliseconds m_requestTimeout{ 30'000 };
+  /// Account of what the connections hold; requests that find no room are
+  /// refused. Servers of one loop may share it; may be null.
+  std::shared_ptr<Intake> m_intake;
   TlsFiles m_tls;
 };
 
--- a/include/shallotford/router.h
+++ b/include/shallotford/router.h
@@ -197,6 +197,8 @@
   std::size_t m_maxConnections{ 2048 };
   /// Bytes that their requests and answers may hold together.
   std::size_t m_maxIntake{ kDefaultIntakeBytes };
+  /// The same for calls of other VMs and operators.
+  std::size_t m_maxControlIntake{ kDefaultControlIntakeBytes };
   /// Longest time from the stop signal to the end of the process.
   std::chrono::milliseconds m_drainTime{ 8'000 };
   /// Time without an answer of the directory's source after which this VM asks
--- a/src/daemon_control.cpp
+++ b/src/daemon_control.cpp
@@ -6,6 +6,7 @@
 #include "config.h"
 #include "daemon_handlers.h"
 #include "daemon_listen.h"
+#include "shallotford/intake.h"
 
 namespace shallotford {
 
@@ -91,9 +92,12 @@
 namespace {
 
 ServerOptions
-PeerServerOptions(const std::string& aAddress, const TlsSettings& aTls)
+PeerServerOptions(const std::string& aAddress,
+                  const TlsSettings& aTls,
+                  const std::shared_ptr<Intake>& aIntake)
 {
   ServerOptions options = ListenOptions(aAddress);
+  options.m_intake = aIntake;
   options.m_tls = { .m_certificate = aTls.m_certificate,
                     .m_key = aTls.m_key,
                     .m_peerAuthority = aTls.m_peerAuthority };
@@ -110,11 +114,13 @@
   m_peerHandler = MakePeerHandler(m_state, m_config, m_gossip, m_sweep);
   m_operatorHandler = MakeOperatorHandler(
     m_state, m_orders, [this](const std::string& aCause) { Drain(aCause); });
+  auto intake =
+    std::make_shared<Intake>(ControlIntakeBytes(settings.m_memory));
   m_peerServer = m_state.m_loop.Listen(
-    PeerServerOptions(settings.m_peerAddress, settings.m_peerTls),
+    PeerServerOptions(settings.m_peerAddress, settings.m_peerTls, intake),
     *m_peerHandler);
   m_operatorServer = m_state.m_loop.Listen(
-    PeerServerOptions(settings.m_operatorAddress, settings.m_peerTls),
+    PeerServerOptions(settings.m_operatorAddress, settings.m_peerTls, intake),
     *m_operatorHandler);
   Beat();
   m_config.Start();
--- a/src/daemon_worker.cpp
+++ b/src/daemon_worker.cpp
@@ -5,6 +5,7 @@
 
 #include "config.h"
 #include "daemon_filters.h"
+#include "shallotford/intake.h"
 
 namespace shallotford {
 
@@ -20,6 +21,8 @@
            .m_maxHeaders = aSettings.m_maxHeaders,
            .m_maxConnections = aSettings.m_maxConnections,
            .m_sendBuffer = aSettings.m_sendBuffer,
+           .m_intake =
+             std::make_shared<Intake>(IntakeBytes(aSettings.m_memory)),
            .m_tls = { .m_certificate = aSettings.m_callerTls.m_certificate,
                       .m_key = aSettings.m_callerTls.m_key,
                       .m_peerAuthority =
@@ -226,13 +229,7 @@
   if (!aFlow.m_id.m_vm.m_address.empty()) {
     headers.push_back({ "x-request-id", ToString(aFlow.m_id) });
   }
-  if (aError.RetryAfter().count() > 0) {
-    auto seconds =
-      std::chrono::ceil<std::chrono::seconds>(aError.RetryAfter()).count();
-    headers.push_back({ "retry-after", std::to_string(seconds) });
-    headers.push_back(
-      { "retry-after-ms", std::to_string(aError.RetryAfter().count()) });
-  }
+  AddRetryAfter(headers, aError);
   aFlow.m_exchange->Respond(
     HttpStatus(aError.Kind()), headers, ErrorBody(aError));
 }
--- a/src/daemon_worker_reply.cpp
+++ b/src/daemon_worker_reply.cpp
@@ -60,7 +60,9 @@
 Worker::PauseForSlowCaller(Flow& aFlow)
 {
   std::size_t limit = m_state.m_options.m_settings.m_sendBuffer;
-  bool full = aFlow.m_exchange->Buffered() > limit;
+  std::size_t buffered = aFlow.m_exchange->Buffered();
+  bool full = buffered > limit ||
+              (buffered > limit / 4 && !aFlow.m_exchange->MayQueue());
   if (!full || aFlow.m_reply.m_paused || aFlow.m_attempt.m_calls.empty()) {
     return;
   }
--- a/src/intake_account.cpp
+++ b/src/intake_account.cpp
@@ -25,14 +25,26 @@
   return static_cast<double>(aBytes) > aShare * static_cast<double>(aMax);
 }
 
+std::size_t
+BytesOf(double aMegabytes, double aShare, std::size_t aDefault)
+{
+  return aMegabytes <= 0
+           ? aDefault
+           : static_cast<std::size_t>(aMegabytes * kMegabyte * aShare);
+}
+
 } // namespace
 
 std::size_t
 IntakeBytes(double aMegabytes)
 {
-  return aMegabytes <= 0
-           ? kDefaultIntakeBytes
-           : static_cast<std::size_t>(aMegabytes * kMegabyte * kIntakeShare);
+  return BytesOf(aMegabytes, kIntakeShare, kDefaultIntakeBytes);
+}
+
+std::size_t
+ControlIntakeBytes(double aMegabytes)
+{
+  return BytesOf(aMegabytes, kControlIntakeShare, kDefaultControlIntakeBytes);
 }
 
 std::size_t
--- a/src/main_routing.cpp
+++ b/src/main_routing.cpp
@@ -57,6 +57,7 @@
            .m_maxConnections = IntakeConnections(aSettings.m_maxConnections,
                                                  aSettings.m_maxDescriptors),
            .m_maxIntake = IntakeBytes(aSettings.m_memory),
+           .m_maxControlIntake = ControlIntakeBytes(aSettings.m_memory),
            .m_drainTime = SecondsToMilliseconds(routing.m_drainTime),
            .m_sourceTimeout = ReadDelay(routing) + kMaxReadLateness,
            .m_revoke = SecondsToMilliseconds(routing.m_revoke),
--- a/src/net_headers.cpp
+++ b/src/net_headers.cpp
@@ -180,4 +180,16 @@
   return std::nullopt;
 }
 
+void
+AddRetryAfter(HttpHeaders& aHeaders, const Error& aError)
+{
+  std::chrono::milliseconds delay = aError.RetryAfter();
+  if (delay.count() <= 0) {
+    return;
+  }
+  auto seconds = std::chrono::ceil<std::chrono::seconds>(delay).count();
+  aHeaders.push_back({ "retry-after", std::to_string(seconds) });
+  aHeaders.push_back({ "retry-after-ms", std::to_string(delay.count()) });
+}
+
 } // namespace shallotford
--- a/src/net_server.cpp
+++ b/src/net_server.cpp
@@ -154,9 +154,29 @@
   for (auto [id, connection] : std::unordered_map(m_connections)) {
     connection->CheckTimeouts(now);
   }
+  if (m_options.m_intake != nullptr) {
+    CloseStalled();
+  }
   m_sweep = m_loop.RunAfter(SweepInterval(m_options), [this] { Sweep(); });
 }
 
+void
+HttpServer::CloseStalled()
+{
+  std::vector<std::uint64_t> ids;
+  std::vector<IntakeHolder> holders;
+  for (const auto& [id, connection] : m_connections) {
+    ids.push_back(id);
+    holders.push_back(connection->Holder(m_loop.Now()));
+  }
+  for (std::size_t index : m_options.m_intake->ToClose(holders)) {
+    auto found = m_connections.find(ids[index]);
+    if (found != m_connections.end()) {
+      found->second->CloseForRoom();
+    }
+  }
+}
+
 ServerConnection*
 HttpServer::Accept(lws* aWsi)
 {
--- a/src/net_server.h
+++ b/src/net_server.h
@@ -4,6 +4,7 @@
 /// HTTP server: one libwebsockets vhost for each listening socket.
 
 #include "net_loop.h"
+#include "shallotford/intake.h"
 
 #include <unordered_map>
 
@@ -30,6 +31,7 @@
                std::string_view aBody) override;
   void Abort() override;
   std::size_t Buffered() const override;
+  bool MayQueue() const override;
   void OnDrained(std::function<void()> aCallback) override;
   void OnClosed(std::function<void()> aCallback) override;
 
@@ -70,6 +72,12 @@
   int OnWritable();
   /// Closes the connection if it has been silent for too long.
   void CheckTimeouts(TimePoint aNow);
+  /// Returns what the connection holds, for the account.
+  IntakeHolder Holder(TimePoint aNow) const;
+  /// Closes the connection, as there is no room for what it holds. A request
+  /// that isn't complete is refused.
+  void CloseForRoom();
+  bool MayQueue() const;
 
   // For the exchange.
   bool QueueHead(int aStatus,
@@ -109,6 +117,10 @@
   /// Returns whether libwebsockets has read more than this request.
   bool HasReadBeyond() const;
   int Refuse(const Error& aError, int aStatus = 0);
+  /// Takes room for the body of the request whose head has been read.
+  bool ClaimBody(std::size_t aBytes);
+  /// Updates the account of what is held.
+  void Account();
   /// Asks for a writable event; a first byte queued restarts the timeout.
   void WantWrite(bool aWasEmpty);
   void CloseChunk();
@@ -138,6 +150,9 @@
   bool m_closeAfter{ false };
   bool m_ended{ false }; ///< the answer's end is queued
   TimePoint m_since;     ///< start of the state, or last progress
+  TimePoint m_movedAt;   ///< time of the last bytes in either direction
+  std::size_t m_claimed{ 0 }; ///< bytes of the request's body, until its answer
+  std::size_t m_held{ 0 };    ///< in the account
   HttpRequest m_request;
   std::shared_ptr<ServerExchange> m_exchange;
   std::string m_out;             ///< LWS_PRE bytes of room, then what is queued
@@ -185,6 +200,7 @@
   ServerConnection* Accept(lws* aWsi);
   void Remove(ServerConnection* aConnection);
   void Sweep();
+  void CloseStalled();
 
   Loop& m_loop;
   ServerOptions m_options;
--- a/src/net_server_connection.cpp
+++ b/src/net_server_connection.cpp
@@ -18,6 +18,15 @@
 /// "XXXXXXXX\r\n" before the data of a chunk.
 constexpr std::size_t kChunkSizeBytes = 10;
 
+Error
+NoRoomError()
+{
+  return Error(ErrorKind::Overloaded,
+               "this VM has no room for the request",
+               "Send the request again after the time given.")
+    .WithRetryAfter(kNoRoomRetryAfter);
+}
+
 unsigned char*
 Bytes(const std::string& aText)
 {
@@ -84,10 +93,14 @@
   , m_gated(!aServer.Options().m_tls.IsSet())
   , m_refused(aRefused)
   , m_since(aServer.GetLoop().Now())
+  , m_movedAt(m_since)
   , m_out(LWS_PRE, '\0')
   , m_taken(LWS_PRE)
 {
   SetGate(false);
+  if (const auto& intake = m_server.Options().m_intake) {
+    intake->Open();
+  }
 }
 
 ServerConnection::~ServerConnection()
@@ -97,6 +110,9 @@
     m_server.CountAnswer(-1);
     m_exchange->Detach(false);
   }
+  if (const auto& intake = m_server.Options().m_intake) {
+    intake->Close(m_held);
+  }
 }
 
 int
@@ -133,6 +149,9 @@
                 "Ask again later, on fewer connections.");
     return Refuse(error.WithRetryAfter(std::chrono::seconds{ 1 }));
   }
+  if (!ClaimBody(framing.m_length)) {
+    return Refuse(NoRoomError());
+  }
   if (m_bodyWhole) {
     return Dispatch();
   }
@@ -141,6 +160,46 @@
   return 0;
 }
 
+bool
+ServerConnection::ClaimBody(std::size_t aBytes)
+{
+  m_movedAt = m_server.GetLoop().Now();
+  const auto& intake = m_server.Options().m_intake;
+  if (intake != nullptr && aBytes > intake->Share() &&
+      !intake->HasRoomFor(aBytes)) {
+    return false;
+  }
+  m_claimed = aBytes;
+  Account();
+  return true;
+}
+
+void
+ServerConnection::Account()
+{
+  if (const auto& intake = m_server.Options().m_intake) {
+    std::size_t held = m_claimed + Buffered();
+    intake->Change(std::exchange(m_held, held), held);
+  }
+}
+
+IntakeHolder
+ServerConnection::Holder(TimePoint aNow) const
+{
+  // While the handler works, the peer has nothing to do.
+  bool waitsForHandler = m_state == State::Answering && Buffered() == 0;
+  return { .m_bytes = m_held,
+           .m_stalled =
+             waitsForHandler ? Duration::zero() : aNow - m_movedAt };
+}
+
+bool
+ServerConnection::MayQueue() const
+{
+  const auto& intake = m_server.Options().m_intake;
+  return intake == nullptr || intake->MayRead(m_held);
+}
+
 int
 ServerConnection::OnUpgrade()
 {
@@ -159,6 +218,7 @@
 {
   if (m_state == State::Receiving) {
     m_request.m_body += aBytes;
+    m_movedAt = m_server.GetLoop().Now();
   }
   lws_set_timeout(m_wsi, NO_PENDING_TIMEOUT, 0);
   return 0;
@@ -194,10 +254,13 @@
   m_state = State::Lingering;
   m_since = m_server.GetLoop().Now();
   m_closeAfter = true;
+  m_claimed = 0;
+  m_request = {};
   int status = aStatus == 0 ? HttpStatus(aError.Kind()) : aStatus;
   std::string body = ErrorBody(aError);
   bool chunked = false;
   HttpHeaders headers{ { "content-type", "application/json" } };
+  AddRetryAfter(headers, aError);
   if (!QueueHead(status, headers, body.size(), chunked)) {
     return -1;
   }
@@ -269,6 +332,7 @@
   if (aWasEmpty && m_state == State::Answering) {
     m_since = m_server.GetLoop().Now();
   }
+  Account();
   if (!m_unread) {
     lws_callback_on_writable(m_wsi);
   }
@@ -315,6 +379,7 @@
   }
   m_inSocket = lws_partial_buffered(m_wsi) != 0 ? bytes : 0;
   m_taken += bytes;
+  m_movedAt = m_server.GetLoop().Now();
   if (m_taken == m_out.size()) {
     m_out.resize(LWS_PRE);
     m_taken = LWS_PRE;
@@ -322,6 +387,7 @@
     m_out.erase(LWS_PRE, m_taken - LWS_PRE);
     m_taken = LWS_PRE;
   }
+  Account();
   return 0;
 }
 
@@ -363,6 +429,8 @@
     return 0; // The peer closes, or CheckTimeouts() after kLingerTime.
   }
   m_ended = false;
+  m_claimed = 0;
+  Account();
   m_since = m_server.GetLoop().Now();
   if (m_exchange != nullptr) {
     m_server.CountAnswer(-1);
@@ -393,6 +461,15 @@
   CloseSocket(m_wsi, completes ? SocketEnd::Reset : SocketEnd::Finish);
 }
 
+void
+ServerConnection::CloseForRoom()
+{
+  if (m_state == State::Receiving) {
+    RefuseUnread(NoRoomError(), 0);
+  }
+  Close();
+}
+
 void
 ServerConnection::CheckTimeouts(TimePoint aNow)
 {
--- a/src/net_server_exchange.cpp
+++ b/src/net_server_exchange.cpp
@@ -77,6 +77,12 @@
   return m_connection == nullptr ? 0 : m_connection->Buffered();
 }
 
+bool
+ServerExchange::MayQueue() const
+{
+  return m_connection == nullptr || m_connection->MayQueue();
+}
+
 void
 ServerExchange::OnDrained(std::function<void()> aCallback)
 {
--- a/src/router_listen.cpp
+++ b/src/router_listen.cpp
@@ -29,18 +29,22 @@
 ServerOptions
 BoundedOptions(const std::string& aAddress,
                std::size_t aMaxConnections,
-               std::size_t aMaxBody)
+               std::size_t aMaxBody,
+               const std::shared_ptr<Intake>& aIntake)
 {
   ServerOptions options = ListenOptions(aAddress);
+  options.m_intake = aIntake;
   options.m_maxConnections = aMaxConnections;
   options.m_maxBody = aMaxBody;
   return options;
 }
 
 ServerOptions
-OperatorOptions(const std::string& aAddress)
+OperatorOptions(const std::string& aAddress,
+                const std::shared_ptr<Intake>& aIntake)
 {
-  return BoundedOptions(aAddress, kOperatorConnections, kMaxOperatorBody);
+  return BoundedOptions(
+    aAddress, kOperatorConnections, kMaxOperatorBody, aIntake);
 }
 
 } // namespace
@@ -48,15 +52,20 @@
 void
 RouterTask::Listen()
 {
-  m_operatorServer = m_loop.Listen(OperatorOptions(m_options.m_operatorAddress),
-                                   m_operatorHandler);
+  auto control = std::make_shared<Intake>(m_options.m_maxControlIntake);
+  m_operatorServer =
+    m_loop.Listen(OperatorOptions(m_options.m_operatorAddress, control),
+                  m_operatorHandler);
   if (!m_options.m_metricsAddress.empty()) {
-    m_metricsServer = m_loop.Listen(OperatorOptions(m_options.m_metricsAddress),
-                                    m_operatorHandler);
+    m_metricsServer =
+      m_loop.Listen(OperatorOptions(m_options.m_metricsAddress, control),
+                    m_operatorHandler);
   }
-  m_peerServer = m_loop.Listen(
-    BoundedOptions(m_options.m_peerAddress, kPeerConnections, kMaxPeerCall),
-    m_peerHandler);
+  m_peerServer = m_loop.Listen(BoundedOptions(m_options.m_peerAddress,
+                                              kPeerConnections,
+                                              kMaxPeerCall,
+                                              control),
+                               m_peerHandler);
   // The kernel may have chosen the port.
   std::string address = m_options.m_peerAddress;
   address.replace(address.rfind(':') + 1,
