Let large bodies take turns while room is short

What callers saw: of 20 uploads of 4 MB at once, each inside the limits, none was served: all got 503 after seconds.

Cause: near the bound each connection was read up to an equal share, which is less than any of the bodies, so that none could end. Beside the account, 16 MB of incomplete bodies were a second bound, which refused whoever passed it.

Change: a connection that is held back inside a body is granted room for all of it as soon as there is any, and the first grant may use the whole bound. The others wait, and go on in the next turn of the loop when room is given back, only as many as can read at once. A request that is being received is refused before its connection is closed.

A case of router_intake_test plays it on a fake loop. Why it works: a granted body is read to its end, and its room then goes to the next one.

--- a/include/shallotford/intake.h
+++ b/include/shallotford/intake.h
@@ -95,7 +95,8 @@
 
   std::size_t Bytes() const { return m_bytes; }
   std::size_t Connections() const { return m_connections; }
-  IntakeStep Step() const;
+  /// Returns the step at which the account is, or would be with aMore bytes.
+  IntakeStep Step(std::size_t aMore = 0) const;
   /// Returns whether a connection that holds aBytes may be read on.
   bool MayRead(std::size_t aBytes) const
   {
@@ -108,6 +109,12 @@
   }
   /// Returns whether aBytes more would stay below the step Refuse.
   bool HasRoomFor(std::size_t aBytes) const;
+  /// Grants a connection room for aBytes more, so that large requests end one
+  /// after the other while none is within its share. The first grant may use
+  /// the whole bound.
+  /// @return whether it is granted; EndGrant() is due then
+  bool Grant(std::size_t aBytes);
+  void EndGrant() { --m_grants; }
   /// Returns the bytes that each connection may hold at any step.
   std::size_t Share() const;
 
@@ -120,6 +127,7 @@
   std::size_t m_maxBytes;
   std::size_t m_bytes{ 0 };
   std::size_t m_connections{ 0 };
+  std::size_t m_grants{ 0 };
 };
 
 } // namespace shallotford
--- a/src/config.h
+++ b/src/config.h
@@ -321,8 +321,6 @@
 /// answers are unread. A caller that reads one answer after the other meets it
 /// never.
 constexpr std::size_t kMaxUnreadAnswerBytes = 64u << 10;
-/// Bytes of incomplete request bodies, over all connections.
-constexpr std::size_t kMaxBufferedBodyBytes = 16u << 20;
 constexpr std::chrono::milliseconds kBodyBufferFullRetryAfter = 500ms;
 /// Retry-After of a request whose answer would find no room. What makes no
 /// progress gives its room up after kMaxIntakeStall.
--- a/src/intake_account.cpp
+++ b/src/intake_account.cpp
@@ -73,19 +73,29 @@
 }
 
 IntakeStep
-Intake::Step() const
+Intake::Step(std::size_t aMore) const
 {
-  if (IsAbove(m_bytes, kRefuseShare, m_maxBytes)) {
+  std::size_t bytes = m_bytes + aMore;
+  if (IsAbove(bytes, kRefuseShare, m_maxBytes)) {
     return IntakeStep::Refuse;
   }
-  return IsAbove(m_bytes, kPauseShare, m_maxBytes) ? IntakeStep::Pause
-                                                   : IntakeStep::Calm;
+  return IsAbove(bytes, kPauseShare, m_maxBytes) ? IntakeStep::Pause
+                                                 : IntakeStep::Calm;
 }
 
 bool
 Intake::HasRoomFor(std::size_t aBytes) const
 {
-  return !IsAbove(m_bytes + aBytes, kRefuseShare, m_maxBytes);
+  return Step(aBytes) != IntakeStep::Refuse;
+}
+
+bool
+Intake::Grant(std::size_t aBytes)
+{
+  bool fits = HasRoomFor(aBytes) ||
+              (m_grants == 0 && m_bytes + aBytes <= m_maxBytes);
+  m_grants += fits ? 1 : 0;
+  return fits;
 }
 
 std::size_t
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -193,6 +193,34 @@
   m_connections.emplace(connection.get(), std::move(connection));
 }
 
+void
+CallerListener::ReadOnLater()
+{
+  if (m_heldBack == 0 || std::exchange(m_readsOn, true)) {
+    return;
+  }
+  m_loop.Post([this, alive = std::weak_ptr<bool>(m_alive)] {
+    if (alive.expired()) {
+      return;
+    }
+    m_readsOn = false;
+    ReadOn();
+  });
+}
+
+void
+CallerListener::ReadOn()
+{
+  std::size_t coming = 0; // what those that go on may read at once
+  for (auto& [key, connection] : m_connections) {
+    if (!connection->IsHeldBack()) {
+      continue;
+    }
+    coming += 2 * kStreamReadBytes; // bodies count twice
+    connection->ReadOn(m_intake->Step(coming) == IntakeStep::Calm);
+  }
+}
+
 bool
 CallerListener::MakeBriefPlace()
 {
@@ -250,13 +278,14 @@
     connection->OnCallerLeft();
   }
   for (std::size_t index : m_intake->ToClose(holders)) {
-    if (connections[index]->IsHeldBackInside()) {
+    if (connections[index]->IsInsideRequest()) {
       connections[index]->RefuseForRoom();
       continue;
     }
     m_handler.OnIntake(IntakeAct::Close);
     connections[index]->CloseForRoom();
   }
+  ReadOn();
 }
 
 void
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -141,6 +141,9 @@
 private:
   friend class CallerConnection;
   void OnAccept(std::unique_ptr<StreamI> aStream);
+  /// Goes on reading in the loop's next turn where there is room again.
+  void ReadOnLater();
+  void ReadOn();
   /// Makes place for another brief connection, at the cost of the oldest one
   /// without a complete request, or whose answer is in the socket.
   /// @return false if there is none
@@ -152,9 +155,12 @@
   StreamListenerOptions m_options;
   CallerHandlerI& m_handler;
   std::shared_ptr<Intake> m_intake; ///< shared with other listeners
+  // Connections use these as they are destroyed.
+  int m_heldBack{ 0 };     ///< connections that aren't read for lack of room
+  bool m_readsOn{ false }; ///< ReadOnLater() has been called
+  std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
   std::map<CallerConnection*, std::unique_ptr<CallerConnection>> m_connections;
   std::list<CallerConnection*> m_brief; ///< the oldest first
-  std::size_t m_bufferedBodyBytes{ 0 }; ///< of incomplete requests
   std::unique_ptr<StreamListenerI> m_listener;
 };
 
--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -65,7 +65,9 @@
 {
   ReleaseBody();
   if (!std::exchange(m_hasLeft, true)) {
+    SetHeldBack(false);
     m_listener.m_intake->Close(m_held);
+    m_listener.ReadOnLater();
   }
 }
 
@@ -99,11 +101,8 @@
 void
 CallerConnection::ReleaseBody()
 {
-  if (!m_body.empty()) {
-    m_listener.m_bufferedBodyBytes -= m_body.size();
-    m_body.clear();
-    m_body.shrink_to_fit();
-  }
+  DropGrant();
+  std::string().swap(m_body);
 }
 
 void
@@ -262,14 +261,7 @@
   if (m_body.size() + aBytes.size() > m_maxBody) {
     ThrowBodyTooLarge(m_maxBody);
   }
-  m_listener.m_bufferedBodyBytes += aBytes.size();
   m_body.append(aBytes);
-  if (m_listener.m_bufferedBodyBytes > kMaxBufferedBodyBytes) {
-    throw Error(ErrorKind::Overloaded,
-                "too many request bodies are being received",
-                "Send the request again after the time given.")
-      .WithRetryAfter(kBodyBufferFullRetryAfter);
-  }
 }
 
 void
@@ -327,8 +319,8 @@
   m_hasHead = false;
   m_loop.CancelTimer(m_timer);
   m_request.m_body = std::make_shared<const std::string>(std::move(m_body));
-  m_listener.m_bufferedBodyBytes -= m_request.m_body->size();
   m_body.clear();
+  DropGrant();
   m_runBytes = m_request.m_body->size();
   m_exchange = std::make_shared<CallerExchange>(this);
   // The handler may answer at once, which ends this exchange.
@@ -447,7 +439,28 @@
 {
   std::size_t fields = m_hasHead ? 2 * m_fieldBytes : m_fieldBytes;
   return m_pipelined.capacity() + m_headBytes + fields +
-         2 * (m_body.size() + m_runBytes);
+         2 * (std::max(m_body.size(), m_granted) + m_runBytes);
+}
+
+bool
+CallerConnection::TakeGrant()
+{
+  if (!m_hasHead || m_granted > 0) {
+    return m_granted > 0;
+  }
+  std::size_t whole = m_request.m_head.m_framing == BodyFraming::Chunked
+                        ? m_maxBody
+                        : m_request.m_head.m_length;
+  std::size_t missing = whole - std::min(whole, m_body.size());
+  Intake& intake = *m_listener.m_intake;
+  if (missing == 0 || !intake.Grant(2 * missing)) {
+    return false;
+  }
+  m_granted = whole;
+  m_body.reserve(whole);
+  std::size_t held = Held();
+  intake.Change(std::exchange(m_held, held), held);
+  return true;
 }
 
 bool
@@ -479,6 +492,39 @@
                       std::max(intake.Share(), m_claim));
 }
 
+void
+CallerConnection::DropGrant()
+{
+  if (std::exchange(m_granted, 0) > 0) {
+    m_listener.m_intake->EndGrant();
+  }
+}
+
+bool
+CallerConnection::MayReadOn()
+{
+  const Intake& intake = *m_listener.m_intake;
+  // Those that were held back go on by ReadOn(), not all at once.
+  bool isCalm = intake.Step() == IntakeStep::Calm;
+  return m_held <= intake.Share() || (isCalm && !m_isHeldBack) || m_granted > 0;
+}
+
+void
+CallerConnection::ReadOn(bool aHasRoom)
+{
+  if (aHasRoom || TakeGrant()) {
+    SetHeldBack(false);
+  }
+  Account();
+}
+
+void
+CallerConnection::SetHeldBack(bool aIsHeldBack)
+{
+  bool was = std::exchange(m_isHeldBack, aIsHeldBack);
+  m_listener.m_heldBack += (aIsHeldBack ? 1 : 0) - (was ? 1 : 0);
+}
+
 void
 CallerConnection::Account()
 {
@@ -487,15 +533,21 @@
   }
   Intake& intake = *m_listener.m_intake;
   std::size_t held = Held();
-  intake.Change(std::exchange(m_held, held), held);
+  std::size_t before = std::exchange(m_held, held);
+  intake.Change(before, held);
+  if (held + kStreamReadBytes <= before) {
+    m_listener.ReadOnLater();
+  }
   if (m_closing) {
+    SetHeldBack(false);
     return;
   }
-  bool mayRead = intake.MayRead(held);
-  if (!mayRead && !m_isHeldBack) {
+  bool wasHeldBack = m_isHeldBack;
+  SetHeldBack(!MayReadOn());
+  if (m_isHeldBack && !wasHeldBack) {
     m_handler.OnIntake(IntakeAct::Pause);
+    m_listener.ReadOnLater();
   }
-  m_isHeldBack = !mayRead;
   m_isPaused = m_isHeldBack || Pipelined().size() >= kMaxPipelinedBytes;
   if (m_isPaused) {
     m_stream->PauseReading();
--- a/src/router_caller_connection.h
+++ b/src/router_caller_connection.h
@@ -83,7 +83,7 @@
   /// Leaves the listener and its account, which may be gone afterwards.
   void Leave();
 
-  /// Notes progress since the last call, and reads on if there is room again.
+  /// Notes progress since the last call.
   void Sweep();
   IntakeHolder Holder() const
   {
@@ -98,12 +98,18 @@
   /// Handles the end of the connection; destroys this object after the current
   /// event.
   void OnCallerLeft();
-  /// Returns whether the caller can't go on with a request for our lack of
-  /// room.
-  bool IsHeldBackInside() const
+  /// Updates the account of memory. Reads on only while there is room there and
+  /// for what arrives ahead.
+  void Account();
+
+  bool IsHeldBack() const { return m_isHeldBack; }
+  /// Reads on if there is room again.
+  /// @param aHasRoom  there is for anyone, not only within a share or grant
+  void ReadOn(bool aHasRoom);
+  /// Returns whether a request is being received, which can still be refused.
+  bool IsInsideRequest() const
   {
-    return m_isHeldBack && m_exchange == nullptr && !m_closing &&
-           m_reader->IsInside();
+    return WaitsForRequest() && m_reader->IsInside();
   }
   /// Returns whether no complete request has come since the last answer.
   bool WaitsForRequest() const { return m_exchange == nullptr && !m_closing; }
@@ -256,9 +262,16 @@
            std::max(m_heldAnswer + m_stream->Buffered(), m_claim);
   }
 
-  /// Updates the account of memory. Reads on only while there is room there and
-  /// for what arrives ahead.
-  void Account();
+  /// Takes room for the whole body that is being received, which may then be
+  /// read on: large bodies that all had their equal share would never end.
+  /// @return whether it has the room
+  bool TakeGrant();
+
+  void DropGrant();
+
+  bool MayReadOn();
+
+  void SetHeldBack(bool aIsHeldBack);
 
   std::string_view Pipelined() const
   {
@@ -300,6 +313,7 @@
   CallerRequest m_request; ///< being received
   std::string m_body;      ///< being received
   std::size_t m_maxBody{ 0 };
+  std::size_t m_granted{ 0 }; ///< bytes of the whole body that have room
   bool m_isBrief;
   bool m_hasHead{ false }; ///< of the request that is being received
   bool m_complete{ false };
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -422,3 +422,42 @@
   BOOST_TEST(slow->m_queued.find("HTTP/1.1 503 ") == 0U);
   BOOST_TEST(slow->m_queued.find("Retry-After: ") != std::string::npos);
 }
+
+BOOST_AUTO_TEST_CASE(large_bodies_take_turns_while_room_is_short)
+{
+  constexpr int kUploads = 20;
+  constexpr std::size_t kBody = 150'000;
+  constexpr std::size_t kPiece = 16u << 10;
+  Callers callers(2u << 20); // holds three of them, with their copies
+  struct Upload
+  {
+    PeerStream* m_peer;
+    std::string m_text;
+    std::size_t m_sent{ 0 };
+  };
+  std::vector<Upload> uploads;
+  for (int i = 0; i < kUploads; ++i) {
+    PeerStream* peer = callers.Connect();
+    BOOST_TEST_REQUIRE((peer != nullptr));
+    uploads.push_back({ peer, Request(i, kBody) });
+  }
+  int served = 0;
+  for (int turn = 0; turn < 1'000 && served < kUploads; ++turn) {
+    for (Upload& upload : uploads) {
+      if (!upload.m_peer->m_paused && upload.m_sent < upload.m_text.size()) {
+        std::string_view rest =
+          std::string_view(upload.m_text).substr(upload.m_sent, kPiece);
+        upload.m_sent += rest.size();
+        upload.m_peer->m_handler->OnBytes(rest);
+      }
+    }
+    while (!callers.m_running.empty()) {
+      callers.m_running.front().first->Respond(200, "OK", {}, "");
+      callers.m_running.pop_front();
+      ++served;
+    }
+    callers.m_loop.RunFor(0s);
+  }
+  BOOST_TEST(served == kUploads);
+  BOOST_TEST(callers.m_bad == 0);
+}
