Hold all connections back as soon as the account nears its bound

With thousands of connections the process would pass its bound.

Cause: a connection notices that room is short when it has read once more, up to 16 KB of a body, which count twice: 32 KB for each connection that was being read, beyond the bound.

Change: the connection that takes the account beyond the step Calm updates all others at once, and from then on each read brings 2 KB at most, in which usual heads fit.

Evidence: large_bodies_take_turns_while_room_is_short failed without this (20 uploads in an account of 2 MB: above it), and holds with it.

--- a/include/shallotford/net.h
+++ b/include/shallotford/net.h
@@ -292,6 +292,8 @@
   virtual void ResetOnDestroy() = 0;
   virtual void PauseReading() = 0;
   virtual void ResumeReading() = 0;
+  /// Reads at most aBytes at once.
+  virtual void LimitReads(std::size_t /*aBytes*/) {}
 };
 
 struct StreamOptions
--- a/src/config.h
+++ b/src/config.h
@@ -63,6 +63,8 @@
 constexpr std::size_t kMaxEventBytes = 1u << 20;
 /// Bytes read from a raw stream at once, on the stack.
 constexpr std::size_t kStreamReadBytes = 16u << 10;
+/// The same while there is little room: heads of usual size fit.
+constexpr std::size_t kShortReadBytes = 2u << 10;
 /// Memory that a raw stream keeps for its next writes once all is sent.
 constexpr std::size_t kKeptQueueBytes = 4u << 10;
 /// Connections that wait to be accepted.
--- a/src/net_stream.cpp
+++ b/src/net_stream.cpp
@@ -239,8 +239,8 @@
   std::array<char, kStreamReadBytes> buffer; // NOLINT: filled by read()
   std::shared_ptr<bool> alive = m_alive;
   while (*alive && !m_paused && !m_peerFinished && !m_broken) {
-    ssize_t count =
-      ::read(m_descriptor->Descriptor(), buffer.data(), buffer.size());
+    std::size_t most = m_maxRead;
+    ssize_t count = ::read(m_descriptor->Descriptor(), buffer.data(), most);
     if (count < 0) {
       if (errno != EAGAIN && errno != EINTR) {
         Break(errno);
@@ -258,7 +258,7 @@
       return;
     }
     m_handler->OnBytes({ buffer.data(), static_cast<std::size_t>(count) });
-    if (static_cast<std::size_t>(count) < buffer.size()) {
+    if (static_cast<std::size_t>(count) < most) {
       return;
     }
   }
--- a/src/net_stream.h
+++ b/src/net_stream.h
@@ -4,10 +4,12 @@
 /// Raw TCP connections on a libwebsockets loop. libwebsockets waits for the
 /// descriptors; reading and writing are done here.
 
+#include "config.h"
 #include "net_loop.h"
 
 #include <poll.h>
 
+#include <algorithm>
 #include <array>
 
 namespace shallotford {
@@ -91,6 +93,10 @@
   void BreakLater(int aError);
   void PauseReading() override;
   void ResumeReading() override;
+  void LimitReads(std::size_t aBytes) override
+  {
+    m_maxRead = std::min(aBytes, kStreamReadBytes);
+  }
 
 private:
   void OnReadable();
@@ -126,6 +132,7 @@
   bool m_broken{ false };
   int m_sendError{ 0 }; ///< that a write met, with which the connection broke
   bool m_paused{ false };
+  std::size_t m_maxRead{ kStreamReadBytes };
   bool m_drainDue{ false }; ///< OnDrained() is owed
   /// What the first read brings has arrived after this time.
   TimePoint m_acceptedAfter{ TimePoint::max() };
--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -208,6 +208,18 @@
   });
 }
 
+void
+CallerListener::OnChange()
+{
+  bool isCalm = m_intake->Step() == IntakeStep::Calm;
+  if (!std::exchange(m_isCalm, isCalm) || isCalm) {
+    return;
+  }
+  for (auto& [key, connection] : m_connections) {
+    connection->Account();
+  }
+}
+
 void
 CallerListener::ReadOn()
 {
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -144,6 +144,9 @@
   /// Goes on reading in the loop's next turn where there is room again.
   void ReadOnLater();
   void ReadOn();
+  /// Updates all connections once the account is no longer calm, as each of
+  /// them could read once more before it notices.
+  void OnChange();
   /// Makes place for another brief connection, at the cost of the oldest one
   /// without a complete request, or whose answer is in the socket.
   /// @return false if there is none
@@ -158,6 +161,7 @@
   // Connections use these as they are destroyed.
   int m_heldBack{ 0 };     ///< connections that aren't read for lack of room
   bool m_readsOn{ false }; ///< ReadOnLater() has been called
+  bool m_isCalm{ true };   ///< the account, at the last OnChange()
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
   std::map<CallerConnection*, std::unique_ptr<CallerConnection>> m_connections;
   std::list<CallerConnection*> m_brief; ///< the oldest first
--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -538,10 +538,13 @@
   if (held + kStreamReadBytes <= before) {
     m_listener.ReadOnLater();
   }
+  m_listener.OnChange();
   if (m_closing) {
     SetHeldBack(false);
     return;
   }
+  m_stream->LimitReads(intake.Step() == IntakeStep::Calm ? kStreamReadBytes
+                                                         : kShortReadBytes);
   bool wasHeldBack = m_isHeldBack;
   SetHeldBack(!MayReadOn());
   if (m_isHeldBack && !wasHeldBack) {
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -451,6 +451,7 @@
         upload.m_peer->m_handler->OnBytes(rest);
       }
     }
+    BOOST_REQUIRE(callers.m_intake->Bytes() <= 2u << 20);
     while (!callers.m_running.empty()) {
       callers.m_running.front().first->Respond(200, "OK", {}, "");
       callers.m_running.pop_front();
