--- a/src/daemon_control.cpp
+++ b/src/daemon_control.cpp
@@ -114,8 +114,7 @@
   m_peerHandler = MakePeerHandler(m_state, m_config, m_gossip, m_sweep);
   m_operatorHandler = MakeOperatorHandler(
     m_state, m_orders, [this](const std::string& aCause) { Drain(aCause); });
-  auto intake =
-    std::make_shared<Intake>(ControlIntakeBytes(settings.m_memory));
+  auto intake = std::make_shared<Intake>(ControlIntakeBytes(settings.m_memory));
   m_peerServer = m_state.m_loop.Listen(
     PeerServerOptions(settings.m_peerAddress, settings.m_peerTls, intake),
     *m_peerHandler);
--- a/src/daemon_worker.cpp
+++ b/src/daemon_worker.cpp
@@ -15,18 +15,18 @@
 CallerServerOptions(const Settings& aSettings)
 {
   SocketAddress address = ParseAddress(aSettings.m_callerAddress);
-  return { .m_address = address.m_ip,
-           .m_port = address.m_port,
-           .m_maxBody = aSettings.m_maxBody,
-           .m_maxHeaders = aSettings.m_maxHeaders,
-           .m_maxConnections = aSettings.m_maxConnections,
-           .m_sendBuffer = aSettings.m_sendBuffer,
-           .m_intake =
-             std::make_shared<Intake>(IntakeBytes(aSettings.m_memory)),
-           .m_tls = { .m_certificate = aSettings.m_callerTls.m_certificate,
-                      .m_key = aSettings.m_callerTls.m_key,
-                      .m_peerAuthority =
-                        aSettings.m_callerTls.m_peerAuthority } };
+  return {
+    .m_address = address.m_ip,
+    .m_port = address.m_port,
+    .m_maxBody = aSettings.m_maxBody,
+    .m_maxHeaders = aSettings.m_maxHeaders,
+    .m_maxConnections = aSettings.m_maxConnections,
+    .m_sendBuffer = aSettings.m_sendBuffer,
+    .m_intake = std::make_shared<Intake>(IntakeBytes(aSettings.m_memory)),
+    .m_tls = { .m_certificate = aSettings.m_callerTls.m_certificate,
+               .m_key = aSettings.m_callerTls.m_key,
+               .m_peerAuthority = aSettings.m_callerTls.m_peerAuthority }
+  };
 }
 
 TlsFiles
--- a/src/daemon_worker_reply.cpp
+++ b/src/daemon_worker_reply.cpp
@@ -61,8 +61,8 @@
 {
   std::size_t limit = m_state.m_options.m_settings.m_sendBuffer;
   std::size_t buffered = aFlow.m_exchange->Buffered();
-  bool full = buffered > limit ||
-              (buffered > limit / 4 && !aFlow.m_exchange->MayQueue());
+  bool full =
+    buffered > limit || (buffered > limit / 4 && !aFlow.m_exchange->MayQueue());
   if (!full || aFlow.m_reply.m_paused || aFlow.m_attempt.m_calls.empty()) {
     return;
   }
--- a/src/intake_account.cpp
+++ b/src/intake_account.cpp
@@ -92,8 +92,8 @@
 bool
 Intake::Grant(std::size_t aBytes)
 {
-  bool fits = HasRoomFor(aBytes) ||
-              (m_grants == 0 && m_bytes + aBytes <= m_maxBytes);
+  bool fits =
+    HasRoomFor(aBytes) || (m_grants == 0 && m_bytes + aBytes <= m_maxBytes);
   m_grants += fits ? 1 : 0;
   return fits;
 }
--- a/src/net_server.h
+++ b/src/net_server.h
@@ -148,9 +148,9 @@
   bool m_aborted{ false };
   bool m_unread{ false }; ///< refused before libwebsockets read it
   bool m_closeAfter{ false };
-  bool m_ended{ false }; ///< the answer's end is queued
-  TimePoint m_since;     ///< start of the state, or last progress
-  TimePoint m_movedAt;   ///< time of the last bytes in either direction
+  bool m_ended{ false };      ///< the answer's end is queued
+  TimePoint m_since;          ///< start of the state, or last progress
+  TimePoint m_movedAt;        ///< time of the last bytes in either direction
   std::size_t m_claimed{ 0 }; ///< bytes of the request's body, until its answer
   std::size_t m_held{ 0 };    ///< in the account
   HttpRequest m_request;
--- a/src/net_server_connection.cpp
+++ b/src/net_server_connection.cpp
@@ -189,8 +189,7 @@
   // While the handler works, the peer has nothing to do.
   bool waitsForHandler = m_state == State::Answering && Buffered() == 0;
   return { .m_bytes = m_held,
-           .m_stalled =
-             waitsForHandler ? Duration::zero() : aNow - m_movedAt };
+           .m_stalled = waitsForHandler ? Duration::zero() : aNow - m_movedAt };
 }
 
 bool
--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -488,8 +488,7 @@
   const Intake& intake = *m_listener.m_intake;
   return intake.Step() == IntakeStep::Calm
            ? kMaxCallerQueueBytes
-           : std::min(kMaxCallerQueueBytes,
-                      std::max(intake.Share(), m_claim));
+           : std::min(kMaxCallerQueueBytes, std::max(intake.Share(), m_claim));
 }
 
 void
--- a/src/router_listen.cpp
+++ b/src/router_listen.cpp
@@ -53,19 +53,16 @@
 RouterTask::Listen()
 {
   auto control = std::make_shared<Intake>(m_options.m_maxControlIntake);
-  m_operatorServer =
-    m_loop.Listen(OperatorOptions(m_options.m_operatorAddress, control),
-                  m_operatorHandler);
+  m_operatorServer = m_loop.Listen(
+    OperatorOptions(m_options.m_operatorAddress, control), m_operatorHandler);
   if (!m_options.m_metricsAddress.empty()) {
-    m_metricsServer =
-      m_loop.Listen(OperatorOptions(m_options.m_metricsAddress, control),
-                    m_operatorHandler);
+    m_metricsServer = m_loop.Listen(
+      OperatorOptions(m_options.m_metricsAddress, control), m_operatorHandler);
   }
-  m_peerServer = m_loop.Listen(BoundedOptions(m_options.m_peerAddress,
-                                              kPeerConnections,
-                                              kMaxPeerCall,
-                                              control),
-                               m_peerHandler);
+  m_peerServer = m_loop.Listen(
+    BoundedOptions(
+      m_options.m_peerAddress, kPeerConnections, kMaxPeerCall, control),
+    m_peerHandler);
   // The kernel may have chosen the port.
   std::string address = m_options.m_peerAddress;
   address.replace(address.rfind(':') + 1,
--- a/tests/router_intake_test.cpp
+++ b/tests/router_intake_test.cpp
@@ -54,7 +54,8 @@
 /// A listener whose requests the test answers later.
 struct Callers : CallerHandlerI
 {
-  explicit Callers(std::size_t aMaxIntake, StreamListenerOptions aOptions = {})
+  explicit Callers(std::size_t aMaxIntake,
+                   const StreamListenerOptions& aOptions = {})
     : m_intake(std::make_shared<Intake>(aMaxIntake))
     , m_listener(m_loop, aOptions, *this, m_intake)
   {
