Don't ask for a body before its request may be refused for room

A caller that sends "Expect: 100-continue" near the bound got "100 Continue" and then the refusal, since the check came after it. Found when the change was read again; the order of the two is swapped. No test of its own.

--- a/src/router_caller.cpp
+++ b/src/router_caller.cpp
@@ -209,7 +209,7 @@
 }
 
 void
-CallerListener::OnChange()
+CallerListener::UpdateIfPressed()
 {
   bool isCalm = m_intake->Step() == IntakeStep::Calm;
   if (!std::exchange(m_isCalm, isCalm) || isCalm) {
--- a/src/router_caller.h
+++ b/src/router_caller.h
@@ -146,7 +146,7 @@
   void ReadOn();
   /// Updates all connections once the account is no longer calm, as each of
   /// them could read once more before it notices.
-  void OnChange();
+  void UpdateIfPressed();
   /// Makes place for another brief connection, at the cost of the oldest one
   /// without a complete request, or whose answer is in the socket.
   /// @return false if there is none
@@ -161,7 +161,7 @@
   // Connections use these as they are destroyed.
   int m_heldBack{ 0 };     ///< connections that aren't read for lack of room
   bool m_readsOn{ false }; ///< ReadOnLater() has been called
-  bool m_isCalm{ true };   ///< the account, at the last OnChange()
+  bool m_isCalm{ true };   ///< the account, at the last UpdateIfPressed()
   std::shared_ptr<bool> m_alive{ std::make_shared<bool>(true) };
   std::map<CallerConnection*, std::unique_ptr<CallerConnection>> m_connections;
   std::list<CallerConnection*> m_brief; ///< the oldest first
--- a/src/router_caller_connection.cpp
+++ b/src/router_caller_connection.cpp
@@ -239,9 +239,6 @@
   m_keepAlive = aHead.m_keepAlive && !m_isBrief;
   m_oldVersion = aHead.m_oldVersion;
   m_toHead = aHead.m_method == "HEAD";
-  if (aHead.m_expectsContinue && aHead.m_framing != BodyFraming::None) {
-    m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
-  }
   m_request = { .m_head = aHead,
                 .m_body = nullptr,
                 .m_arrivedAt = m_arrivedAt };
@@ -252,6 +249,9 @@
   if (!m_listener.m_intake->MayRun(Held() + 2 * aHead.m_length)) {
     throw NoRoomError();
   }
+  if (aHead.m_expectsContinue && aHead.m_framing != BodyFraming::None) {
+    m_stream->Write("HTTP/1.1 100 Continue\r\n\r\n");
+  }
   Arm(HeadTimeout());
 }
 
@@ -537,7 +537,7 @@
   if (held + kStreamReadBytes <= before) {
     m_listener.ReadOnLater();
   }
-  m_listener.OnChange();
+  m_listener.UpdateIfPressed();
   if (m_closing) {
     SetHeldBack(false);
     return;
