Test the account of the HTTP server's connections by itself

Two cases on a real loop: a body that finds no room is refused with a time to come back before it is read, a small one beside it is served, and the room goes to the next one; a body without progress gives its room up near the bound.

--- a/tests/net_server_test.cpp
+++ b/tests/net_server_test.cpp
@@ -5,6 +5,9 @@
 #include <boost/test/unit_test.hpp>
 
 #include "net_fixture.h"
+#include "shallotford/intake.h"
+
+#include <atomic>
 
 using namespace shallotford;
 using namespace shallotford::test;
@@ -245,3 +248,68 @@
     BOOST_TEST(socket.ReadUntil(text).ends_with(text));
   }
 }
+
+BOOST_AUTO_TEST_CASE(bodies_that_find_no_room_are_refused_before_they_are_read)
+{
+  constexpr std::size_t kRoom = 1'000'000;
+  constexpr std::size_t kLarge = 600'000;
+  LoopThread loop;
+  auto intake = std::make_shared<Intake>(kRoom);
+  TestServer server(
+    loop,
+    [](std::shared_ptr<HttpExchangeI> aExchange, HttpRequest aRequest) {
+      aExchange->Respond(200, {}, std::to_string(aRequest.m_body.size()));
+    },
+    { .m_intake = intake });
+  auto post = [](std::size_t aBytes) {
+    return "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: " +
+           std::to_string(aBytes) + "\r\n\r\n" + std::string(aBytes, 'b');
+  };
+  std::string large = post(kLarge);
+  RawSocket first(server.Port());
+  first.Send(std::string_view(large).substr(0, large.size() - 1));
+  while (loop.Do([&] { return intake->Bytes(); }) < kLarge) {
+    std::this_thread::yield();
+  }
+  RawSocket second(server.Port());
+  second.Send(large);
+  std::string refused = second.ReadUntil("retry-after-ms: ");
+  BOOST_TEST(refused.find("HTTP/1.1 503 ") == 0U);
+  BOOST_TEST(refused.find("retry-after-ms: ") != std::string::npos);
+  // What is within a connection's share still finds room.
+  RawSocket small(server.Port());
+  small.Send(post(100));
+  BOOST_TEST(small.ReadUntil("\r\n\r\n100").find("HTTP/1.1 200 ") == 0U);
+  first.Send("b");
+  BOOST_TEST(first.ReadUntil("\r\n\r\n600000").find("HTTP/1.1 200 ") == 0U);
+  RawSocket third(server.Port());
+  third.Send(large);
+  BOOST_TEST(third.ReadUntil("\r\n\r\n600000").find("HTTP/1.1 200 ") == 0U);
+}
+
+BOOST_AUTO_TEST_CASE(a_body_without_progress_gives_its_room_up)
+{
+  LoopThread loop;
+  auto intake = std::make_shared<Intake>(1'000'000);
+  std::atomic<int> requests{ 0 };
+  TestServer server(
+    loop,
+    [&](std::shared_ptr<HttpExchangeI> aExchange, const HttpRequest&) {
+      ++requests;
+      aExchange->Respond(200, {}, "");
+    },
+    { .m_intake = intake });
+  // Claims below the step from which stalled connections are closed, and then
+  // a small one that takes the account above it.
+  RawSocket large(server.Port());
+  large.Send("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 730000\r\n\r\nb");
+  while (loop.Do([&] { return intake->Bytes(); }) < 730'000) {
+    std::this_thread::yield();
+  }
+  RawSocket small(server.Port());
+  small.Send("POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: 60000\r\n\r\nb");
+  std::string refused = large.ReadToEnd();
+  BOOST_TEST(refused.find("HTTP/1.1 503 ") == 0U);
+  BOOST_TEST(loop.Do([&] { return intake->Bytes(); }) < 100'000U);
+  BOOST_TEST(requests == 0);
+}
