Let the raw connection's tests begin once it is connected

Seen: an_end_after_a_send_that_went_on_is_an_end failed once beside load, and then in 34 of 60 plays. Cause, in the test: the kernel accepts a connection before the loop has met its event. The first write then waits in the queue, and the send that fails on purpose is the first one of a connection that has just opened, which breaks it, as it should; the test means a later one.

--- a/tests/net_stream_test.cpp
+++ b/tests/net_stream_test.cpp
@@ -46,6 +46,9 @@
     }))
     , m_peer(m_listener.Accept())
   {
+    // The kernel accepts before the loop knows; a first send that fails then
+    // breaks the connection.
+    BOOST_TEST(m_connected.Take().value_or(false));
   }
   ~Sender() override
   {
@@ -54,6 +57,7 @@
   Sender(const Sender&) = delete;
   Sender& operator=(const Sender&) = delete;
 
+  void OnConnected() override { m_connected.Put(true); }
   void OnBytes(std::string_view /*aBytes*/) override {}
   void OnPeerFinished() override { m_ends.Put("end"); }
   void OnBroken(const std::string& /*aReason*/) override
@@ -75,6 +79,7 @@
   RawListener m_listener;
   int m_refills{ 0 }; ///< writes that follow from inside OnDrained()
   Inbox<std::string> m_ends;
+  Inbox<bool> m_connected;
   std::unique_ptr<StreamI> m_stream;
   std::unique_ptr<RawSocket> m_peer;
 };
