--- a/tests/net_server_test.cpp
+++ b/tests/net_server_test.cpp
@@ -255,12 +255,13 @@
   constexpr std::size_t kLarge = 600'000;
   LoopThread loop;
   auto intake = std::make_shared<Intake>(kRoom);
-  TestServer server(
-    loop,
-    [](std::shared_ptr<HttpExchangeI> aExchange, HttpRequest aRequest) {
-      aExchange->Respond(200, {}, std::to_string(aRequest.m_body.size()));
-    },
-    { .m_intake = intake });
+  TestServer server(loop,
+                    [](const std::shared_ptr<HttpExchangeI>& aExchange,
+                       const HttpRequest& aRequest) {
+                      aExchange->Respond(
+                        200, {}, std::to_string(aRequest.m_body.size()));
+                    },
+                    { .m_intake = intake });
   auto post = [](std::size_t aBytes) {
     return "POST /a HTTP/1.1\r\nhost: x\r\ncontent-length: " +
            std::to_string(aBytes) + "\r\n\r\n" + std::string(aBytes, 'b');
@@ -294,7 +295,7 @@
   std::atomic<int> requests{ 0 };
   TestServer server(
     loop,
-    [&](std::shared_ptr<HttpExchangeI> aExchange, const HttpRequest&) {
+    [&](const std::shared_ptr<HttpExchangeI>& aExchange, const HttpRequest&) {
       ++requests;
       aExchange->Respond(200, {}, "");
     },
