--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -35,9 +35,18 @@
 /// all others. A trait with many crashes explains each of them, so that traits
 /// that merely ran there are not blamed. Traits with the same crashes are
 /// convicted jointly: only a request that has all of them is refused. A trait
-/// of a run that ended whole is sound and is cleared. Not guaranteed: a trait
-/// that is in more crashes than their cause is refused instead of it while no
-/// request with the trait runs to its end.
+/// of a run that ended whole is sound and is cleared.
+///
+/// A run that had begun to answer when its engine crashed is weaker evidence
+/// (TraitAges): many such runs are at an engine that ends for another cause. It
+/// takes more of these crashes to convict, those of one moment count once, and
+/// a run elsewhere that has gone on for longer refutes them. What is convicted
+/// only with their help lapses for requests that merely share it, since it
+/// might never be cleared; the next crash convicts it again, for longer.
+///
+/// Not guaranteed: a trait that is in more crashes than their cause is refused
+/// instead of it while no request with the trait runs to its end. Late crashes
+/// at enough moments convict a request though all its engines had other causes.
 
 #include "shallotford/base.h"
 
@@ -70,6 +79,18 @@
   /// Crashes that convict the traits which they share. 0: suspects are isolated
   /// instead.
   std::uint32_t m_convictingCrashes{ 0 };
+  /// The same for crashes whose runs had begun (TraitAges), at least 1. Where a
+  /// trait has crashes of both kinds, their shares add up.
+  std::uint32_t m_convictingLateCrashes{ 5 };
+  /// Engines that crash within this time may have one cause outside, such as
+  /// their host, so they count as one late crash.
+  std::chrono::milliseconds m_crashMoment{ 100 };
+  /// Time after which a conviction that needs late crashes lapses for requests
+  /// that merely share the trait. It doubles each time that it is found again.
+  std::chrono::milliseconds m_lateConvictLifetime{ 60'000 };
+  /// A run refutes crashes under younger runs with the same trait once it has
+  /// gone on for this much longer.
+  std::chrono::milliseconds m_minSurvival{ 1'000 };
   /// Bounds of the evidence, used with m_convictingCrashes. The oldest crash
   /// records and sound traits are forgotten first.
   std::size_t m_maxCrashes{ 256 };
@@ -88,6 +109,10 @@
 std::string_view
 ToString(PoisonStatus aStatus);
 
+/// Traits of runs that had begun to answer, with the age of the oldest such
+/// run: the time from its first event to its last one.
+using TraitAges = std::map<std::string, std::chrono::milliseconds, std::less<>>;
+
 /// What one crash changed.
 struct CrashVerdict
 {
@@ -98,6 +123,9 @@
   /// Members of the batch that are known to be sound here. The other VMs may
   /// not know it, so that SuspectCall::RunEnded() is sent for them.
   std::vector<std::string> m_sound{};
+  /// Members of the batch that a run refutes which goes on elsewhere, with its
+  /// age. SuspectCall::RunGoesOn() is sent for them.
+  TraitAges m_outlived{};
 };
 
 /// Parameters of a call to the coordinator.
@@ -111,9 +139,16 @@
   static Json::Value RunEnded(std::string_view aFingerprint,
                               std::string_view aEngine,
                               bool aComplete);
+  /// Reports that a run goes on. An earlier program takes it for a whole one.
+  static Json::Value RunGoesOn(std::string_view aFingerprint,
+                               std::string_view aEngine,
+                               std::chrono::milliseconds aAge);
   /// Reports a crash. @param aBatch  fingerprints that this VM had there
+  /// @param aBegun  those of runs that had begun; an earlier program ignores
+  ///   them
   static Json::Value Crash(std::string_view aEngine,
-                           const std::vector<std::string>& aBatch);
+                           const std::vector<std::string>& aBatch,
+                           const TraitAges& aBegun = {});
   /// Reports that an engine answered after its supposed crash.
   static Json::Value EngineAlive(std::string_view aEngine);
 };
@@ -164,9 +199,18 @@
   /// crash, unless a suspect was granted a run there in between. With
   /// PoisonOptions::m_convictingCrashes, all reports about an engine count as
   /// one crash.
+  /// @param aBegun  fingerprints of runs that had begun, used with
+  ///   PoisonOptions::m_convictingCrashes
   CrashVerdict OnCrash(std::string_view aEngine,
                        const std::vector<std::string>& aBatch,
-                       TimePoint aNow);
+                       TimePoint aNow,
+                       const TraitAges& aBegun = {});
+  /// A run with this trait goes on, aAge after its first event. Used with
+  /// PoisonOptions::m_convictingCrashes.
+  /// @return whether the other VMs must be told
+  bool OnRunGoesOn(std::string_view aFingerprint,
+                   std::chrono::milliseconds aAge,
+                   TimePoint aNow);
   /// aEngine answered after its supposed crash, so it was only disconnected.
   /// Withdraws what is no longer supported.
   void OnEngineAlive(std::string_view aEngine, TimePoint aNow);
@@ -177,8 +221,12 @@
   /// the whole end of a run with it must be reported to the other VMs.
   bool IsNamed(std::string_view aFingerprint) const;
   /// Returns whether a request with these traits is refused.
+  /// @param aFingerprints  the first one stands for the whole request
   bool IsConvicted(const std::vector<std::string>& aFingerprints,
                    TimePoint aNow) const;
+  /// Returns for how long a request with these traits is refused, or zero.
+  Duration ConvictedFor(const std::vector<std::string>& aFingerprints,
+                        TimePoint aNow) const;
   /// Takes in what a call reports, without an answer to its sender.
   /// @return what is known of a crash's batch
   /// @throws Error (InvalidRequest) if it is malformed; nothing is changed
@@ -218,17 +266,35 @@
     TimePoint m_grantExpiry{};
     TimePoint m_runFrom{};  ///< no run is granted before
     TimePoint m_toldFrom{}; ///< in no digest before
+    /// When the conviction lapses for requests that merely share its traits.
+    TimePoint m_lapse{ TimePoint::max() };
+    std::uint32_t m_lapses{ 0 }; ///< so far
   };
   struct Crash
   {
     TimePoint m_first{};
     bool m_resolved{ false }; ///< its cause was convicted
     /// New suspects of this crash. With PoisonOptions::m_convictingCrashes, all
-    /// traits that ran there, sorted, without the sound ones.
+    /// traits of runs that had not begun there, sorted, without the sound ones.
     std::vector<std::string> m_added{};
+    TraitAges m_begun{}; ///< traits of the other runs, without the sound ones
   };
-  /// Number of crashes that support each conviction.
-  using Support = std::map<std::string, std::size_t>;
+  /// Whether a trait is sound, and since when that is known.
+  struct Soundness
+  {
+    TimePoint m_at{};
+    std::chrono::milliseconds m_age{}; ///< of its oldest run, or kWhole
+  };
+  /// Stands for the age of a run that ended whole.
+  static constexpr std::chrono::milliseconds kWhole =
+    std::chrono::milliseconds::max();
+  /// The crashes that support a conviction.
+  struct Evidence
+  {
+    std::size_t m_weight{ 0 };
+    bool m_needsLate{ false }; ///< those that aren't late don't suffice
+  };
+  using Support = std::map<std::string, Evidence>; ///< by conviction
 
   const Entry* Find(std::string_view aFingerprint, TimePoint aNow) const;
   Entry& Change(std::string_view aFingerprint,
@@ -249,17 +315,45 @@
                 TimePoint aNow);
 
   bool UsesEvidence() const { return m_options.m_convictingCrashes > 0; }
+  /// Returns the age of the oldest run with a trait that is known to go on,
+  /// kWhole if one has ended whole, or a negative age if none is known.
+  std::chrono::milliseconds OldestRun(std::string_view aFingerprint,
+                                      TimePoint aNow) const;
   bool IsSound(std::string_view aFingerprint, TimePoint aNow) const;
-  void RememberSound(std::string_view aFingerprint, TimePoint aNow);
+  void RememberSound(std::string_view aFingerprint,
+                     std::chrono::milliseconds aAge,
+                     TimePoint aNow);
+  /// Returns whether a run of age aAge refutes a crash under one of aCrashAge.
+  bool Outlives(std::chrono::milliseconds aAge,
+                std::chrono::milliseconds aCrashAge) const;
+  /// Returns whether a known run refutes that a trait caused a crash, and notes
+  /// that in aVerdict.
+  bool IsRefuted(std::string_view aFingerprint,
+                 std::chrono::milliseconds aCrashAge,
+                 TimePoint aNow,
+                 CrashVerdict& aVerdict) const;
   CrashVerdict AddEvidence(std::string_view aEngine,
                            const std::vector<std::string>& aBatch,
+                           const TraitAges& aBegun,
                            TimePoint aNow);
+  void AddTraits(Crash& aCrash,
+                 const std::vector<std::string>& aBatch,
+                 const TraitAges& aBegun) const;
   void ClearTrait(std::string_view aFingerprint, TimePoint aNow);
+  /// Removes a trait from the crashes that a run of age aAge refutes.
+  /// @return whether there was one
+  bool Refute(std::string_view aFingerprint, std::chrono::milliseconds aAge);
   /// Drops evidence that is too old or too much. Convictions outlive it.
   /// @param aRoom  number of crash records that are about to be added
   void ForgetEvidence(TimePoint aNow, std::size_t aRoom = 0);
   /// Finds the convictions that the crash records support.
   Support Assess() const;
+  /// Returns the number of each crash record's moment, in the records' order.
+  std::vector<std::size_t> Moments() const;
+  /// Convicts what aEvidence supports.
+  void ConvictBy(const Evidence& aEvidence,
+                 const std::string& aKey,
+                 TimePoint aNow);
   /// Convicts and withdraws after the evidence changed.
   /// @return the new convictions
   std::vector<std::string> Reassess(TimePoint aNow);
@@ -279,8 +373,7 @@
   std::map<std::string, Entry, std::less<>> m_entries; ///< by fingerprint
   std::map<std::string, Crash, std::less<>> m_crashes; ///< by engine
   Support m_support; ///< of the crash records as last assessed
-  /// Traits known to be sound, with the end of their last whole run.
-  std::map<std::string, TimePoint, std::less<>> m_sound;
+  std::map<std::string, Soundness, std::less<>> m_sound; ///< by trait
   std::set<std::pair<TimePoint, std::string>> m_soundByAge;
   bool m_isCollecting{ false }; ///< between BeginReports() and EndReports()
   bool m_isUnweighed{ false };  ///< evidence came in meanwhile
--- a/src/config.h
+++ b/src/config.h
@@ -492,6 +492,15 @@
 /// Crashed upstreams under which a trait of requests must have run to be
 /// refused.
 constexpr std::uint32_t kConvictingCrashes = 3;
+/// The same where runs with the trait had brought events for a time.
+constexpr std::uint32_t kConvictingLateCrashes = 5;
+/// A stream that has brought events for less than this time is only starting.
+constexpr std::chrono::milliseconds kRunStartTime = 250ms;
+/// Time after which requests that share a part are tried again, if only streams
+/// that had brought events speak against it. It doubles with each such trial.
+constexpr std::chrono::milliseconds kLateConvictionLifetime = 60'000ms;
+/// Time between two notes that a stream goes on.
+constexpr std::chrono::milliseconds kSurvivalPeriod = 1'000ms;
 /// Time for which a crash, or a whole answer, counts as evidence.
 constexpr std::chrono::milliseconds kCrashEvidenceLifetime = 120'000ms;
 /// Time for which requests that crash upstreams are refused. Then one is tried
--- a/src/ledger_poison.cpp
+++ b/src/ledger_poison.cpp
@@ -72,6 +72,10 @@
     bool convicts = aStatus == PoisonStatus::Convicted;
     entry.m_toldFrom = convicts ? aNow + m_options.m_crashWindow : TimePoint{};
   }
+  if (aStatus != PoisonStatus::Convicted) {
+    entry.m_lapse = TimePoint::max();
+    entry.m_lapses = 0;
+  }
   entry.m_status = aStatus;
   ++entry.m_version;
   entry.m_changed = aNow;
@@ -191,10 +195,11 @@
 CrashVerdict
 PoisonTracker::OnCrash(std::string_view aEngine,
                        const std::vector<std::string>& aBatch,
-                       TimePoint aNow)
+                       TimePoint aNow,
+                       const TraitAges& aBegun)
 {
   if (UsesEvidence()) {
-    return AddEvidence(aEngine, aBatch, aNow);
+    return AddEvidence(aEngine, aBatch, aBegun, aNow);
   }
   CrashVerdict verdict;
   Crash& crash = CrashOf(aEngine, aNow);
--- a/src/ledger_poison_evidence.cpp
+++ b/src/ledger_poison_evidence.cpp
@@ -9,8 +9,56 @@
 
 namespace {
 
-/// Crashes of each trait, as ascending indices.
-using CrashesOfTraits = std::map<std::string_view, std::vector<std::size_t>>;
+/// One crash of a trait.
+struct CrashOfTrait
+{
+  std::size_t m_index{ 0 };
+  bool m_isLate{ false }; ///< the runs with the trait had begun
+
+  bool operator==(const CrashOfTrait&) const = default;
+};
+
+/// In the order of their indices.
+using CrashesOfTrait = std::vector<CrashOfTrait>;
+using CrashesOfTraits = std::map<std::string_view, CrashesOfTrait>;
+
+/// Weighs crashes of both kinds against one bar.
+class Scale
+{
+public:
+  Scale(const PoisonOptions& aOptions, std::vector<std::size_t> aMoments)
+    : m_weight(aOptions.m_convictingLateCrashes)
+    , m_lateWeight(aOptions.m_convictingCrashes)
+    , m_moments(std::move(aMoments))
+  {
+  }
+
+  std::size_t WeightOf(const CrashesOfTrait& aCrashes) const
+  {
+    std::size_t weight = 0;
+    std::set<std::size_t> lateMoments;
+    for (const CrashOfTrait& crash : aCrashes) {
+      if (crash.m_isLate) {
+        lateMoments.insert(m_moments[crash.m_index]);
+      } else {
+        weight += m_weight;
+      }
+    }
+    return weight + m_lateWeight * lateMoments.size();
+  }
+  bool Convicts(const CrashesOfTrait& aCrashes) const
+  {
+    // Most traits have one crash, so their weight needn't be found.
+    std::size_t least = std::min(m_weight, m_lateWeight);
+    return aCrashes.size() >= least &&
+           WeightOf(aCrashes) >= m_weight * m_lateWeight;
+  }
+
+private:
+  std::size_t m_weight;     ///< of a crash
+  std::size_t m_lateWeight; ///< of a moment of late crashes
+  std::vector<std::size_t> m_moments;
+};
 
 bool
 IsIn(const std::vector<std::string>& aSorted, std::string_view aName)
@@ -29,36 +77,50 @@
 /// Leaves out aExplained, and then the traits with too few crashes.
 void
 Explain(CrashesOfTraits& aTraits,
-        const std::vector<std::size_t>& aExplained,
-        std::size_t aLeast)
+        const CrashesOfTrait& aExplained,
+        const Scale& aScale)
 {
+  std::set<std::size_t> explained;
+  for (const CrashOfTrait& crash : aExplained) {
+    explained.insert(crash.m_index);
+  }
   for (auto& [trait, crashes] : aTraits) {
-    std::erase_if(crashes, [&aExplained](std::size_t aCrash) {
-      return std::binary_search(aExplained.begin(), aExplained.end(), aCrash);
+    std::erase_if(crashes, [&explained](const CrashOfTrait& aCrash) {
+      return explained.contains(aCrash.m_index);
     });
   }
-  std::erase_if(aTraits, [aLeast](const auto& aTrait) {
-    return aTrait.second.size() < aLeast;
+  std::erase_if(aTraits, [&aScale](const auto& aTrait) {
+    return !aScale.Convicts(aTrait.second);
   });
 }
 
 } // namespace
 
+std::chrono::milliseconds
+PoisonTracker::OldestRun(std::string_view aFingerprint, TimePoint aNow) const
+{
+  auto found = m_sound.find(aFingerprint);
+  bool isKnown = found != m_sound.end() &&
+                 aNow - found->second.m_at < m_options.m_suspectLifetime;
+  return isKnown ? found->second.m_age : std::chrono::milliseconds(-1);
+}
+
 bool
 PoisonTracker::IsSound(std::string_view aFingerprint, TimePoint aNow) const
 {
-  auto found = m_sound.find(aFingerprint);
-  return found != m_sound.end() &&
-         aNow - found->second < m_options.m_suspectLifetime;
+  return OldestRun(aFingerprint, aNow) == kWhole;
 }
 
 void
-PoisonTracker::RememberSound(std::string_view aFingerprint, TimePoint aNow)
+PoisonTracker::RememberSound(std::string_view aFingerprint,
+                             std::chrono::milliseconds aAge,
+                             TimePoint aNow)
 {
-  auto [found, isNew] = m_sound.emplace(aFingerprint, aNow);
+  Soundness soundness{ .m_at = aNow, .m_age = aAge };
+  auto [found, isNew] = m_sound.emplace(aFingerprint, soundness);
   if (!isNew) {
-    m_soundByAge.erase({ found->second, found->first });
-    found->second = aNow;
+    m_soundByAge.erase({ found->second.m_at, found->first });
+    found->second = soundness;
   }
   m_soundByAge.emplace(aNow, found->first);
   while (m_sound.size() > m_options.m_maxSound) {
@@ -67,6 +129,31 @@
   }
 }
 
+bool
+PoisonTracker::Outlives(std::chrono::milliseconds aAge,
+                        std::chrono::milliseconds aCrashAge) const
+{
+  return aAge - m_options.m_minSurvival >= aCrashAge;
+}
+
+bool
+PoisonTracker::IsRefuted(std::string_view aFingerprint,
+                         std::chrono::milliseconds aCrashAge,
+                         TimePoint aNow,
+                         CrashVerdict& aVerdict) const
+{
+  std::chrono::milliseconds oldest = OldestRun(aFingerprint, aNow);
+  if (oldest == kWhole) {
+    aVerdict.m_sound.emplace_back(aFingerprint);
+    return true;
+  }
+  if (Outlives(oldest, aCrashAge)) {
+    aVerdict.m_outlived.emplace(aFingerprint, oldest);
+    return true;
+  }
+  return false;
+}
+
 bool
 PoisonTracker::HasCrashed(std::string_view aEngine) const
 {
@@ -78,7 +165,8 @@
 {
   bool inCrash = std::any_of(
     m_crashes.begin(), m_crashes.end(), [aFingerprint](const auto& aCrash) {
-      return IsIn(aCrash.second.m_added, aFingerprint);
+      return IsIn(aCrash.second.m_added, aFingerprint) ||
+             aCrash.second.m_begun.contains(aFingerprint);
     });
   return inCrash || std::any_of(m_entries.begin(),
                                 m_entries.end(),
@@ -92,35 +180,55 @@
 bool
 PoisonTracker::IsConvicted(const std::vector<std::string>& aFingerprints,
                            TimePoint aNow) const
+{
+  return ConvictedFor(aFingerprints, aNow) > Duration::zero();
+}
+
+Duration
+PoisonTracker::ConvictedFor(const std::vector<std::string>& aFingerprints,
+                            TimePoint aNow) const
 {
   auto has = [&aFingerprints](std::string_view aMember) {
     return std::find(aFingerprints.begin(), aFingerprints.end(), aMember) !=
            aFingerprints.end();
   };
-  return std::any_of(
-    m_entries.begin(), m_entries.end(), [aNow, &has](const auto& aEntry) {
-      const auto& [key, entry] = aEntry;
-      if (entry.m_status != PoisonStatus::Convicted || entry.m_expiry <= aNow) {
-        return false;
-      }
-      std::vector<std::string_view> members = MembersOf(key);
-      return std::all_of(members.begin(), members.end(), has);
-    });
+  TimePoint until = aNow;
+  for (const auto& [key, entry] : m_entries) {
+    if (entry.m_status != PoisonStatus::Convicted || entry.m_expiry <= until) {
+      continue;
+    }
+    std::vector<std::string_view> members = MembersOf(key);
+    if (std::all_of(members.begin(), members.end(), has)) {
+      bool isWhole = HasMember(key, aFingerprints.front());
+      until = std::max(until,
+                       isWhole ? entry.m_expiry
+                               : std::min(entry.m_expiry, entry.m_lapse));
+    }
+  }
+  return until - aNow;
 }
 
 CrashVerdict
 PoisonTracker::AddEvidence(std::string_view aEngine,
                            const std::vector<std::string>& aBatch,
+                           const TraitAges& aBegun,
                            TimePoint aNow)
 {
   CrashVerdict verdict;
   std::vector<std::string> batch;
   for (const std::string& fingerprint :
        std::set<std::string>(aBatch.begin(), aBatch.end())) {
-    (IsSound(fingerprint, aNow) ? verdict.m_sound : batch)
-      .push_back(fingerprint);
+    if (!IsRefuted(fingerprint, {}, aNow, verdict)) {
+      batch.push_back(fingerprint);
+    }
   }
-  if (batch.empty()) {
+  TraitAges begun;
+  for (const auto& [fingerprint, age] : aBegun) {
+    if (!IsRefuted(fingerprint, age, aNow, verdict)) {
+      begun.emplace(fingerprint, age);
+    }
+  }
+  if (batch.empty() && begun.empty()) {
     return verdict;
   }
   ForgetEvidence(aNow, HasCrashed(aEngine) ? 0 : 1);
@@ -128,16 +236,53 @@
   if (crash.m_first == TimePoint{}) {
     crash.m_first = aNow;
   }
-  std::vector<std::string>& named = crash.m_added;
-  for (const std::string& fingerprint : batch) {
+  AddTraits(crash, batch, begun);
+  verdict.m_convicted = Reassess(aNow);
+  return verdict;
+}
+
+void
+PoisonTracker::AddTraits(Crash& aCrash,
+                         const std::vector<std::string>& aBatch,
+                         const TraitAges& aBegun) const
+{
+  std::vector<std::string>& named = aCrash.m_added;
+  auto hasRoom = [&] {
+    return named.size() + aCrash.m_begun.size() < m_options.m_maxBatch;
+  };
+  for (const std::string& fingerprint : aBatch) {
+    aCrash.m_begun.erase(fingerprint);
     auto place = std::lower_bound(named.begin(), named.end(), fingerprint);
     bool isNew = place == named.end() || *place != fingerprint;
-    if (isNew && named.size() < m_options.m_maxBatch) {
+    if (isNew && hasRoom()) {
       named.insert(place, fingerprint);
     }
   }
-  verdict.m_convicted = Reassess(aNow);
-  return verdict;
+  for (const auto& [fingerprint, age] : aBegun) {
+    auto found = aCrash.m_begun.find(fingerprint);
+    if (found != aCrash.m_begun.end()) {
+      found->second = std::max(found->second, age);
+    } else if (!IsIn(named, fingerprint) && hasRoom()) {
+      aCrash.m_begun.emplace(fingerprint, age);
+    }
+  }
+}
+
+bool
+PoisonTracker::OnRunGoesOn(std::string_view aFingerprint,
+                           std::chrono::milliseconds aAge,
+                           TimePoint aNow)
+{
+  if (!UsesEvidence() || OldestRun(aFingerprint, aNow) >= aAge) {
+    return false;
+  }
+  bool isNamed = IsNamed(aFingerprint);
+  RememberSound(aFingerprint, aAge, aNow);
+  ForgetEvidence(aNow);
+  if (Refute(aFingerprint, aAge)) {
+    Reassess(aNow);
+  }
+  return isNamed;
 }
 
 void
@@ -157,15 +302,9 @@
 void
 PoisonTracker::ClearTrait(std::string_view aFingerprint, TimePoint aNow)
 {
-  RememberSound(aFingerprint, aNow);
+  RememberSound(aFingerprint, kWhole, aNow);
   ForgetEvidence(aNow);
-  bool named = false;
-  for (auto& [engine, crash] : m_crashes) {
-    named = std::erase(crash.m_added, aFingerprint) > 0 || named;
-  }
-  std::erase_if(m_crashes, [](const auto& aCrash) {
-    return aCrash.second.m_added.empty();
-  });
+  bool named = Refute(aFingerprint, kWhole);
   std::vector<std::string> withdrawn;
   for (const std::string& key : Convicted(aNow)) {
     if (HasMember(key, aFingerprint)) {
@@ -180,6 +319,27 @@
   }
 }
 
+bool
+PoisonTracker::Refute(std::string_view aFingerprint,
+                      std::chrono::milliseconds aAge)
+{
+  bool isRefuted = false;
+  for (auto& [engine, crash] : m_crashes) {
+    if (Outlives(aAge, {})) {
+      isRefuted = std::erase(crash.m_added, aFingerprint) > 0 || isRefuted;
+    }
+    auto found = crash.m_begun.find(aFingerprint);
+    if (found != crash.m_begun.end() && Outlives(aAge, found->second)) {
+      crash.m_begun.erase(found);
+      isRefuted = true;
+    }
+  }
+  std::erase_if(m_crashes, [](const auto& aCrash) {
+    return aCrash.second.m_added.empty() && aCrash.second.m_begun.empty();
+  });
+  return isRefuted;
+}
+
 void
 PoisonTracker::ForgetEvidence(TimePoint aNow, std::size_t aRoom)
 {
@@ -202,6 +362,27 @@
   }
 }
 
+std::vector<std::size_t>
+PoisonTracker::Moments() const
+{
+  std::vector<std::pair<TimePoint, std::size_t>> byTime;
+  for (const auto& [engine, crash] : m_crashes) {
+    byTime.emplace_back(crash.m_first, byTime.size());
+  }
+  std::sort(byTime.begin(), byTime.end());
+  std::vector<std::size_t> moments(byTime.size());
+  std::size_t moment = 0;
+  TimePoint begins{};
+  for (const auto& [time, index] : byTime) {
+    if (time - begins > m_options.m_crashMoment) {
+      ++moment;
+      begins = time;
+    }
+    moments[index] = moment;
+  }
+  return moments;
+}
+
 PoisonTracker::Support
 PoisonTracker::Assess() const
 {
@@ -209,18 +390,22 @@
   std::size_t index = 0;
   for (const auto& [engine, crash] : m_crashes) {
     for (const std::string& fingerprint : crash.m_added) {
-      traits[fingerprint].push_back(index);
+      traits[fingerprint].push_back({ .m_index = index });
+    }
+    for (const auto& [fingerprint, age] : crash.m_begun) {
+      traits[fingerprint].push_back({ .m_index = index, .m_isLate = true });
     }
     ++index;
   }
+  const Scale scale(m_options, Moments());
   Support support;
-  Explain(traits, {}, m_options.m_convictingCrashes);
+  Explain(traits, {}, scale);
   while (!traits.empty()) {
     auto worst = std::max_element(
-      traits.begin(), traits.end(), [](const auto& aA, const auto& aB) {
-        return aA.second.size() < aB.second.size();
+      traits.begin(), traits.end(), [&scale](const auto& aA, const auto& aB) {
+        return scale.WeightOf(aA.second) < scale.WeightOf(aB.second);
       });
-    const std::vector<std::size_t> crashes = worst->second;
+    const CrashesOfTrait crashes = worst->second;
     std::string key;
     std::size_t members = 0;
     for (const auto& [trait, ofTrait] : traits) {
@@ -230,8 +415,12 @@
         ++members;
       }
     }
-    support[key] = crashes.size();
-    Explain(traits, crashes, m_options.m_convictingCrashes);
+    CrashesOfTrait early = crashes;
+    std::erase_if(early,
+                  [](const CrashOfTrait& aCrash) { return aCrash.m_isLate; });
+    support[key] = { .m_weight = scale.WeightOf(crashes),
+                     .m_needsLate = !scale.Convicts(early) };
+    Explain(traits, crashes, scale);
   }
   return support;
 }
@@ -245,6 +434,23 @@
   }
 }
 
+void
+PoisonTracker::ConvictBy(const Evidence& aEvidence,
+                         const std::string& aKey,
+                         TimePoint aNow)
+{
+  Entry& entry = Change(aKey, PoisonStatus::Convicted, aNow);
+  if (!aEvidence.m_needsLate) {
+    entry.m_lapse = TimePoint::max();
+    return;
+  }
+  if (entry.m_lapse <= aNow) {
+    entry.m_lapses = std::min(entry.m_lapses + 1, kMaxConvictionLapses);
+  }
+  entry.m_lapse =
+    aNow + m_options.m_lateConvictLifetime * (1 << entry.m_lapses);
+}
+
 std::vector<std::string>
 PoisonTracker::Reassess(TimePoint aNow)
 {
@@ -255,24 +461,24 @@
   Support former = std::move(m_support);
   m_support = Assess();
   std::vector<std::string> convicted;
-  for (const auto& [key, crashes] : former) {
+  for (const auto& [key, evidence] : former) {
     bool withdrawn = !m_support.contains(key) &&
                      StatusOf(key, aNow) == PoisonStatus::Convicted;
     if (withdrawn) {
       Change(key, PoisonStatus::Clear, aNow);
     }
   }
-  for (const auto& [key, crashes] : m_support) {
+  for (const auto& [key, evidence] : m_support) {
     // Without new crashes, another VM's withdrawal stays in force: it may know
     // of an engine that answered.
     auto known = former.find(key);
-    if (known != former.end() && known->second >= crashes) {
+    if (known != former.end() && known->second.m_weight >= evidence.m_weight) {
       continue;
     }
     if (StatusOf(key, aNow) != PoisonStatus::Convicted) {
       convicted.push_back(key);
     }
-    Change(key, PoisonStatus::Convicted, aNow);
+    ConvictBy(evidence, key, aNow);
   }
   EvictExcess();
   return convicted;
--- a/src/ledger_poison_wire.cpp
+++ b/src/ledger_poison_wire.cpp
@@ -13,6 +13,11 @@
 constexpr const char* kRunEnded = "run_ended";
 constexpr const char* kCrash = "crash";
 constexpr const char* kEngineAlive = "engine_alive";
+constexpr const char* kBegun = "begun";       // of a kCrash call
+constexpr const char* kAge = "age_ms";        // of a kRunEnded call
+constexpr const char* kOutlived = "outlived"; // of a reply
+constexpr const char* kLapse = "lapse_ms";    // of an entry
+constexpr const char* kLapses = "lapses";     // of an entry
 
 std::chrono::milliseconds
 TimeUntil(TimePoint aUntil, TimePoint aNow)
@@ -65,6 +70,41 @@
   return names;
 }
 
+Json::Value
+ToJson(const TraitAges& aAges)
+{
+  Json::Value ages(Json::objectValue);
+  for (const auto& [fingerprint, age] : aAges) {
+    ages[fingerprint] = static_cast<Json::Int64>(age.count());
+  }
+  return ages;
+}
+
+std::chrono::milliseconds
+AgeFrom(const Json::Value& aAge)
+{
+  // Longer than any run, so that sums of ages stay in range.
+  constexpr std::chrono::milliseconds kMaxAge = std::chrono::hours(24);
+  std::chrono::milliseconds age{ aAge.asInt64() };
+  if (age < std::chrono::milliseconds::zero() || age > kMaxAge) {
+    ThrowBadMessage("an age is out of range");
+  }
+  return age;
+}
+
+TraitAges
+AgesFrom(const Json::Value& aAges)
+{
+  if (!aAges.isObject()) {
+    ThrowBadMessage("ages are no object");
+  }
+  TraitAges ages;
+  for (const std::string& fingerprint : aAges.getMemberNames()) {
+    ages.emplace(fingerprint, AgeFrom(aAges[fingerprint]));
+  }
+  return ages;
+}
+
 Json::Value
 CallAbout(const char* aCall,
           std::string_view aFingerprint,
@@ -87,6 +127,16 @@
   return text.asString();
 }
 
+std::chrono::milliseconds
+ReadAge(const Json::Value& aCall)
+{
+  try {
+    return AgeFrom(aCall[kAge]);
+  } catch (const Json::Exception& exception) {
+    ThrowBadMessage(exception.what());
+  }
+}
+
 } // namespace
 
 Json::Value
@@ -105,14 +155,28 @@
   return call;
 }
 
+Json::Value
+SuspectCall::RunGoesOn(std::string_view aFingerprint,
+                       std::string_view aEngine,
+                       std::chrono::milliseconds aAge)
+{
+  Json::Value call = RunEnded(aFingerprint, aEngine, true);
+  call[kAge] = static_cast<Json::Int64>(aAge.count());
+  return call;
+}
+
 Json::Value
 SuspectCall::Crash(std::string_view aEngine,
-                   const std::vector<std::string>& aBatch)
+                   const std::vector<std::string>& aBatch,
+                   const TraitAges& aBegun)
 {
   Json::Value call(Json::objectValue);
   call["call"] = kCrash;
   call["engine"] = std::string(aEngine);
   call["batch"] = ToJson(aBatch);
+  if (!aBegun.empty()) {
+    call[kBegun] = ToJson(aBegun);
+  }
   return call;
 }
 
@@ -140,6 +204,8 @@
     reply.m_verdict.m_convicted =
       NamesFrom(aReply.get("convicted", Json::arrayValue));
     reply.m_verdict.m_sound = NamesFrom(aReply.get("sound", Json::arrayValue));
+    reply.m_verdict.m_outlived =
+      AgesFrom(aReply.get(kOutlived, Json::objectValue));
     reply.m_digest = TextFrom(aReply, "digest");
     return reply;
   } catch (const Json::Exception& exception) {
@@ -163,7 +229,11 @@
       for (const std::string& fingerprint : batch) {
         CheckFingerprint(fingerprint);
       }
-      verdict = OnCrash(engine, batch, aNow);
+      TraitAges begun = AgesFrom(aCall.get(kBegun, Json::objectValue));
+      for (const auto& [fingerprint, age] : begun) {
+        CheckFingerprint(fingerprint);
+      }
+      verdict = OnCrash(engine, batch, aNow, begun);
     } catch (const Json::Exception& exception) {
       ThrowBadMessage(exception.what());
     }
@@ -173,7 +243,11 @@
     }
     std::string fingerprint = TextFrom(aCall, "request");
     CheckFingerprint(fingerprint);
-    OnRunEnded(fingerprint, engine, aCall["complete"].asBool(), aNow);
+    if (aCall.isMember(kAge)) {
+      OnRunGoesOn(fingerprint, ReadAge(aCall), aNow);
+    } else {
+      OnRunEnded(fingerprint, engine, aCall["complete"].asBool(), aNow);
+    }
   } else if (name == kEngineAlive) {
     OnEngineAlive(engine, aNow);
   } else {
@@ -205,6 +279,9 @@
     reply["suspects"] = ToJson(verdict.m_suspects);
     reply["convicted"] = ToJson(verdict.m_convicted);
     reply["sound"] = ToJson(verdict.m_sound);
+    if (!verdict.m_outlived.empty()) {
+      reply[kOutlived] = ToJson(verdict.m_outlived);
+    }
   }
   reply["digest"] = Digest(aMaxDigest, aNow);
   return reply;
@@ -237,6 +314,11 @@
       json["wait_ms"] =
         static_cast<Json::Int64>(TimeUntil(entry.m_runFrom, aNow).count());
     }
+    if (entry.m_lapse != TimePoint::max()) {
+      TimePoint lapse = std::max(entry.m_lapse, aNow);
+      json[kLapse] = static_cast<Json::Int64>(TimeUntil(lapse, aNow).count());
+      json[kLapses] = entry.m_lapses;
+    }
     if (IsRunning(entry, aNow)) {
       json["engine"] = entry.m_engine;
       json["run_ms"] =
@@ -272,6 +354,12 @@
       entry.m_grantExpiry = aNow + std::min(run, m_options.m_grantLifetime);
       std::chrono::milliseconds wait{ item.get("wait_ms", 0).asInt64() };
       entry.m_runFrom = aNow + std::min(wait, m_options.m_gossipTime);
+      if (item.isMember(kLapse)) {
+        std::chrono::milliseconds lapse{ item[kLapse].asInt64() };
+        entry.m_lapse = aNow + std::min(lapse, m_options.m_convictLifetime);
+        entry.m_lapses =
+          std::min(item.get(kLapses, 0).asUInt(), kMaxConvictionLapses);
+      }
       std::string key = item["request"].asString();
       CheckKey(key);
       rows.emplace_back(std::move(key), std::move(entry));
--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -41,7 +41,9 @@
   : m_parts(aParts)
   , m_tracker({ .m_suspectLifetime = kCrashEvidenceLifetime,
                 .m_convictLifetime = kConvictionLifetime,
-                .m_convictingCrashes = kConvictingCrashes })
+                .m_convictingCrashes = kConvictingCrashes,
+                .m_convictingLateCrashes = kConvictingLateCrashes,
+                .m_lateConvictLifetime = kLateConvictionLifetime })
   , m_issuer(Hex(aParts.m_random.Next()))
 {
 }
@@ -52,14 +54,36 @@
   return m_tracker.IsConvicted(aTraits, m_parts.m_loop.Now());
 }
 
+Duration
+CrashReports::ConvictedFor(const std::vector<std::string>& aTraits) const
+{
+  return m_tracker.ConvictedFor(aTraits, m_parts.m_loop.Now());
+}
+
 void
 CrashReports::OnRunBroken(const UpstreamKey& aUpstream,
-                          const std::vector<std::string>& aTraits)
+                          const std::vector<std::string>& aTraits,
+                          std::optional<std::chrono::milliseconds> aAge)
 {
+  // The whole request is the first trait. A chance crash rarely meets a run of
+  // it at its start, but always meets young runs with a popular prompt part.
+  std::size_t strong = aTraits.size();
+  if (aAge) {
+    strong = *aAge < kRunStartTime ? 1 : 0;
+  }
+  Batch batch;
+  for (std::size_t i = 0; i < aTraits.size(); ++i) {
+    if (i < strong) {
+      batch.m_traits.push_back(aTraits[i]);
+    } else {
+      batch.m_begun.emplace(aTraits[i], *aAge);
+    }
+  }
   TimePoint now = m_parts.m_loop.Now();
   std::string upstream = NameOf(aUpstream);
   m_crashedAt.try_emplace(upstream, now);
-  CrashVerdict verdict = m_tracker.OnCrash(upstream, aTraits, now);
+  CrashVerdict verdict =
+    m_tracker.OnCrash(upstream, batch.m_traits, now, batch.m_begun);
   NoteConvictions("own");
   if (m_unreported.empty()) {
     // The connections to a crashed upstream end within some milliseconds.
@@ -70,15 +94,44 @@
                               }
                             });
   }
-  std::vector<std::string>& batch = m_unreported[upstream];
-  for (const std::string& trait : aTraits) {
-    if (std::find(verdict.m_sound.begin(), verdict.m_sound.end(), trait) ==
-        verdict.m_sound.end()) {
-      batch.push_back(trait);
+  auto isSound = [&verdict](const std::string& aTrait) {
+    return verdict.m_outlived.contains(aTrait) ||
+           std::find(verdict.m_sound.begin(), verdict.m_sound.end(), aTrait) !=
+             verdict.m_sound.end();
+  };
+  Batch& unreported = m_unreported[upstream];
+  for (const std::string& trait : batch.m_traits) {
+    if (!isSound(trait)) {
+      unreported.m_traits.push_back(trait);
+    }
+  }
+  for (const auto& [trait, age] : batch.m_begun) {
+    if (!isSound(trait)) {
+      auto& oldest = unreported.m_begun.try_emplace(trait, age).first->second;
+      oldest = std::max(oldest, age);
     }
   }
 }
 
+void
+CrashReports::OnRunGoesOn(const std::vector<std::string>& aTraits,
+                          std::chrono::milliseconds aAge)
+{
+  TimePoint now = m_parts.m_loop.Now();
+  bool isNamed = false;
+  for (std::size_t i = 0; i < aTraits.size(); ++i) {
+    // As in OnRunComplete().
+    bool matters = i > 0 || m_tracker.IsNamed(aTraits[i]);
+    if (matters && m_tracker.OnRunGoesOn(aTraits[i], aAge, now)) {
+      isNamed = true;
+      SendToAll(SuspectCall::RunGoesOn(aTraits[i], kAnyUpstream, aAge));
+    }
+  }
+  if (isNamed) {
+    NoteConvictions("own");
+  }
+}
+
 void
 CrashReports::OnRunSilent(const UpstreamPtr& aUpstream,
                           const std::vector<std::string>& aTraits,
@@ -103,9 +156,10 @@
     m_parts.m_log.Write(
       LogEvent("upstream_crash", LogLevel::Warning)
         .Add("upstream", upstream)
-        .Add("traits", static_cast<std::int64_t>(batch.size())));
+        .Add("traits", static_cast<std::int64_t>(batch.m_traits.size()))
+        .Add("begun", static_cast<std::int64_t>(batch.m_begun.size())));
     m_parts.m_metrics.Count("upstream_crashes_total", "");
-    SendToAll(SuspectCall::Crash(upstream, batch));
+    SendToAll(SuspectCall::Crash(upstream, batch.m_traits, batch.m_begun));
   }
 }
 
@@ -335,6 +389,10 @@
                 aReport.m_id + "/" + trait);
     }
   }
+  for (const auto& [trait, age] : verdict.m_outlived) {
+    SendToAll(SuspectCall::RunGoesOn(trait, kAnyUpstream, age),
+              aReport.m_id + "/" + trait);
+  }
 }
 
 void
@@ -375,6 +433,11 @@
     }
   }
   ReportSound(sound);
+  for (const auto& [trait, age] : reply.m_verdict.m_outlived) {
+    if (m_tracker.OnRunGoesOn(trait, age, m_parts.m_loop.Now())) {
+      SendToAll(SuspectCall::RunGoesOn(trait, kAnyUpstream, age));
+    }
+  }
   Merge(reply.m_digest);
 }
 
--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -40,10 +40,18 @@
 
   /// Returns whether requests with these traits are refused.
   bool IsConvicted(const std::vector<std::string>& aTraits) const;
-  /// An upstream closed the connection of a run before the end of its answer;
-  /// of a stream, before the first event. Or it fell silent to all requests.
+  /// Returns for how long they are, or zero.
+  Duration ConvictedFor(const std::vector<std::string>& aTraits) const;
+  /// An upstream closed the connection of a run before the end of its answer,
+  /// or fell silent to all requests.
+  /// @param aAge  time from a stream's first event to its last one, if there
+  ///              was an event
   void OnRunBroken(const UpstreamKey& aUpstream,
-                   const std::vector<std::string>& aTraits);
+                   const std::vector<std::string>& aTraits,
+                   std::optional<std::chrono::milliseconds> aAge = {});
+  /// A stream goes on, aAge after its first event.
+  void OnRunGoesOn(const std::vector<std::string>& aTraits,
+                   std::chrono::milliseconds aAge);
   /// A run was given up without an answer. It counts as broken if the upstream
   /// answers nothing for kMaxSoundSilence.
   void OnRunSilent(const UpstreamPtr& aUpstream,
@@ -71,6 +79,13 @@
   Json::Value OnSpread(const Json::Value& aParams);
 
 private:
+  /// Traits of runs that broke at one upstream.
+  struct Batch
+  {
+    std::vector<std::string> m_traits{};
+    TraitAges m_begun{};
+  };
+
   /// @param aTries  how often the call may be made until it is answered
   void Send(const std::string& aPeer,
             const Json::Value& aCall,
@@ -102,7 +117,7 @@
   /// Time of the first report about each upstream that crashed.
   std::map<std::string, TimePoint, std::less<>> m_crashedAt;
   /// Traits of this VM's runs at crashed upstreams that are not yet reported.
-  std::map<std::string, std::vector<std::string>> m_unreported;
+  std::map<std::string, Batch> m_unreported;
   std::set<std::string> m_convicted; ///< as last logged
   ReportSpread m_spread;
   bool m_hasRound{ false }; ///< a round is due
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -169,6 +169,18 @@
     std::string m_body;
   };
 
+  /// Times of the first and the last event of an attempt.
+  struct EventSpan
+  {
+    TimePoint m_first{};
+    TimePoint m_last{};
+
+    std::chrono::milliseconds Length() const
+    {
+      return Milliseconds(m_last - m_first);
+    }
+  };
+
   /// An attempt whose upstream sends nothing. Its call stays open.
   struct SilentAttempt
   {
@@ -181,7 +193,7 @@
     HeldAnswer m_heldAnswer;
     AttemptEnd m_pendingEnd;
     bool m_streaming;
-    bool m_hasEvents;
+    std::optional<EventSpan> m_eventSpan;
   };
 
   std::chrono::milliseconds TimeLeft() const;
@@ -330,6 +342,8 @@
   /// to another attempt gets kMaxUnusedBodyTime to complete.
   void SetPendingEnd(AttemptEnd aEnd);
   void ForwardEvents(const std::string& aEvents);
+  /// The attempt has brought a complete event.
+  void NoteEvent();
   /// Passes a held answer on before it is complete. It can't be replaced then.
   void PassOnHeld();
   /// Returns the bytes held of answers, until one is complete.
@@ -348,6 +362,9 @@
   void AbandonCall(AttemptEnd aEnd, const std::string& aReason);
   /// Passes on what the end of an attempt tells about crashes.
   void ReportRun(AttemptEnd aEnd);
+  /// The upstream ended the connection of a run before the end of its answer.
+  void ReportBrokenRun(const UpstreamPtr& aUpstream,
+                       const std::optional<EventSpan>& aEventSpan);
   /// Learns from the attempt's time how slow its upstream is.
   void NotePace(AttemptEnd aEnd);
   void ReportSilentRun(const SilentAttempt& aSilent,
@@ -450,8 +467,9 @@
   /// The attempt's end if its answer completes.
   AttemptEnd m_pendingEnd{ AttemptEnd::Broken };
   bool m_streaming{ false }; ///< events are passed on as they arrive
-  bool m_hasEvents{ false }; ///< the attempt has brought a complete event
-  bool m_runSent{ false };   ///< the run has left
+  std::optional<EventSpan>
+    m_eventSpan;           ///< of complete events, if there are any
+  bool m_runSent{ false }; ///< the run has left
   std::optional<CallFailure> m_callFailure; ///< for the log
   /// The upstream ended the connection before the attempt was over.
   bool m_closedByUpstream{ false };
--- a/src/router_request_answer.cpp
+++ b/src/router_request_answer.cpp
@@ -196,13 +196,31 @@
   if (aEvents.empty()) {
     return;
   }
-  m_hasEvents = true;
+  NoteEvent();
   if (!m_answerBegun) {
     BeginAnswer(m_heldAnswer.m_head);
   }
   WriteToCaller(aEvents);
 }
 
+void
+RoutedRequest::NoteEvent()
+{
+  TimePoint now = m_shared.m_loop.Now();
+  if (!m_eventSpan) {
+    m_eventSpan = { .m_first = now, .m_last = now };
+    return;
+  }
+  auto former = m_eventSpan->Length();
+  m_eventSpan->m_last = now;
+  auto length = m_eventSpan->Length();
+  bool isDue = length / kSurvivalPeriod > former / kSurvivalPeriod;
+  // A VM that the request was passed to notes its runs itself.
+  if (isDue && m_phase == Phase::Run) {
+    m_shared.m_crashes.OnRunGoesOn(m_traits, length);
+  }
+}
+
 void
 RoutedRequest::WriteToCaller(std::string_view aBytes)
 {
@@ -240,7 +258,7 @@
     return "the stream ended inside an event";
   }
   bool onlyClosed = m_heldAnswer.m_head.m_framing == BodyFraming::UntilClose;
-  return onlyClosed && !m_hasEvents ? "the stream closed before its first event"
+  return onlyClosed && !m_eventSpan ? "the stream closed before its first event"
                                     : "";
 }
 
--- a/src/router_request_crashes.cpp
+++ b/src/router_request_crashes.cpp
@@ -12,21 +12,29 @@
   if (m_phase == Phase::Reserve || m_phase == Phase::Relay) {
     return;
   }
-  const UpstreamKey& upstream = m_upstream->m_entry.m_key;
   constexpr int kSuccess = 2;
   bool succeeded = aEnd == AttemptEnd::Answered &&
                    m_heldAnswer.m_head.m_status / 100 == kSuccess;
-  bool wasBroken =
-    m_closedByUpstream && !m_hasEvents && aEnd == AttemptEnd::Broken;
-  if (wasBroken) {
-    m_shared.m_crashes.OnRunBroken(upstream, m_traits);
+  if (m_closedByUpstream && aEnd == AttemptEnd::Broken) {
+    ReportBrokenRun(m_upstream, m_eventSpan);
   } else if (aEnd == AttemptEnd::TimedOut) {
     ReportSilence(m_upstream, m_sentAt);
   } else if (m_phase == Phase::Run && succeeded) {
-    m_shared.m_crashes.OnRunComplete(upstream, m_traits);
+    m_shared.m_crashes.OnRunComplete(m_upstream->m_entry.m_key, m_traits);
   }
 }
 
+void
+RoutedRequest::ReportBrokenRun(const UpstreamPtr& aUpstream,
+                               const std::optional<EventSpan>& aEventSpan)
+{
+  std::optional<std::chrono::milliseconds> age;
+  if (aEventSpan) {
+    age = aEventSpan->Length();
+  }
+  m_shared.m_crashes.OnRunBroken(aUpstream->m_entry.m_key, m_traits, age);
+}
+
 void
 RoutedRequest::ReportSilentRun(const SilentAttempt& aSilent,
                                AttemptEnd aEnd,
@@ -35,10 +43,8 @@
   if (aSilent.m_phase == Phase::Relay) {
     return;
   }
-  bool wasBroken =
-    aClosedByUpstream && !aSilent.m_hasEvents && aEnd == AttemptEnd::Broken;
-  if (wasBroken) {
-    m_shared.m_crashes.OnRunBroken(aSilent.m_upstream->m_entry.m_key, m_traits);
+  if (aClosedByUpstream && aEnd == AttemptEnd::Broken) {
+    ReportBrokenRun(aSilent.m_upstream, aSilent.m_eventSpan);
   } else if (aEnd == AttemptEnd::TimedOut && TimeLeft() == 0ms) {
     // Before, the upstream might still have answered.
     ReportSilence(aSilent.m_upstream, aSilent.m_sentAt);
@@ -58,11 +64,12 @@
 bool
 RoutedRequest::RefuseIfConvicted()
 {
-  if (!m_shared.m_crashes.IsConvicted(m_traits)) {
+  Duration left = m_shared.m_crashes.ConvictedFor(m_traits);
+  if (left == Duration::zero()) {
     return false;
   }
   m_quarantined = true;
-  m_retryAfter = kQuarantineRetryAfter;
+  m_retryAfter = std::min(kQuarantineRetryAfter, Milliseconds(left) + 1ms);
   m_shared.m_metrics.Count("quarantined_total", "");
   Finish(DecideEnd(Progress()));
   return true;
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -344,7 +344,7 @@
     event.Add("parts", JoinedParts());
   }
   if (m_streaming) {
-    event.Add("events", m_hasEvents ? "yes" : "no");
+    event.Add("events", m_eventSpan ? "yes" : "no");
     AddBodyState(event);
   }
   m_shared.m_log.Write(event);
--- a/src/router_request_send.cpp
+++ b/src/router_request_send.cpp
@@ -177,7 +177,7 @@
   m_heldAnswer = {};
   m_pendingEnd = AttemptEnd::Broken;
   m_streaming = false;
-  m_hasEvents = false;
+  m_eventSpan.reset();
   m_runSent = false;
   m_callFailure.reset();
   m_closedByUpstream = false;
--- a/src/router_request_silence.cpp
+++ b/src/router_request_silence.cpp
@@ -139,7 +139,7 @@
                        .m_heldAnswer = std::exchange(m_heldAnswer, {}),
                        .m_pendingEnd = m_pendingEnd,
                        .m_streaming = m_streaming,
-                       .m_hasEvents = m_hasEvents });
+                       .m_eventSpan = m_eventSpan });
   TryAgain();
 }
 
@@ -150,7 +150,7 @@
                          .Add("request", m_facts.m_id)
                          .Add("phase", ToString(m_phase))
                          .Add("upstream", m_upstream->m_entry.m_key.m_id)
-                         .Add("events", m_hasEvents ? "yes" : "no")
+                         .Add("events", m_eventSpan ? "yes" : "no")
                          .Add("silence", m_shared.m_loop.Now() - m_lastBytesAt)
                          .Add("time_left", Duration(TimeLeft())));
 }
@@ -188,7 +188,7 @@
   m_heldAnswer = std::move(silent.m_heldAnswer);
   m_pendingEnd = silent.m_pendingEnd;
   m_streaming = silent.m_streaming;
-  m_hasEvents = silent.m_hasEvents;
+  m_eventSpan = silent.m_eventSpan;
   m_runSent = true;
   m_callFailure.reset();
   m_closedByUpstream = false;
--- a/tests/poison_fleet.h
+++ b/tests/poison_fleet.h
@@ -10,6 +10,7 @@
 #include <functional>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <vector>
 
@@ -54,12 +55,14 @@
 
 /// Nine VMs, each with its own tracker, before twelve engines. Messages between
 /// VMs take 1 to 20 ms, and some are lost. Connections to several engines are
-/// reset now and then.
+/// reset now and then. If crashes are late, runs bring events before, and
+/// several engines are killed together now and then.
 class PoisonFleet
 {
 public:
-  explicit PoisonFleet(std::uint64_t aSeed)
+  explicit PoisonFleet(std::uint64_t aSeed, bool aCrashesAreLate = false)
     : m_random(MakeSeededRandom(aSeed))
+    , m_crashesAreLate(aCrashesAreLate)
     // With odd seeds, no part is known to be sound when the poison arrives.
     , m_poisonFrom(aSeed % 2 == 0 ? 5s : 0s)
     , m_engines(kEngines)
@@ -74,6 +77,9 @@
     After(0ms, [this] { SendSound(); });
     After(m_poisonFrom, [this] { SendPoison(); });
     After(Between(1'000, 3'000), [this] { ResetConnections(); });
+    if (m_crashesAreLate) {
+      After(Between(1'000, 3'000), [this] { KillEngines(); });
+    }
     for (std::size_t vm = 0; vm < kVms; ++vm) {
       After(Between(1, 200), [this, vm] { CheckEngines(vm); });
       After(Between(1, 500), [this, vm] { Gossip(vm); });
@@ -99,6 +105,7 @@
     bool m_shares{ false }; ///< sound, with the poison's first part
     bool m_retried{ false };
     std::size_t m_vm{ 0 };
+    std::optional<TimePoint> m_firstEventAt{};
   };
   struct Engine
   {
@@ -110,6 +117,7 @@
   static constexpr std::size_t kVms = 9;
   static constexpr std::size_t kEngines = 12;
   static constexpr std::uint64_t kLostPercent = 2;
+  static constexpr Milliseconds kTimeToFirstEvent{ 40 };
   static constexpr int kFirstParts = 4;
   static constexpr int kCommonParts = 40;
   static constexpr Milliseconds kLength{ 40'000 };
@@ -167,7 +175,9 @@
   }
   void Place(const Request& aRequest)
   {
-    bool refused = m_vms[aRequest.m_vm].IsConvicted(aRequest.m_traits, m_now);
+    std::vector<std::string> traits = aRequest.m_traits;
+    std::swap(traits.front(), traits.back()); // the whole request goes first
+    bool refused = m_vms[aRequest.m_vm].IsConvicted(traits, m_now);
     std::vector<std::size_t> up;
     for (std::size_t engine = 0; engine < kEngines; ++engine) {
       if (m_engines[engine].m_up) {
@@ -217,9 +227,16 @@
   void Start(const Request& aRequest, std::size_t aEngine)
   {
     std::uint64_t run = ++m_runs;
-    m_engines[aEngine].m_runs.emplace(run, aRequest);
+    Request& started =
+      m_engines[aEngine].m_runs.emplace(run, aRequest).first->second;
+    started.m_firstEventAt.reset();
     Milliseconds left =
       aRequest.m_poison ? Between(20, 300) : Between(300, 4'000);
+    if (m_crashesAreLate) {
+      After(kTimeToFirstEvent,
+            [this, run, aEngine] { BringEvents(run, aEngine); });
+      left += kTimeToFirstEvent;
+    }
     After(left, [this, run, aEngine] {
       auto& runs = m_engines[aEngine].m_runs;
       auto found = runs.find(run);
@@ -235,6 +252,37 @@
       }
     });
   }
+  /// Brings the first event of a run, then notes each second that it goes on.
+  void BringEvents(std::uint64_t aRun, std::size_t aEngine)
+  {
+    auto& runs = m_engines[aEngine].m_runs;
+    auto found = runs.find(aRun);
+    if (found == runs.end()) {
+      return;
+    }
+    Request& request = found->second;
+    if (!request.m_firstEventAt) {
+      request.m_firstEventAt = m_now;
+    }
+    Milliseconds age = AgeOf(request).value_or(Milliseconds{});
+    for (const std::string& trait : request.m_traits) {
+      if (age > Milliseconds{} &&
+          m_vms[request.m_vm].OnRunGoesOn(trait, age, m_now)) {
+        TellAll(request.m_vm,
+                SuspectCall::RunGoesOn(trait, NameOf(aEngine), age));
+      }
+    }
+    After(kSurvivalPeriod,
+          [this, aRun, aEngine] { BringEvents(aRun, aEngine); });
+  }
+  std::optional<Milliseconds> AgeOf(const Request& aRequest) const
+  {
+    if (!aRequest.m_firstEventAt) {
+      return {};
+    }
+    return std::chrono::duration_cast<Milliseconds>(m_now -
+                                                    *aRequest.m_firstEventAt);
+  }
   void Complete(const Request& aRequest, std::size_t aEngine)
   {
     for (const std::string& trait : aRequest.m_traits) {
@@ -250,6 +298,21 @@
   void Crash(std::size_t aEngine)
   {
     m_crashes.push_back(m_now);
+    End(aEngine);
+  }
+  void KillEngines()
+  {
+    for (std::uint64_t left = 1 + m_random->Below(kEngines / 2); left > 0;
+         --left) {
+      std::size_t engine = m_random->Below(kEngines);
+      if (m_engines[engine].m_up) {
+        End(engine);
+      }
+    }
+    After(Between(2'000, 6'000), [this] { KillEngines(); });
+  }
+  void End(std::size_t aEngine)
+  {
     BreakRuns(aEngine);
     m_engines[aEngine].m_up = false;
     After(Between(2'000, 4'000), [this, aEngine] {
@@ -273,31 +336,37 @@
     for (const auto& [run, request] : m_engines[aEngine].m_runs) {
       batches[request.m_vm].push_back(request);
     }
+    TimePoint brokenAt = m_now;
     m_engines[aEngine].m_runs.clear();
     for (const auto& [vm, batch] : batches) {
       After(Between(0, 20),
-            [this, vm = vm, batch = batch, engine = NameOf(aEngine)] {
-              OnBroken(vm, engine, batch);
+            [this, brokenAt, vm = vm, batch = batch, engine = NameOf(aEngine)] {
+              OnBroken(vm, engine, batch, brokenAt);
             });
     }
   }
   void OnBroken(std::size_t aVm,
                 const std::string& aEngine,
-                const std::vector<Request>& aBatch)
+                const std::vector<Request>& aBatch,
+                TimePoint aBrokenAt)
   {
     std::vector<std::string> traits;
+    TraitAges begun;
     for (const Request& request : aBatch) {
-      traits.insert(
-        traits.end(), request.m_traits.begin(), request.m_traits.end());
+      AddTraits(request, aBrokenAt, traits, begun);
     }
-    CrashVerdict verdict = m_vms[aVm].OnCrash(aEngine, traits, m_now);
-    std::erase_if(traits, [&verdict](const std::string& aTrait) {
-      return std::find(verdict.m_sound.begin(),
+    CrashVerdict verdict = m_vms[aVm].OnCrash(aEngine, traits, m_now, begun);
+    auto isSound = [&verdict](const std::string& aTrait) {
+      return verdict.m_outlived.contains(aTrait) ||
+             std::find(verdict.m_sound.begin(),
                        verdict.m_sound.end(),
                        aTrait) != verdict.m_sound.end();
-    });
-    if (!traits.empty()) {
-      TellAll(aVm, SuspectCall::Crash(aEngine, traits));
+    };
+    std::erase_if(traits, isSound);
+    std::erase_if(
+      begun, [&isSound](const auto& aTrait) { return isSound(aTrait.first); });
+    if (!traits.empty() || !begun.empty()) {
+      TellAll(aVm, SuspectCall::Crash(aEngine, traits, begun));
     }
     for (Request request : aBatch) {
       if (!request.m_retried) {
@@ -307,6 +376,28 @@
     }
   }
 
+  /// The last trait is the whole request.
+  static void AddTraits(const Request& aRequest,
+                        TimePoint aBrokenAt,
+                        std::vector<std::string>& aTraits,
+                        TraitAges& aBegun)
+  {
+    for (const std::string& trait : aRequest.m_traits) {
+      if (!aRequest.m_firstEventAt) {
+        aTraits.push_back(trait);
+        continue;
+      }
+      auto age = std::chrono::duration_cast<Milliseconds>(
+        aBrokenAt - *aRequest.m_firstEventAt);
+      if (&trait == &aRequest.m_traits.back() && age < kRunStartTime) {
+        aTraits.push_back(trait);
+      } else {
+        Milliseconds& oldest = aBegun[trait];
+        oldest = std::max(oldest, age);
+      }
+    }
+  }
+
   void CheckEngines(std::size_t aVm)
   {
     for (std::size_t engine = 0; engine < kEngines; ++engine) {
@@ -347,11 +438,16 @@
       TellAll(aVm,
               SuspectCall::RunEnded(trait, aCall["engine"].asString(), true));
     }
+    for (const auto& [trait, age] : reply.m_verdict.m_outlived) {
+      TellAll(aVm,
+              SuspectCall::RunGoesOn(trait, aCall["engine"].asString(), age));
+    }
   }
 
   static constexpr std::size_t kDigestBytes = 8'192;
 
   std::unique_ptr<RandomI> m_random;
+  bool m_crashesAreLate;
   TimePoint m_now{ 1000s };
   TimePoint m_end{ m_now + kLength };
   Duration m_poisonFrom;
