Say in a request's end that its retry budget was spent

Operators saw: a stream that isn't resumed since the service's retries are used up ends as outcome=cut, like one that may not be resumed; only a conviction had a field of its own.

Cause: TakeRetryBudget() told its caller only.

Change: request_end has retry_budget=spent, and retries_denied_total counts.

Result: a_stream_cut_for_want_of_a_retry_says_so fails without the change to src/ (no such field or counter) and passes; router_engines_test passes.

--- a/src/router_request.cpp
+++ b/src/router_request.cpp
@@ -344,8 +344,13 @@
 bool
 RoutedRequest::TakeRetryBudget()
 {
-  return m_shared.BudgetOf(m_service).Take(m_shared.m_liveVms,
-                                           m_shared.m_loop.Now());
+  bool isGranted = m_shared.BudgetOf(m_service).Take(m_shared.m_liveVms,
+                                                     m_shared.m_loop.Now());
+  if (!isGranted) {
+    m_retryDenied = true;
+    m_shared.m_metrics.Count("retries_denied_total", "");
+  }
+  return isGranted;
 }
 
 UpstreamPtr
--- a/src/router_request.h
+++ b/src/router_request.h
@@ -268,6 +268,7 @@
   UpstreamPtr Pick(EngineStage aStage, const std::string& aFromDomain);
   UpstreamPtr PickForRun();
   bool HasRoomFor(const Upstream& aUpstream) const;
+  /// Returns whether the request may be sent once more, and notes if not.
   bool TakeRetryBudget();
   /// Sends the request, or the call of its phase, once the upstream's limit
   /// allows it; without a permit, the phase goes on at another upstream.
@@ -427,6 +428,7 @@
   std::chrono::milliseconds m_retryAfter; ///< sent if the request is refused
   bool m_limited{ false };                ///< refused for upstreams' limits
   bool m_forecast{ false };               ///< refused, as it would wait in vain
+  bool m_retryDenied{ false };            ///< the retry budget was spent
   bool m_stopped{ false };                ///< ended by this VM's stop
   bool m_quarantined{ false }; ///< refused, as requests like it crash upstreams
   bool m_ended{ false };
--- a/src/router_request_end.cpp
+++ b/src/router_request_end.cpp
@@ -263,6 +263,9 @@
   if (m_limited) {
     event.Add("limited", "yes");
   }
+  if (m_retryDenied) {
+    event.Add("retry_budget", "spent");
+  }
   if (m_relays > 0) {
     event.Add("relays", static_cast<std::int64_t>(m_relays));
   }
--- a/tests/router_engines_test.cpp
+++ b/tests/router_engines_test.cpp
@@ -373,6 +373,32 @@
   BOOST_TEST(Runs(*m_decode, "r2") + Runs(*m_other, "r2") == 0);
 }
 
+// Streams that are cut for want of a retry looked like any other cut.
+BOOST_FIXTURE_TEST_CASE(a_stream_cut_for_want_of_a_retry_says_so,
+                        EnginesWithoutBudget)
+{
+  m_loop.Do([this] {
+    for (PublishedServer* engine : { m_decode, m_other }) {
+      engine->SetScript([this, engine](const PublishedCall& aCall) {
+        if (aCall.m_reserve || aCall.m_request.m_head.m_method == "DELETE") {
+          return false;
+        }
+        engine->BeginStream(aCall);
+        aCall.m_exchange->Write(Event(1));
+        m_loop->RunAfter(50ms,
+                         [exchange = aCall.m_exchange] { exchange->Abort(); });
+        return true;
+      });
+    }
+  });
+  BOOST_TEST(Has(Ask("/stream/x", "r1"), Event(1)));
+  BOOST_TEST(WaitFor([this] {
+    return CountLogLines("outcome=cut") == 1 &&
+           CountLogLines("retry_budget=spent") == 1;
+  }));
+  BOOST_TEST(Has(Metrics(), "shallotford_retries_denied_total 1\n"));
+}
+
 BOOST_FIXTURE_TEST_CASE(a_request_waits_while_engines_have_no_memory, Engines)
 {
   StreamAll(*m_decode, 1);
