Tell a large fleet that a run goes on only where a verdict names its part

Cause: with more than 16 other VMs, a VM that knows of a longer run answered each spread report of a crash with a report of its own for each such part, where whole answers are told only if a crash or a verdict names the part at this VM. Change: the same condition for runs that go on. A verdict that reaches the VM by gossip names the part, and the run's next note, at most 1 s later, refutes it. Evidence: found by reading the change again; callers saw nothing. No test of its own: report_spread_test plays reports without parts.

--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -390,8 +390,10 @@
     }
   }
   for (const auto& [trait, age] : verdict.m_outlived) {
-    SendToAll(SuspectCall::RunGoesOn(trait, kAnyUpstream, age),
-              aReport.m_id + "/" + trait);
+    if (m_tracker.IsNamed(trait)) {
+      SendToAll(SuspectCall::RunGoesOn(trait, kAnyUpstream, age),
+                aReport.m_id + "/" + trait);
+    }
   }
 }
 
