Count crashes of one moment once for requests that are starting

Callers saw nothing yet: found on reading. A request that many callers send is starting at several engines when they are killed together, and each of these crashes counted in full, so that all VMs refused it.

Cause: VMs passed a whole request whose run ended within 250 ms of its first event on as if it had not begun, and such crashes aren't grouped by their moment.

Change: VMs report the age of each run and whether a trait stands for a whole request; the tracker weighs that. A starting request still needs three crashes, but of three moments.

Result: a_popular_request_at_engines_killed_at_once_is_served fails on (two convictions, not served) and passes, like the rest of router_late_crashes_test and poison_late_evidence_test.

--- a/include/shallotford/ledger/poison.h
+++ b/include/shallotford/ledger/poison.h
@@ -38,11 +38,12 @@
 /// of a run that ended whole is sound and is cleared.
 ///
 /// A run that had begun to answer when its engine crashed is weaker evidence
-/// (TraitAges): many such runs are at an engine that ends for another cause. It
-/// takes more of these crashes to convict, those of one moment count once, and
-/// a run elsewhere that has gone on for longer refutes them. What is convicted
-/// only with their help lapses for requests that merely share it, since it
-/// might never be cleared; the next crash convicts it again, for longer.
+/// (BegunTrait): many such runs are at an engine that ends for another cause.
+/// It takes more of these crashes to convict, those of one moment count once,
+/// and a run elsewhere that has gone on for longer refutes them. What is
+/// convicted only with their help lapses for requests that merely share it,
+/// since it might never be cleared; the next crash convicts it again, for
+/// longer.
 ///
 /// Not guaranteed: a trait that is in more crashes than their cause is refused
 /// instead of it while no request with the trait runs to its end. Late crashes
@@ -79,11 +80,14 @@
   /// Crashes that convict the traits which they share. 0: suspects are isolated
   /// instead.
   std::uint32_t m_convictingCrashes{ 0 };
-  /// The same for crashes whose runs had begun (TraitAges), at least 1. Where a
-  /// trait has crashes of both kinds, their shares add up.
+  /// The same for crashes whose runs had begun (BegunTrait), at least 1. Where
+  /// a trait has crashes of both kinds, their shares add up.
   std::uint32_t m_convictingLateCrashes{ 5 };
+  /// A whole request is crashed as it starts if its run has an age below this.
+  /// Chance seldom meets that, so it counts in full.
+  std::chrono::milliseconds m_runStart{ 250 };
   /// Engines that crash within this time may have one cause outside, such as
-  /// their host, so they count as one late crash.
+  /// their host, so under runs that had begun they count as one.
   std::chrono::milliseconds m_crashMoment{ 100 };
   /// Time after which a conviction that needs late crashes lapses for requests
   /// that merely share the trait. It doubles each time that it is found again.
@@ -109,10 +113,18 @@
 std::string_view
 ToString(PoisonStatus aStatus);
 
-/// Traits of runs that had begun to answer, with the age of the oldest such
-/// run: the time from its first event to its last one.
+/// Ages of runs that had begun to answer, by trait: the time from the first
+/// event to the last one.
 using TraitAges = std::map<std::string, std::chrono::milliseconds, std::less<>>;
 
+/// A trait of runs that had begun to answer when their engine crashed.
+struct BegunTrait
+{
+  std::chrono::milliseconds m_age{}; ///< of the oldest run
+  bool m_isWhole{ false };           ///< it stands for a whole request
+};
+using BegunTraits = std::map<std::string, BegunTrait, std::less<>>;
+
 /// What one crash changed.
 struct CrashVerdict
 {
@@ -148,7 +160,7 @@
   ///   them
   static Json::Value Crash(std::string_view aEngine,
                            const std::vector<std::string>& aBatch,
-                           const TraitAges& aBegun = {});
+                           const BegunTraits& aBegun = {});
   /// Reports that an engine answered after its supposed crash.
   static Json::Value EngineAlive(std::string_view aEngine);
 };
@@ -204,7 +216,7 @@
   CrashVerdict OnCrash(std::string_view aEngine,
                        const std::vector<std::string>& aBatch,
                        TimePoint aNow,
-                       const TraitAges& aBegun = {});
+                       const BegunTraits& aBegun = {});
   /// A run with this trait goes on, aAge after its first event. Used with
   /// PoisonOptions::m_convictingCrashes.
   /// @return whether the other VMs must be told
@@ -277,7 +289,7 @@
     /// New suspects of this crash. With PoisonOptions::m_convictingCrashes, all
     /// traits of runs that had not begun there, sorted, without the sound ones.
     std::vector<std::string> m_added{};
-    TraitAges m_begun{}; ///< traits of the other runs, without the sound ones
+    BegunTraits m_begun{}; ///< traits of the other runs, without the sound ones
   };
   /// Whether a trait is sound, and since when that is known.
   struct Soundness
@@ -334,11 +346,11 @@
                  CrashVerdict& aVerdict) const;
   CrashVerdict AddEvidence(std::string_view aEngine,
                            const std::vector<std::string>& aBatch,
-                           const TraitAges& aBegun,
+                           const BegunTraits& aBegun,
                            TimePoint aNow);
   void AddTraits(Crash& aCrash,
                  const std::vector<std::string>& aBatch,
-                 const TraitAges& aBegun) const;
+                 const BegunTraits& aBegun) const;
   void ClearTrait(std::string_view aFingerprint, TimePoint aNow);
   /// Removes a trait from the crashes that a run of age aAge refutes.
   /// @return whether there was one
--- a/src/ledger_poison.cpp
+++ b/src/ledger_poison.cpp
@@ -196,7 +196,7 @@
 PoisonTracker::OnCrash(std::string_view aEngine,
                        const std::vector<std::string>& aBatch,
                        TimePoint aNow,
-                       const TraitAges& aBegun)
+                       const BegunTraits& aBegun)
 {
   if (UsesEvidence()) {
     return AddEvidence(aEngine, aBatch, aBegun, aNow);
--- a/src/ledger_poison_evidence.cpp
+++ b/src/ledger_poison_evidence.cpp
@@ -9,11 +9,19 @@
 
 namespace {
 
+/// What a crash shows of a trait.
+enum class CrashKind
+{
+  Early,    ///< a run with it had not begun
+  Starting, ///< runs of the whole request were starting
+  Late,     ///< the runs with it had begun
+};
+
 /// One crash of a trait.
 struct CrashOfTrait
 {
   std::size_t m_index{ 0 };
-  bool m_isLate{ false }; ///< the runs with the trait had begun
+  CrashKind m_kind{ CrashKind::Early };
 
   bool operator==(const CrashOfTrait&) const = default;
 };
@@ -36,15 +44,21 @@
   std::size_t WeightOf(const CrashesOfTrait& aCrashes) const
   {
     std::size_t weight = 0;
-    std::set<std::size_t> lateMoments;
+    std::map<std::size_t, std::size_t> ofMoments;
     for (const CrashOfTrait& crash : aCrashes) {
-      if (crash.m_isLate) {
-        lateMoments.insert(m_moments[crash.m_index]);
+      bool isLate = crash.m_kind == CrashKind::Late;
+      std::size_t ofCrash = isLate ? m_lateWeight : m_weight;
+      if (crash.m_kind == CrashKind::Early) {
+        weight += ofCrash;
       } else {
-        weight += m_weight;
+        std::size_t& ofMoment = ofMoments[m_moments[crash.m_index]];
+        ofMoment = std::max(ofMoment, ofCrash);
       }
     }
-    return weight + m_lateWeight * lateMoments.size();
+    for (const auto& [moment, ofMoment] : ofMoments) {
+      weight += ofMoment;
+    }
+    return weight;
   }
   bool Convicts(const CrashesOfTrait& aCrashes) const
   {
@@ -211,7 +225,7 @@
 CrashVerdict
 PoisonTracker::AddEvidence(std::string_view aEngine,
                            const std::vector<std::string>& aBatch,
-                           const TraitAges& aBegun,
+                           const BegunTraits& aBegun,
                            TimePoint aNow)
 {
   CrashVerdict verdict;
@@ -222,10 +236,10 @@
       batch.push_back(fingerprint);
     }
   }
-  TraitAges begun;
-  for (const auto& [fingerprint, age] : aBegun) {
-    if (!IsRefuted(fingerprint, age, aNow, verdict)) {
-      begun.emplace(fingerprint, age);
+  BegunTraits begun;
+  for (const auto& [fingerprint, trait] : aBegun) {
+    if (!IsRefuted(fingerprint, trait.m_age, aNow, verdict)) {
+      begun.emplace(fingerprint, trait);
     }
   }
   if (batch.empty() && begun.empty()) {
@@ -244,7 +258,7 @@
 void
 PoisonTracker::AddTraits(Crash& aCrash,
                          const std::vector<std::string>& aBatch,
-                         const TraitAges& aBegun) const
+                         const BegunTraits& aBegun) const
 {
   std::vector<std::string>& named = aCrash.m_added;
   auto hasRoom = [&] {
@@ -258,12 +272,13 @@
       named.insert(place, fingerprint);
     }
   }
-  for (const auto& [fingerprint, age] : aBegun) {
+  for (const auto& [fingerprint, trait] : aBegun) {
     auto found = aCrash.m_begun.find(fingerprint);
     if (found != aCrash.m_begun.end()) {
-      found->second = std::max(found->second, age);
+      BegunTrait& known = found->second;
+      known.m_age = std::max(known.m_age, trait.m_age);
     } else if (!IsIn(named, fingerprint) && hasRoom()) {
-      aCrash.m_begun.emplace(fingerprint, age);
+      aCrash.m_begun.emplace(fingerprint, trait);
     }
   }
 }
@@ -329,7 +344,7 @@
       isRefuted = std::erase(crash.m_added, aFingerprint) > 0 || isRefuted;
     }
     auto found = crash.m_begun.find(aFingerprint);
-    if (found != crash.m_begun.end() && Outlives(aAge, found->second)) {
+    if (found != crash.m_begun.end() && Outlives(aAge, found->second.m_age)) {
       crash.m_begun.erase(found);
       isRefuted = true;
     }
@@ -392,8 +407,11 @@
     for (const std::string& fingerprint : crash.m_added) {
       traits[fingerprint].push_back({ .m_index = index });
     }
-    for (const auto& [fingerprint, age] : crash.m_begun) {
-      traits[fingerprint].push_back({ .m_index = index, .m_isLate = true });
+    for (const auto& [fingerprint, trait] : crash.m_begun) {
+      bool isStarting = trait.m_isWhole && trait.m_age < m_options.m_runStart;
+      traits[fingerprint].push_back(
+        { .m_index = index,
+          .m_kind = isStarting ? CrashKind::Starting : CrashKind::Late });
     }
     ++index;
   }
@@ -416,8 +434,9 @@
       }
     }
     CrashesOfTrait early = crashes;
-    std::erase_if(early,
-                  [](const CrashOfTrait& aCrash) { return aCrash.m_isLate; });
+    std::erase_if(early, [](const CrashOfTrait& aCrash) {
+      return aCrash.m_kind == CrashKind::Late;
+    });
     support[key] = { .m_weight = scale.WeightOf(crashes),
                      .m_needsLate = !scale.Convicts(early) };
     Explain(traits, crashes, scale);
--- a/src/ledger_poison_wire.cpp
+++ b/src/ledger_poison_wire.cpp
@@ -13,11 +13,12 @@
 constexpr const char* kRunEnded = "run_ended";
 constexpr const char* kCrash = "crash";
 constexpr const char* kEngineAlive = "engine_alive";
-constexpr const char* kBegun = "begun";       // of a kCrash call
-constexpr const char* kAge = "age_ms";        // of a kRunEnded call
-constexpr const char* kOutlived = "outlived"; // of a reply
-constexpr const char* kLapse = "lapse_ms";    // of an entry
-constexpr const char* kLapses = "lapses";     // of an entry
+constexpr const char* kBegun = "begun";            // parts, of a kCrash call
+constexpr const char* kBegunWhole = "begun_whole"; // requests, of a kCrash call
+constexpr const char* kAge = "age_ms";             // of a kRunEnded call
+constexpr const char* kOutlived = "outlived";      // of a reply
+constexpr const char* kLapse = "lapse_ms";         // of an entry
+constexpr const char* kLapses = "lapses";          // of an entry
 
 std::chrono::milliseconds
 TimeUntil(TimePoint aUntil, TimePoint aNow)
@@ -92,6 +93,18 @@
   return age;
 }
 
+Json::Value
+ToJson(const BegunTraits& aTraits, bool aIsWhole)
+{
+  TraitAges ages;
+  for (const auto& [fingerprint, trait] : aTraits) {
+    if (trait.m_isWhole == aIsWhole) {
+      ages.emplace(fingerprint, trait.m_age);
+    }
+  }
+  return ToJson(ages);
+}
+
 TraitAges
 AgesFrom(const Json::Value& aAges)
 {
@@ -168,14 +181,15 @@
 Json::Value
 SuspectCall::Crash(std::string_view aEngine,
                    const std::vector<std::string>& aBatch,
-                   const TraitAges& aBegun)
+                   const BegunTraits& aBegun)
 {
   Json::Value call(Json::objectValue);
   call["call"] = kCrash;
   call["engine"] = std::string(aEngine);
   call["batch"] = ToJson(aBatch);
   if (!aBegun.empty()) {
-    call[kBegun] = ToJson(aBegun);
+    call[kBegun] = ToJson(aBegun, false);
+    call[kBegunWhole] = ToJson(aBegun, true);
   }
   return call;
 }
@@ -229,9 +243,14 @@
       for (const std::string& fingerprint : batch) {
         CheckFingerprint(fingerprint);
       }
-      TraitAges begun = AgesFrom(aCall.get(kBegun, Json::objectValue));
-      for (const auto& [fingerprint, age] : begun) {
-        CheckFingerprint(fingerprint);
+      BegunTraits begun;
+      for (bool isWhole : { false, true }) {
+        const char* field = isWhole ? kBegunWhole : kBegun;
+        for (const auto& [fingerprint, age] :
+             AgesFrom(aCall.get(field, Json::objectValue))) {
+          CheckFingerprint(fingerprint);
+          begun[fingerprint] = { .m_age = age, .m_isWhole = isWhole };
+        }
       }
       verdict = OnCrash(engine, batch, aNow, begun);
     } catch (const Json::Exception& exception) {
--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -43,6 +43,7 @@
                 .m_convictLifetime = kConvictionLifetime,
                 .m_convictingCrashes = kConvictingCrashes,
                 .m_convictingLateCrashes = kConvictingLateCrashes,
+                .m_runStart = kRunStartTime,
                 .m_lateConvictLifetime = kLateConvictionLifetime })
   , m_issuer(Hex(aParts.m_random.Next()))
 {
@@ -65,18 +66,13 @@
                           const std::vector<std::string>& aTraits,
                           std::optional<std::chrono::milliseconds> aAge)
 {
-  // The whole request is the first trait. A chance crash rarely meets a run of
-  // it at its start, but always meets young runs with a popular prompt part.
-  std::size_t strong = aTraits.size();
-  if (aAge) {
-    strong = *aAge < kRunStartTime ? 1 : 0;
-  }
   Batch batch;
-  for (std::size_t i = 0; i < aTraits.size(); ++i) {
-    if (i < strong) {
-      batch.m_traits.push_back(aTraits[i]);
-    } else {
-      batch.m_begun.emplace(aTraits[i], *aAge);
+  if (!aAge) {
+    batch.m_traits = aTraits;
+  } else {
+    for (const std::string& trait : aTraits) {
+      bool isWhole = &trait == &aTraits.front();
+      batch.m_begun[trait] = { .m_age = *aAge, .m_isWhole = isWhole };
     }
   }
   TimePoint now = m_parts.m_loop.Now();
@@ -105,10 +101,11 @@
       unreported.m_traits.push_back(trait);
     }
   }
-  for (const auto& [trait, age] : batch.m_begun) {
+  for (const auto& [trait, run] : batch.m_begun) {
     if (!isSound(trait)) {
-      auto& oldest = unreported.m_begun.try_emplace(trait, age).first->second;
-      oldest = std::max(oldest, age);
+      BegunTrait& oldest =
+        unreported.m_begun.try_emplace(trait, run).first->second;
+      oldest.m_age = std::max(oldest.m_age, run.m_age);
     }
   }
 }
--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -83,7 +83,7 @@
   struct Batch
   {
     std::vector<std::string> m_traits{};
-    TraitAges m_begun{};
+    BegunTraits m_begun{};
   };
 
   /// @param aTries  how often the call may be made until it is answered
--- a/tests/poison_fleet.h
+++ b/tests/poison_fleet.h
@@ -351,7 +351,7 @@
                 TimePoint aBrokenAt)
   {
     std::vector<std::string> traits;
-    TraitAges begun;
+    BegunTraits begun;
     for (const Request& request : aBatch) {
       AddTraits(request, aBrokenAt, traits, begun);
     }
@@ -380,7 +380,7 @@
   static void AddTraits(const Request& aRequest,
                         TimePoint aBrokenAt,
                         std::vector<std::string>& aTraits,
-                        TraitAges& aBegun)
+                        BegunTraits& aBegun)
   {
     for (const std::string& trait : aRequest.m_traits) {
       if (!aRequest.m_firstEventAt) {
@@ -389,12 +389,9 @@
       }
       auto age = std::chrono::duration_cast<Milliseconds>(
         aBrokenAt - *aRequest.m_firstEventAt);
-      if (&trait == &aRequest.m_traits.back() && age < kRunStartTime) {
-        aTraits.push_back(trait);
-      } else {
-        Milliseconds& oldest = aBegun[trait];
-        oldest = std::max(oldest, age);
-      }
+      BegunTrait& begun = aBegun[trait];
+      begun.m_age = std::max(begun.m_age, age);
+      begun.m_isWhole = &trait == &aRequest.m_traits.back();
     }
   }
 
--- a/tests/poison_late_evidence_test.cpp
+++ b/tests/poison_late_evidence_test.cpp
@@ -41,7 +41,7 @@
 TimePoint
 CrashInTurn(PoisonTracker& aTracker,
             std::uint32_t aCrashes,
-            const TraitAges& aBegun)
+            const BegunTraits& aBegun)
 {
   TimePoint now = kStart;
   for (std::uint32_t i = 0; i < aCrashes; ++i) {
@@ -56,11 +56,11 @@
 BOOST_AUTO_TEST_CASE(late_crashes_convict_once_there_are_more_of_them)
 {
   PoisonTracker tracker(Options());
-  TimePoint now = CrashInTurn(tracker, kLate - 1, { { "bad", 300ms } });
+  TimePoint now = CrashInTurn(tracker, kLate - 1, { { "bad", { 300ms } } });
   BOOST_TEST(!tracker.IsConvicted({ "bad" }, now));
   BOOST_TEST(tracker.IsNamed("bad"));
   CrashVerdict verdict =
-    tracker.OnCrash("last", {}, now + 1s, { { "bad", 300ms } });
+    tracker.OnCrash("last", {}, now + 1s, { { "bad", { 300ms } } });
   BOOST_TEST((verdict.m_convicted == Names{ "bad" }));
 }
 
@@ -68,10 +68,10 @@
 {
   PoisonTracker tracker(Options());
   tracker.OnCrash("e1", { "bad" }, kStart);
-  tracker.OnCrash("e2", {}, kStart + 1s, { { "bad", 0ms } });
+  tracker.OnCrash("e2", {}, kStart + 1s, { { "bad", { 0ms } } });
   tracker.OnCrash("e3", { "bad" }, kStart + 2s);
   BOOST_TEST(!tracker.IsConvicted({ "bad" }, kStart + 2s));
-  tracker.OnCrash("e4", {}, kStart + 3s, { { "bad", 0ms } });
+  tracker.OnCrash("e4", {}, kStart + 3s, { { "bad", { 0ms } } });
   BOOST_TEST(tracker.IsConvicted({ "bad" }, kStart + 3s));
 }
 
@@ -80,7 +80,7 @@
 {
   PoisonTracker tracker(Options());
   for (std::uint32_t i = 0; i < 2 * kLate; ++i) {
-    tracker.OnCrash(Engine(i), {}, kStart + i * 10ms, { { "near", 1s } });
+    tracker.OnCrash(Engine(i), {}, kStart + i * 10ms, { { "near", { 1s } } });
   }
   BOOST_TEST(!tracker.IsConvicted({ "near" }, kStart + 1s));
 }
@@ -94,7 +94,7 @@
       tracker.OnCrash(Engine(i),
                       earlyFirst ? Names{ "bad" } : Names{},
                       now,
-                      { { "bad", 1s } });
+                      { { "bad", { 1s } } });
       if (!earlyFirst) {
         tracker.OnCrash(Engine(i), { "bad" }, now);
       }
@@ -106,7 +106,7 @@
 BOOST_AUTO_TEST_CASE(a_run_that_outlasts_the_crashed_ones_refutes_them)
 {
   PoisonTracker tracker(Options());
-  TimePoint now = CrashInTurn(tracker, kLate, { { "near", 700ms } });
+  TimePoint now = CrashInTurn(tracker, kLate, { { "near", { 700ms } } });
   BOOST_TEST(tracker.IsConvicted({ "near" }, now));
   // A run of the same age may still end its engine.
   BOOST_TEST(tracker.OnRunGoesOn("near", 1'600ms, now));
@@ -123,12 +123,12 @@
   tracker.OnRunGoesOn("near", 2s, kStart);
   BOOST_TEST(!tracker.OnRunGoesOn("near", 1s, kStart)); // nothing new
   CrashVerdict verdict =
-    tracker.OnCrash("e1", { "near" }, kStart, { { "other", 0ms } });
+    tracker.OnCrash("e1", { "near" }, kStart, { { "other", { 0ms } } });
   BOOST_TEST((verdict.m_outlived == TraitAges{ { "near", 2s } }));
-  verdict = tracker.OnCrash("e2", {}, kStart, { { "near", 1s } });
+  verdict = tracker.OnCrash("e2", {}, kStart, { { "near", { 1s } } });
   BOOST_TEST((verdict.m_outlived == TraitAges{ { "near", 2s } }));
   BOOST_TEST(!tracker.IsNamed("near"));
-  verdict = tracker.OnCrash("e3", {}, kStart, { { "near", 1'001ms } });
+  verdict = tracker.OnCrash("e3", {}, kStart, { { "near", { 1'001ms } } });
   BOOST_TEST(verdict.m_outlived.empty());
   BOOST_TEST(tracker.IsNamed("near"));
 }
@@ -147,11 +147,28 @@
 BOOST_AUTO_TEST_CASE(a_whole_request_is_convicted_and_not_its_parts)
 {
   PoisonTracker tracker(Options());
-  for (std::uint32_t i = 0; i < kEarly; ++i) {
+  CrashInTurn(
+    tracker, kEarly, { { "whole", { 249ms, true } }, { "part", { 249ms } } });
+  BOOST_TEST((tracker.Convicted(kStart + 9s) == Names{ "whole" }));
+}
+
+BOOST_AUTO_TEST_CASE(a_whole_request_that_has_long_begun_needs_more_crashes)
+{
+  PoisonTracker tracker(Options());
+  TimePoint now =
+    CrashInTurn(tracker, kLate - 1, { { "whole", { 250ms, true } } });
+  BOOST_TEST(!tracker.IsConvicted({ "whole" }, now));
+}
+
+// A popular request is starting at many engines when their host is lost.
+BOOST_AUTO_TEST_CASE(crashes_of_one_moment_count_once_for_starting_requests)
+{
+  PoisonTracker tracker(Options());
+  for (std::uint32_t i = 0; i < 2 * kEarly; ++i) {
     tracker.OnCrash(
-      Engine(i), { "whole" }, kStart + i * 1s, { { "part", 50ms } });
+      Engine(i), {}, kStart + i * 10ms, { { "whole", { 50ms, true } } });
   }
-  BOOST_TEST((tracker.Convicted(kStart + 9s) == Names{ "whole" }));
+  BOOST_TEST(!tracker.IsConvicted({ "whole" }, kStart + 1s));
 }
 
 // Nobody could clear a part that all VMs refuse.
@@ -159,14 +176,14 @@
 {
   PoisonTracker tracker(Options());
   const Names sharing{ "request", "part" };
-  TimePoint now = CrashInTurn(tracker, kLate, { { "part", 300ms } });
+  TimePoint now = CrashInTurn(tracker, kLate, { { "part", { 300ms } } });
   const TimePoint lapse = now + Options().m_lateConvictLifetime;
   BOOST_TEST((tracker.ConvictedFor(sharing, now) == lapse - now));
   BOOST_TEST(tracker.IsConvicted(sharing, lapse - 1ms));
   BOOST_TEST(!tracker.IsConvicted(sharing, lapse));
   BOOST_TEST(tracker.IsConvicted({ "part" }, lapse)); // an equal request
   // One more crash refuses it again, for longer.
-  tracker.OnCrash("again", {}, lapse, { { "part", 300ms } });
+  tracker.OnCrash("again", {}, lapse, { { "part", { 300ms } } });
   BOOST_TEST((tracker.ConvictedFor(sharing, lapse) ==
               2 * Options().m_lateConvictLifetime));
 }
@@ -174,7 +191,7 @@
 BOOST_AUTO_TEST_CASE(a_conviction_by_early_crashes_does_not_lapse)
 {
   PoisonTracker tracker(Options());
-  tracker.OnCrash("late", {}, kStart, { { "part", 300ms } });
+  tracker.OnCrash("late", {}, kStart, { { "part", { 300ms } } });
   for (std::uint32_t i = 0; i < kEarly; ++i) {
     tracker.OnCrash(Engine(i), { "part" }, kStart);
   }
@@ -186,12 +203,12 @@
 {
   PoisonTracker one(Options());
   PoisonTracker two(Options());
-  TimePoint now = CrashInTurn(one, kLate, { { "part", 300ms } });
+  TimePoint now = CrashInTurn(one, kLate, { { "part", { 300ms } } });
   two.Merge(one.Digest(kMaxDigest, now), now);
   const TimePoint lapse = now + Options().m_lateConvictLifetime;
   BOOST_TEST(two.IsConvicted({ "request", "part" }, lapse - 1ms));
   BOOST_TEST(!two.IsConvicted({ "request", "part" }, lapse));
-  one.OnCrash("again", {}, lapse, { { "part", 300ms } });
+  one.OnCrash("again", {}, lapse, { { "part", { 300ms } } });
   two.Merge(one.Digest(kMaxDigest, lapse), lapse);
   BOOST_TEST((two.ConvictedFor({ "request", "part" }, lapse) ==
               one.ConvictedFor({ "request", "part" }, lapse)));
@@ -209,11 +226,11 @@
   for (std::uint32_t i = 0; i < kLate; ++i) {
     now += 1s;
     SuspectReply reply = serve(SuspectCall::Crash(
-      Engine(i), {}, { { "bad", 100ms }, { "known", 100ms } }));
+      Engine(i), {}, { { "bad", { 300ms, true } }, { "known", { 100ms } } }));
     BOOST_TEST((reply.m_verdict.m_outlived == TraitAges{ { "known", 3s } }));
   }
   BOOST_TEST((tracker.Convicted(now) == Names{ "bad" }));
-  serve(SuspectCall::RunGoesOn("bad", "any", 1'100ms));
+  serve(SuspectCall::RunGoesOn("bad", "any", 1'300ms));
   BOOST_TEST(tracker.Convicted(now).empty());
 }
 
@@ -247,6 +264,7 @@
                                   crash + R"("begun":{"x":1e300}})",
                                   crash + R"("begun":{"a+b":1}})",
                                   crash + R"("begun":{"":1}})",
+                                  crash + R"("begun_whole":{"x":-1}})",
                                   goesOn + R"("age_ms":-1})",
                                   goesOn + R"("age_ms":99999999999})",
                                   goesOn + R"("age_ms":"old"})" }) {
@@ -262,14 +280,14 @@
   PoisonOptions options = Options();
   options.m_maxBatch = 4;
   PoisonTracker tracker(options);
-  TraitAges begun;
+  BegunTraits begun;
   for (int i = 0; i < 100; ++i) {
-    begun.emplace("t" + std::to_string(i), 1s);
+    begun["t" + std::to_string(i)] = { 1s };
   }
   tracker.OnCrash("e1", { "a", "b", "c" }, kStart, begun);
   tracker.OnCrash("e1", { "d", "e" }, kStart, begun);
   int named = 0;
-  for (const auto& [trait, age] : begun) {
+  for (const auto& [trait, run] : begun) {
     named += tracker.IsNamed(trait) ? 1 : 0;
   }
   BOOST_TEST(named == 1);
--- a/tests/router_late_crashes_test.cpp
+++ b/tests/router_late_crashes_test.cpp
@@ -105,6 +105,28 @@
   BOOST_TEST(Convictions() == 0u);
 }
 
+// A request that many callers send is starting at several engines when they
+// are killed.
+BOOST_FIXTURE_TEST_CASE(a_popular_request_at_engines_killed_at_once_is_served,
+                        LateCrashes)
+{
+  auto begin = [this] {
+    auto caller = std::make_unique<RawSocket>(AnyPort());
+    std::string id = "p" + std::to_string(++m_lastId);
+    caller->Send(Request("/long/held", id, "same"));
+    m_callers.push_back(std::move(caller));
+  };
+  for (int i = 0; i < 12; ++i) {
+    begin();
+  }
+  BOOST_TEST_REQUIRE(WaitForHeld(12));
+  GoOn(50ms); // first events have left
+  KillEngines(6);
+  begin();
+  BOOST_TEST(WaitForHeld(13));
+  BOOST_TEST(Convictions() == 0u);
+}
+
 // A stream that goes on shows that its part doesn't end engines.
 BOOST_FIXTURE_TEST_CASE(a_part_is_served_if_streams_with_it_outlast_the_killed,
                         LateCrashes)
