--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -66,15 +66,7 @@
                           const std::vector<std::string>& aTraits,
                           std::optional<std::chrono::milliseconds> aAge)
 {
-  Batch batch;
-  if (!aAge) {
-    batch.m_traits = aTraits;
-  } else {
-    for (const std::string& trait : aTraits) {
-      bool isWhole = &trait == &aTraits.front();
-      batch.m_begun[trait] = { .m_age = *aAge, .m_isWhole = isWhole };
-    }
-  }
+  Batch batch = BatchOf(aTraits, aAge);
   TimePoint now = m_parts.m_loop.Now();
   std::string upstream = NameOf(aUpstream);
   m_crashedAt.try_emplace(upstream, now);
@@ -90,21 +82,44 @@
                               }
                             });
   }
-  auto isSound = [&verdict](const std::string& aTrait) {
-    return verdict.m_outlived.contains(aTrait) ||
-           std::find(verdict.m_sound.begin(), verdict.m_sound.end(), aTrait) !=
-             verdict.m_sound.end();
+  Collect(batch, verdict, m_unreported[upstream]);
+}
+
+CrashReports::Batch
+CrashReports::BatchOf(const std::vector<std::string>& aTraits,
+                      std::optional<std::chrono::milliseconds> aAge)
+{
+  Batch batch;
+  if (!aAge) {
+    batch.m_traits = aTraits;
+    return batch;
+  }
+  for (const std::string& trait : aTraits) {
+    bool isWhole = &trait == &aTraits.front();
+    batch.m_begun[trait] = { .m_age = *aAge, .m_isWhole = isWhole };
+  }
+  return batch;
+}
+
+void
+CrashReports::Collect(const Batch& aBatch,
+                      const CrashVerdict& aVerdict,
+                      Batch& aUnreported)
+{
+  const std::vector<std::string>& sound = aVerdict.m_sound;
+  auto isSound = [&](const std::string& aTrait) {
+    return aVerdict.m_outlived.contains(aTrait) ||
+           std::find(sound.begin(), sound.end(), aTrait) != sound.end();
   };
-  Batch& unreported = m_unreported[upstream];
-  for (const std::string& trait : batch.m_traits) {
+  for (const std::string& trait : aBatch.m_traits) {
     if (!isSound(trait)) {
-      unreported.m_traits.push_back(trait);
+      aUnreported.m_traits.push_back(trait);
     }
   }
-  for (const auto& [trait, run] : batch.m_begun) {
+  for (const auto& [trait, run] : aBatch.m_begun) {
     if (!isSound(trait)) {
       BegunTrait& oldest =
-        unreported.m_begun.try_emplace(trait, run).first->second;
+        aUnreported.m_begun.try_emplace(trait, run).first->second;
       oldest.m_age = std::max(oldest.m_age, run.m_age);
     }
   }
--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -86,6 +86,14 @@
     BegunTraits m_begun{};
   };
 
+  /// Returns what the break of one run speaks against.
+  /// @param aTraits  the first one stands for the whole request
+  static Batch BatchOf(const std::vector<std::string>& aTraits,
+                       std::optional<std::chrono::milliseconds> aAge);
+  /// Adds to a report what isn't known to be sound here.
+  static void Collect(const Batch& aBatch,
+                      const CrashVerdict& aVerdict,
+                      Batch& aUnreported);
   /// @param aTries  how often the call may be made until it is answered
   void Send(const std::string& aPeer,
             const Json::Value& aCall,
