Leave begun runs out of the evidence in fleets of more than 16 other VMs

Cause, only suspected: reports go on from VM to VM there, and VMs that know a part to be sound find another verdict than those that don't. Runs that had begun bring such parts into nearly each crash.

Change: with more than 16 other VMs runs that had begun count neither way, as before.

--- a/src/router_crashes.cpp
+++ b/src/router_crashes.cpp
@@ -66,6 +66,9 @@
                           const std::vector<std::string>& aTraits,
                           std::optional<std::chrono::milliseconds> aAge)
 {
+  if (aAge && !WeighsLateCrashes()) {
+    return;
+  }
   Batch batch = BatchOf(aTraits, aAge);
   TimePoint now = m_parts.m_loop.Now();
   std::string upstream = NameOf(aUpstream);
@@ -85,6 +88,13 @@
   Collect(batch, verdict, m_unreported[upstream]);
 }
 
+bool
+CrashReports::WeighsLateCrashes() const
+{
+  return m_parts.m_peers.Reachable(m_parts.m_loop.Now()).size() <=
+         kMaxDirectReportPeers;
+}
+
 CrashReports::Batch
 CrashReports::BatchOf(const std::vector<std::string>& aTraits,
                       std::optional<std::chrono::milliseconds> aAge)
@@ -129,6 +139,9 @@
 CrashReports::OnRunGoesOn(const std::vector<std::string>& aTraits,
                           std::chrono::milliseconds aAge)
 {
+  if (!WeighsLateCrashes()) {
+    return;
+  }
   TimePoint now = m_parts.m_loop.Now();
   bool isNamed = false;
   for (std::size_t i = 0; i < aTraits.size(); ++i) {
--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -86,6 +86,10 @@
     BegunTraits m_begun{};
   };
 
+  /// Returns whether runs that had begun count. While reports go on from VM to
+  /// VM, VMs know of different sound parts for seconds, and their verdicts on
+  /// such runs withdraw each other.
+  bool WeighsLateCrashes() const;
   /// Returns what the break of one run speaks against.
   /// @param aTraits  the first one stands for the whole request
   static Batch BatchOf(const std::vector<std::string>& aTraits,
