--- a/src/router_crashes.h
+++ b/src/router_crashes.h
@@ -86,9 +86,9 @@
     BegunTraits m_begun{};
   };
 
-  /// Returns whether runs that had begun count. While reports go on from VM to
-  /// VM, VMs know of different sound parts for seconds, and their verdicts on
-  /// such runs withdraw each other.
+  /// Returns whether runs that had begun count: only while each VM gets reports
+  /// from their sender. Where they go on from VM to VM, it isn't shown that the
+  /// verdicts on such runs agree.
   bool WeighsLateCrashes() const;
   /// Returns what the break of one run speaks against.
   /// @param aTraits  the first one stands for the whole request
