--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -11,6 +11,7 @@
 import base64
 import json
 import os
+import random
 import shlex
 import shutil
 import signal
@@ -27,10 +28,20 @@
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
 
 
-def free_port():
-    with socket.socket() as probe:
-        probe.bind(("127.0.0.1", 0))
-        return probe.getsockname()[1]
+def free_port(used=set()):  # pylint: disable=dangerous-default-value
+    """Returns a free port below those that the kernel gives to others before
+    the daemon listens there."""
+    while True:
+        port = random.randrange(15000, 32000)
+        if port in used:
+            continue
+        used.add(port)
+        with socket.socket() as probe:
+            try:
+                probe.bind(("127.0.0.1", port))
+                return port
+            except OSError:
+                continue
 
 
 class Record:
