--- a/review/standins-3/world.py
+++ b/review/standins-3/world.py
@@ -1,5 +1,5 @@
-"""Stand-ins for the scripts of this review: the platform's store, servers of
-plain services and engines, a TCP proxy, clients, and the daemon's processes.
+"""Stand-ins for the script of this review: the platform's store, model servers,
+clients, and the daemon's processes.
 
 They follow PROTOCOL.md. Everything listens on 127.0.0.1, on ports that the
 kernel chooses. All stand-ins run in the script's own process, so it knows what
@@ -138,41 +138,6 @@
         raise NotImplementedError
 
 
-class Proxy(Port):
-    """Passes bytes on to one address; can go silent or reset connections."""
-
-    def __init__(self, target):
-        super().__init__()
-        self.target = target
-        self.silent = False
-
-    async def serve(self, reader, writer):
-        there_reader, there = await asyncio.open_connection(
-            "127.0.0.1", self.target)
-        self.writers.add(there)
-        try:
-            relays = [asyncio.create_task(self._relay(reader, there)),
-                      asyncio.create_task(self._relay(there_reader, writer))]
-            _, pending = await asyncio.wait(
-                relays, return_when=asyncio.FIRST_COMPLETED)
-            for relay in pending:
-                relay.cancel()
-            await asyncio.gather(*relays, return_exceptions=True)
-        finally:
-            self.writers.discard(there)
-            there.transport.abort()
-
-    async def _relay(self, reader, writer):
-        while True:
-            data = await reader.read(65536)
-            while self.silent:
-                await asyncio.sleep(0.02)
-            if not data:
-                return
-            writer.write(data)
-            await writer.drain()
-
-
 class Store(Port):
     """The platform's store: items with revisions, read and watched."""
 
@@ -234,12 +199,11 @@
 
 
 class Server(Port):
-    """One incarnation of a server. Engines have a stage."""
+    """One incarnation of a model server."""
 
     born_last = 0
 
-    def __init__(self, world, service, stage="", version="1", zone="z1",
-                 name=None):
+    def __init__(self, world, service, stage, version="1", zone="z1"):
         super().__init__()
         self.world = world
         self.service = service
@@ -248,10 +212,8 @@
         self.zone = zone
         Server.born_last = max(Server.born_last + 1, int(time.time() * 1000))
         self.born = Server.born_last
-        self.id = name or f"i-{os.urandom(5).hex()}"
+        self.id = f"i-{os.urandom(5).hex()}"
         self.seq = 0
-        self.proxy = None
-        self.handles = {}
         self.holds = 0
         self.fence = 0  # the highest that came with an order
         self.is_busy = False  # an order is in progress
@@ -266,9 +228,7 @@
         entry = {"service": self.service, "address": self.address,
                  "zone": self.zone, "version": self.version, "slots": 16,
                  "state": state, "cold-ms": 0, "seq": self.seq,
-                 "born": self.born}
-        if self.stage:
-            entry["stage"] = self.stage
+                 "born": self.born, "stage": self.stage}
         return entry
 
     def publish(self, state="ready"):
@@ -324,8 +284,6 @@
     async def prefill(self, fields, body, writer):
         request = fields.get("x-shallotford-request-id", "")
         handle = os.urandom(6).hex()
-        self.handles[handle] = request
-        self.world.handles[f"{self.address}/{handle}"] = request
         self.world.record(f"prefill {request} at {self.id}: {handle}")
         await asyncio.sleep(0.05)
         writer.write(answer_bytes(
@@ -335,18 +293,7 @@
     async def run(self, method, target, fields, body, writer):
         request = fields.get("x-shallotford-request-id", "")
         self.world.on_run(self, request, fields)
-        if self.stage:
-            await self.stream(request, fields, writer)
-        else:
-            await self.plain(request, writer)
-
-    async def plain(self, request, writer):
-        await asyncio.sleep(self.world.work_s)
-        if self.server is None:
-            raise ConnectionError("crashed")
-        writer.write(answer_bytes(
-            200, {REQUEST_ID: request, SIGNATURE: f"sig-{request}"},
-            f"{self.id} ran {request}"))
+        await self.stream(request, fields, writer)
 
     async def stream(self, request, fields, writer):
         """Sends the events after Last-Event-Id, as a resumed run does."""
@@ -455,8 +402,6 @@
         self.servers = []
         self.runs = []  # (time, server, request id, fields)
         self.orders = []  # (time, server, holder, fence)
-        self.handles = {}  # address and handle: request id
-        self.work_s = 0.03
         self.first_s = 0.1
         self.gap_s = 0.03
         self.events = 71
@@ -479,9 +424,8 @@
                             order["fence"]))
         self.record(f"order at {server.id}: {json.dumps(order)}")
 
-    async def add(self, service, stage="", version="1", zone="z1", kind=Server,
-                  name=None):
-        server = kind(self, service, stage, version, zone, name)
+    async def add(self, service, stage, version="1", zone="z1"):
+        server = Server(self, service, stage, version, zone)
         await server.start()
         self.servers.append(server)
         return server
